--- /dev/null
+++ b/crates/waxwing_bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Benchmarks and capacity measurements.
--- /dev/null
+++ b/crates/waxwing_peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! The protocol between daemons, on `capnp-rpc`.
--- /dev/null
+++ b/crates/waxwing_records/src/lib.rs
@@ -0,0 +1,21 @@
+//! The records by which operators describe workspaces, keys, services, regions, planned shifts and
+//! client blocks: their types, their schema versions and their checks.
+
+mod blocks;
+mod document;
+mod finding;
+mod key;
+mod region;
+mod service;
+mod shift;
+mod wire;
+mod workspace;
+
+pub use blocks::{Block, Blocks};
+pub use document::{Document, Kind, MAX_RECORD_BYTES, Record, RecordName};
+pub use finding::{Finding, Findings};
+pub use key::{Key, KeyHash};
+pub use region::{Domain, Link, Region};
+pub use service::{Route, Service, Target};
+pub use shift::Shift;
+pub use workspace::Workspace;
--- /dev/null
+++ b/crates/waxwing_store/src/lib.rs
@@ -0,0 +1,1 @@
+//! The platform's object store: the trait and its HTTP adapter.
--- /dev/null
+++ b/crates/waxwing_testkit/src/lib.rs
@@ -0,0 +1,1 @@
+//! Test doubles for the platform, targets and callers.
--- /dev/null
+++ b/crates/waxwingctl/src/main.rs
@@ -0,0 +1,3 @@
+//! The operator's command line.
+
+fn main() {}
--- /dev/null
+++ b/crates/waxwingrail/src/main.rs
@@ -0,0 +1,3 @@
+//! The daemon on an entry VM.
+
+fn main() {}
