Outline the interface of the rate limits

Cause: the daemon and the request path build against the ledger. Conclusion: others can build on these signatures.

--- /dev/null
+++ b/crates/waxwing_core/src/limit/owners.rs
@@ -0,0 +1,108 @@
+//! The store object that says who owns the shards of a failure domain.
+
+use serde::{Deserialize, Serialize};
+use smol_str::{SmolStr, format_smolstr};
+use waxwing_types::{DomainId, Incarnation, Millis, Revision, VmId, common_derives};
+
+use crate::{LimitKey, ShardId};
+
+/// Shards of the limits of a failure domain.
+pub const SHARDS: usize = 8;
+
+common_derives! {
+    /// Ownership of one shard.
+    #[derive(Default, Serialize, Deserialize)]
+    #[serde(default)]
+    pub struct ShardEntry {
+        /// VM that grants the shard's quota.
+        pub owner: Option<VmId>,
+        /// The owner's process; 0 after a handover, until the new owner confirms.
+        pub incarnation: Incarnation,
+        /// Increases with each change of owner or standby.
+        pub epoch: u64,
+        /// VM that acknowledges renewals and takes over.
+        pub standby: Option<VmId>,
+        /// Increases with each write by the owner, so that every write changes the entry.
+        pub beat: u64,
+        /// The owner's commitments fit into the shares of this configuration revision.
+        pub confirmed: Revision,
+        /// At a handover: longest remaining term of the quota leases granted by the former owner.
+        pub outstanding_ms: Option<Millis>,
+    }
+}
+
+common_derives! {
+    /// The value of `owners/{domain}`.
+    #[derive(Serialize, Deserialize)]
+    pub struct OwnersTable {
+        /// One entry for each shard, in the order of their numbers.
+        pub shards: Vec<ShardEntry>,
+    }
+}
+
+impl OwnersTable {
+    /// A table without owners.
+    pub fn vacant() -> Self {
+        Self {
+            shards: vec![ShardEntry::default(); SHARDS],
+        }
+    }
+
+    /// Path of the table of `domain` in the store.
+    pub fn path(domain: &DomainId) -> SmolStr {
+        format_smolstr!("owners/{domain}")
+    }
+
+    /// Reads a table.
+    ///
+    /// # Errors
+    /// The JSON is malformed or does not list every shard.
+    pub fn parse(json: &[u8]) -> Result<Self, serde_json::Error> {
+        let table: Self = serde_json::from_slice(json)?;
+        if table.shards.len() == SHARDS {
+            return Ok(table);
+        }
+        let found = table.shards.len();
+        Err(serde::de::Error::custom(format!(
+            "shards: expected {SHARDS} entries, got {found}"
+        )))
+    }
+
+    /// The table as JSON.
+    pub fn to_json(&self) -> Vec<u8> {
+        serde_json::to_vec(self).unwrap_or_default()
+    }
+
+    /// The entry of `shard`.
+    pub fn entry(&self, shard: ShardId) -> Option<&ShardEntry> {
+        self.shards.get(usize::from(shard.0))
+    }
+}
+
+/// The shard to which a limit belongs.
+pub(crate) fn shard_of(key: &LimitKey) -> ShardId {
+    let index = hash(&[&key.to_string()]) % SHARDS as u64;
+    ShardId(u8::try_from(index).unwrap_or(0))
+}
+
+/// The VMs in the order of their rendezvous weight for `shard`, highest first.
+pub(crate) fn ranked(domain: &DomainId, shard: ShardId, vms: &[VmId]) -> Vec<VmId> {
+    let weight = |vm: &VmId| hash(&[domain.as_str(), &shard.0.to_string(), vm.as_str()]);
+    let mut ranked = vms.to_vec();
+    ranked.sort_by_key(|vm| std::cmp::Reverse(weight(vm)));
+    ranked
+}
+
+/// FNV-1a over the parts with separators, followed by the `SplitMix64` finalizer, because the
+/// high bits of plain FNV-1a hardly differ between short names.
+fn hash(parts: &[&str]) -> u64 {
+    let mut state = 0xcbf2_9ce4_8422_2325_u64;
+    for part in parts {
+        for byte in part.bytes().chain([0xff]) {
+            state = (state ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+        }
+    }
+    state = (state ^ (state >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    state = (state ^ (state >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    state ^ (state >> 31)
+}
