Implement token buckets, leases, grants and shard leases

Change: shares, commitments, nested leases, demand estimate, fair division, shard leases in both modes, decisions about the owners table. Not fuzzed yet. Conclusion: the interface has a working body.

--- a/crates/waxwing_core/src/limit/ledger.rs
+++ b/crates/waxwing_core/src/limit/ledger.rs
@@ -1,95 +1,279 @@
 //! All limits of one VM.
 
+use std::collections::BTreeMap;
+
 use waxwing_types::{DomainId, Micros, Millis, Revision, VmId};
 
-use super::{LedgerAction, LedgerSettings, LimitSpec, OwnersTable, WriteOutcome};
+use super::account::{Account, Terms};
+use super::owners::shard_of;
+use super::shard::Shards;
+use super::share::Division;
+use super::{LedgerAction, LedgerSettings, LimitSpec, OwnersTable, SHARDS, WriteOutcome};
 use crate::{BorrowReply, BorrowRequest, LimitKey, RenewReply, RenewRequest};
 
 /// All limits of one VM: shards owned, quota leases given and held, admission.
+///
+/// All times are readings of this VM's clock. A driver passes every outcome of an action with the
+/// time of the `tick` that returned the action.
 #[derive(Debug)]
 pub struct Ledger {
-    settings: LedgerSettings,
+    pub(super) settings: LedgerSettings,
+    pub(super) accounts: BTreeMap<LimitKey, Account>,
+    pub(super) shards: Shards,
+    /// Tables of the other domains. `None`: the store holds none.
+    pub(super) tables: BTreeMap<DomainId, Option<(Revision, OwnersTable)>>,
+    /// Owners in other domains, by shard.
+    pub(super) lenders: Vec<Vec<VmId>>,
+    pub(super) revision: Revision,
+    /// A tick is due before the next regular one.
+    pub(super) short: bool,
 }
 
 impl Ledger {
     /// A ledger that starts at `now` with no limits, no tokens and no shards.
-    pub fn new(settings: LedgerSettings, _now: Millis) -> Self {
-        Self { settings }
+    pub fn new(settings: LedgerSettings, now: Millis) -> Self {
+        Self {
+            shards: Shards::new(now, &settings.vm),
+            settings,
+            accounts: BTreeMap::new(),
+            tables: BTreeMap::new(),
+            lenders: vec![Vec::new(); SHARDS],
+            revision: Revision(0),
+            short: false,
+        }
     }
 
     /// Takes over the limits of the configuration at `revision`, up to which it is complete.
-    pub fn configure(&mut self, _now: Millis, _revision: Revision, _specs: Vec<LimitSpec>) {}
+    pub fn configure(&mut self, now: Millis, revision: Revision, specs: Vec<LimitSpec>) {
+        let first = self.revision.0 == 0;
+        self.revision = self.revision.max(revision);
+        let drift = self.settings.drift_permille;
+        let own = self.settings.domain.clone();
+        for (key, account) in &mut self.accounts {
+            if !specs.iter().any(|s| &s.key == key) {
+                account.divide(now, |d| d.withdraw(&own, revision));
+            }
+        }
+        for spec in specs {
+            if let Some(account) = self.accounts.get_mut(&spec.key) {
+                if spec.revision > account.division.spec().revision {
+                    account.divide(now, |d| d.change(spec, &own, drift));
+                }
+                continue;
+            }
+            let (key, shard) = (spec.key.clone(), shard_of(&spec.key));
+            let division = if first {
+                Division::found(spec)
+            } else {
+                Division::created(spec, &own, drift)
+            };
+            self.accounts
+                .insert(key, Account::new(now, shard, division));
+        }
+        self.settle(now);
+        self.sync_windows(now);
+    }
 
-    /// Takes over the live VMs of the own domain, this one included, without leaving ones.
-    pub fn on_members(&mut self, _now: Millis, _live: &[VmId]) {}
+    /// Takes over the live VMs of the own domain, without leaving ones. This one counts as live.
+    pub fn on_members(&mut self, _now: Millis, live: &[VmId]) {
+        let mut live = live.to_vec();
+        if !live.contains(&self.settings.vm) {
+            live.push(self.settings.vm.clone());
+        }
+        self.shards.live = live;
+    }
 
     /// Takes the costs from all limits or from none.
     ///
     /// # Errors
-    /// The first limit that has too few tokens.
-    pub fn admit(&mut self, _now: Millis, costs: &[(LimitKey, Micros)]) -> Result<(), LimitKey> {
-        costs.first().map_or(Ok(()), |(key, _)| Err(key.clone()))
+    /// The first limit that has too few tokens or is unknown.
+    pub fn admit(&mut self, now: Millis, costs: &[(LimitKey, Micros)]) -> Result<(), LimitKey> {
+        let mut lacking = None;
+        for (index, (key, cost)) in costs.iter().enumerate() {
+            let earlier = costs[..index].iter().filter(|(k, _)| k == key);
+            let total = earlier.fold(*cost, |sum, (_, c)| sum.saturating_add(*c));
+            let covered = self.accounts.get_mut(key).is_some_and(|account| {
+                account.advance(now);
+                account.demand.record(now, cost.0);
+                account.tokens() >= total.0
+            });
+            if !covered {
+                lacking = lacking.or_else(|| Some(key.clone()));
+            }
+        }
+        if lacking.is_none() {
+            for (key, cost) in costs {
+                self.take(now, key, *cost);
+            }
+        }
+        self.short |= lacking.is_some();
+        lacking.map_or(Ok(()), Err)
+    }
+
+    fn take(&mut self, now: Millis, key: &LimitKey, cost: Micros) {
+        if let Some(account) = self.accounts.get_mut(key) {
+            account.take(cost.0);
+            self.short |= account.is_short(now);
+        }
     }
 
     /// Takes an amount that was spent already; what the limit lacks is taken from later tokens.
-    pub fn charge(&mut self, _now: Millis, _key: &LimitKey, _amount: Micros) {}
+    pub fn charge(&mut self, now: Millis, key: &LimitKey, amount: Micros) {
+        if let Some(account) = self.accounts.get_mut(key) {
+            account.charge(now, amount.0);
+        }
+    }
 
-    /// Answers a VM that borrows.
-    pub fn on_borrow(&mut self, _now: Millis, _request: &BorrowRequest) -> BorrowReply {
-        BorrowReply { grants: Vec::new() }
+    /// Answers a VM that borrows. What is not granted is missing in the reply.
+    pub fn on_borrow(&mut self, now: Millis, request: &BorrowRequest) -> BorrowReply {
+        let cross = request.domain != self.settings.domain;
+        let term = if cross {
+            self.settings.cross_term
+        } else {
+            self.settings.quota_term(self.shards.live.len())
+        };
+        let end = now + self.settings.with_margin(term);
+        let mut grants = Vec::new();
+        self.sync_windows(now);
+        for ask in &request.asks {
+            let Some(account) = self.accounts.get_mut(&ask.key) else {
+                continue;
+            };
+            let index = usize::from(account.shard.0);
+            let held = self.shards.window(&self.settings, index);
+            if held.is_none_or(|w| w.until <= now) {
+                continue;
+            }
+            let epoch = self.shards.list[index].entry.epoch;
+            let terms = Terms {
+                epoch,
+                cross,
+                term,
+                end,
+            };
+            grants.extend(account.lend(now, request, ask, terms));
+        }
+        BorrowReply { grants }
     }
 
     /// Takes over grants of `owner` in reply to a request sent at `sent_at`.
-    pub fn on_grants(&mut self, _now: Millis, _sent_at: Millis, _owner: &VmId, _: &BorrowReply) {}
+    pub fn on_grants(&mut self, now: Millis, sent_at: Millis, owner: &VmId, reply: &BorrowReply) {
+        let period = self.settings.period(self.shards.live.len());
+        let gaps = (self.settings.ask_gap, period);
+        for (key, account) in &mut self.accounts {
+            let grant = reply.grants.iter().find(|g| &g.key == key);
+            let gained = grant.is_some_and(|g| account.adopt(now, sent_at, owner, g));
+            if grant.is_some() || account.asks.was_sent(owner, sent_at) {
+                let useful = gained || !account.is_short(now);
+                account
+                    .asks
+                    .note_reply(now, owner, (grant.is_some(), useful), gaps);
+            }
+        }
+    }
 
     /// Answers an owner that renews its shard leases.
-    pub fn on_renew(&mut self, _now: Millis, _request: &RenewRequest) -> RenewReply {
-        RenewReply { acked: Vec::new() }
+    pub fn on_renew(&mut self, now: Millis, request: &RenewRequest) -> RenewReply {
+        self.shards.on_renew(now, &self.settings.vm, request)
     }
 
     /// Takes over the acknowledgement by `standby` of a renewal sent at `sent_at`.
-    pub fn on_renewed(&mut self, _now: Millis, _sent_at: Millis, _standby: &VmId, _: &RenewReply) {}
+    pub fn on_renewed(&mut self, now: Millis, sent_at: Millis, standby: &VmId, reply: &RenewReply) {
+        self.shards.on_renewed(now, sent_at, standby, reply);
+        self.sync_windows(now);
+    }
 
-    /// Takes over the table of owners of a domain as read from the store.
+    /// Takes over the table of owners of a domain as read from the store. The driver passes the
+    /// tables of all domains, at the start and on each change.
     pub fn on_owners(
         &mut self,
-        _now: Millis,
-        _domain: &DomainId,
-        _version: Revision,
-        _table: &OwnersTable,
+        now: Millis,
+        domain: &DomainId,
+        version: Revision,
+        table: &OwnersTable,
     ) {
+        if domain == &self.settings.domain {
+            self.shards
+                .on_table(now, &self.settings, Some(version), table);
+            self.sync_windows(now);
+            return;
+        }
+        let known = self.tables.get(domain).and_then(Option::as_ref);
+        if known.is_some_and(|(v, _)| *v >= version) {
+            return;
+        }
+        self.tables
+            .insert(domain.clone(), Some((version, table.clone())));
+        self.note_lenders();
+        self.settle(now);
     }
 
-    /// The store holds no table for the own domain.
-    pub fn on_owners_absent(&mut self, _now: Millis) {}
+    /// The store holds no table of this domain.
+    pub fn on_owners_absent(&mut self, now: Millis, domain: &DomainId) {
+        if domain == &self.settings.domain {
+            let vacant = OwnersTable::vacant();
+            self.shards.on_table(now, &self.settings, None, &vacant);
+            self.sync_windows(now);
+        } else {
+            self.tables.entry(domain.clone()).or_insert(None);
+            self.settle(now);
+        }
+    }
 
-    /// The outcome of the last `WriteOwners`, which was sent at `sent_at`.
-    pub fn on_owners_written(&mut self, _now: Millis, _sent_at: Millis, _outcome: WriteOutcome) {}
+    /// The outcome of the `WriteOwners` that was sent at `sent_at`.
+    pub fn on_owners_written(&mut self, now: Millis, sent_at: Millis, outcome: WriteOutcome) {
+        self.shards
+            .on_written(now, &self.settings, sent_at, outcome);
+        self.sync_windows(now);
+    }
 
-    /// Does what is due. Call it at least every 100 ms, and after an admission that leaves
-    /// `wants_tick` true.
-    pub fn tick(&mut self, _now: Millis) -> Vec<LedgerAction> {
-        Vec::new()
+    /// Does what is due. Call it at least every 100 ms, and when `wants_tick` is true.
+    pub fn tick(&mut self, now: Millis) -> Vec<LedgerAction> {
+        self.short = false;
+        let mut actions = self.decide(now);
+        self.sync_windows(now);
+        for (to, request) in self.shards.renewals(now, &self.settings) {
+            actions.push(LedgerAction::Renew { to, request });
+        }
+        self.settle(now);
+        self.plan(now, &mut actions);
+        actions
     }
 
     /// Stops granting and hands the shards over. Ticks go on until `is_released`.
-    pub fn stop(&mut self, _now: Millis) {}
+    pub fn stop(&mut self, now: Millis) {
+        self.shards.stopping = true;
+        self.sync_windows(now);
+    }
+
+    /// Passes the state of the shard leases on to the accounts.
+    fn sync_windows(&mut self, now: Millis) {
+        let windows: Vec<_> = (0..SHARDS)
+            .map(|index| self.shards.window(&self.settings, index))
+            .collect();
+        for account in self.accounts.values_mut() {
+            account.set_window(now, windows[usize::from(account.shard.0)]);
+        }
+    }
 }
 
 impl Ledger {
     /// Whether a tick would ask for tokens at once.
     pub fn wants_tick(&self) -> bool {
-        false
+        self.short
     }
 
     /// Whether the VM owns no shard.
     pub fn is_released(&self) -> bool {
-        true
+        self.shards.list.iter().all(|s| s.owned.is_none())
     }
 
     /// What `admit` could take at `now`.
-    pub fn available(&self, _now: Millis, _key: &LimitKey) -> Micros {
-        Micros::ZERO
+    pub fn available(&mut self, now: Millis, key: &LimitKey) -> Micros {
+        self.accounts.get_mut(key).map_or(Micros::ZERO, |account| {
+            account.advance(now);
+            Micros(account.tokens())
+        })
     }
 
     /// Identity and durations.
@@ -101,5 +285,10 @@
     ///
     /// # Panics
     /// An invariant does not hold.
-    pub fn check_invariants(&self, _now: Millis) {}
+    pub fn check_invariants(&self, now: Millis) {
+        for account in self.accounts.values() {
+            account.check_invariants(now);
+        }
+        self.shards.check_invariants();
+    }
 }
--- /dev/null
+++ b/crates/waxwing_core/src/limit/plan.rs
@@ -0,0 +1,283 @@
+//! When a VM asks which lender for how much.
+
+use std::collections::BTreeMap;
+
+use waxwing_types::{Micros, Millis, VmId, common_derives};
+
+use super::account::Account;
+use super::bucket::{Quota, scale};
+use crate::{Ask, LimitKey};
+
+/// An owner that has not answered for this long is passed over for owners of other domains.
+const SILENT: Millis = Millis(700);
+/// The same for an owner that answers without granting anything.
+const BARREN: Millis = Millis(500);
+/// Time after which leases beyond twice the need are reduced ahead of their renewal.
+const EXCESS: Millis = Millis(1000);
+
+common_derives! {
+    /// State of the asks to one lender.
+    struct AskState {
+        sent: Option<Millis>,
+        /// First ask since the last reply.
+        silent_since: Option<Millis>,
+        /// First reply without a grant since the last grant.
+        barren_since: Option<Millis>,
+        /// Least time to the next ask ahead of the period. Doubles with each ask that gains
+        /// nothing.
+        gap: Millis,
+        /// Sequence number named as in force in the last ask.
+        told: u64,
+    }
+}
+
+common_derives! {
+    /// State of the asks for one limit.
+    #[derive(Default)]
+    pub(crate) struct Asks {
+        lenders: BTreeMap<VmId, AskState>,
+    }
+}
+
+common_derives! {
+    /// What `Account::plan` needs to know of the shard.
+    pub(crate) struct Lenders<'a> {
+        /// Whether this VM owns the shard in its domain.
+        pub(crate) owner: bool,
+        /// Owner of the shard in the own domain, if it is another VM.
+        pub(crate) home: Option<&'a VmId>,
+        /// Owners of the shard in other domains.
+        pub(crate) others: &'a [VmId],
+        /// Time between asks inside the domain.
+        pub(crate) period: Millis,
+        /// Time between asks to other domains.
+        pub(crate) cross_period: Millis,
+        /// Least time between asks.
+        pub(crate) gap: Millis,
+    }
+}
+
+impl Account {
+    /// The asks that are due.
+    pub(crate) fn plan(
+        &mut self,
+        now: Millis,
+        key: &LimitKey,
+        lenders: &Lenders<'_>,
+    ) -> Vec<(VmId, Ask)> {
+        self.advance(now);
+        let mut asks = Vec::new();
+        let want = self.demand.want(now);
+        let mut need = if lenders.owner {
+            self.inside_wants(now).minus(self.share(now))
+        } else {
+            want
+        };
+        if let Some(home) = lenders.home {
+            if self.home_is_due(now, home, want, lenders) {
+                asks.push(self.ask(now, key, home, want, lenders.gap));
+            }
+            if self.asks.serves(now, home) {
+                need = Quota::ZERO;
+            } else {
+                let lent = self.leases.of(now, home).map_or(Quota::ZERO, |l| l.quota);
+                need = need.minus(lent);
+            }
+        }
+        self.plan_cross(now, key, need, lenders, &mut asks);
+        asks
+    }
+
+    fn plan_cross(
+        &mut self,
+        now: Millis,
+        key: &LimitKey,
+        need: Quota,
+        lenders: &Lenders<'_>,
+        asks: &mut Vec<(VmId, Ask)>,
+    ) {
+        let held = lenders.others.iter().map(|l| self.lent_by(now, l));
+        let held = held.fold(Quota::ZERO, Quota::plus);
+        if need == Quota::ZERO && held == Quota::ZERO && !self.asks.any_untold(self, now, lenders) {
+            return;
+        }
+        let givers = self.asks.givers(lenders);
+        for lender in lenders.others {
+            let lent = self.lent_by(now, lender);
+            let target = Quota {
+                rate: target(need.rate, held.rate, lent.rate, givers),
+                burst: target(need.burst, held.burst, lent.burst, givers),
+            };
+            if self.cross_is_due(now, lender, need, held, target, lenders) {
+                asks.push(self.ask(now, key, lender, target, lenders.gap));
+            }
+        }
+    }
+
+    /// Builds an ask and notes that it is sent.
+    fn ask(
+        &mut self,
+        now: Millis,
+        key: &LimitKey,
+        lender: &VmId,
+        want: Quota,
+        gap: Millis,
+    ) -> (VmId, Ask) {
+        let in_force = self.leases.of(now, lender).map_or(0, |l| l.seq);
+        self.asks.note_sent(now, lender, in_force, gap);
+        let missing = want.burst.saturating_sub(self.tokens());
+        let ask = Ask {
+            key: key.clone(),
+            rate: Micros(want.rate),
+            burst: Micros(want.burst),
+            tokens: Micros(missing),
+            in_force,
+        };
+        (lender.clone(), ask)
+    }
+}
+
+impl Account {
+    /// Whether the tokens are so few that a request may soon find none.
+    pub(crate) fn is_short(&self, now: Millis) -> bool {
+        let want = self.demand.want(now);
+        want.burst > 0 && self.tokens() < (want.burst / 2).max(self.demand.unit()).min(want.burst)
+    }
+
+    fn lent_by(&self, now: Millis, lender: &VmId) -> Quota {
+        self.leases.of(now, lender).map_or(Quota::ZERO, |l| l.quota)
+    }
+
+    fn home_is_due(&self, now: Millis, home: &VmId, want: Quota, lenders: &Lenders<'_>) -> bool {
+        let waited = self.asks.waited(now, home);
+        let lent = self.lent_by(now, home);
+        if want == Quota::ZERO && lent == Quota::ZERO && !self.untold(now, home) {
+            return false;
+        }
+        waited >= lenders.period
+            || (self.is_short(now) && waited >= self.asks.gap(home, lenders.gap))
+    }
+
+    fn cross_is_due(
+        &self,
+        now: Millis,
+        lender: &VmId,
+        need: Quota,
+        held: Quota,
+        target: Quota,
+        lenders: &Lenders<'_>,
+    ) -> bool {
+        let waited = self.asks.waited(now, lender);
+        let lent = self.lent_by(now, lender);
+        let lacking = !need.fits(held) || (need != Quota::ZERO && self.is_short(now));
+        let excess =
+            lent != Quota::ZERO && need.plus(need).fits(held) && !target.plus(target).fits(lent);
+        let idle = target == Quota::ZERO && lent == Quota::ZERO;
+        (self.untold(now, lender) && waited >= lenders.gap)
+            || (!idle && waited >= lenders.cross_period)
+            || (lacking && !idle && waited >= self.asks.gap(lender, lenders.gap))
+            || (excess && waited >= EXCESS)
+    }
+
+    /// Whether the lender does not know yet that a reduced lease is in force.
+    fn untold(&self, now: Millis, lender: &VmId) -> bool {
+        let lease = self.leases.of(now, lender);
+        lease.is_some_and(|l| l.reduced && self.asks.told(lender) < l.seq)
+    }
+}
+
+impl Asks {
+    fn note_sent(&mut self, now: Millis, lender: &VmId, in_force: u64, gap: Millis) {
+        let state = self.lenders.entry(lender.clone()).or_insert(AskState {
+            sent: None,
+            silent_since: None,
+            barren_since: None,
+            gap,
+            told: 0,
+        });
+        state.sent = Some(now);
+        state.silent_since = state.silent_since.or(Some(now));
+        state.told = in_force;
+    }
+
+    /// Notes the reply to the ask sent at `sent_at`. `granted`: whether it held a grant;
+    /// `gained`: whether that brought anything.
+    pub(crate) fn note_reply(
+        &mut self,
+        now: Millis,
+        lender: &VmId,
+        (granted, gained): (bool, bool),
+        (gap, period): (Millis, Millis),
+    ) {
+        let Some(state) = self.lenders.get_mut(lender) else {
+            return;
+        };
+        state.silent_since = None;
+        state.barren_since = if granted {
+            None
+        } else {
+            state.barren_since.or(Some(now))
+        };
+        state.gap = if gained {
+            gap
+        } else {
+            (state.gap + state.gap).min(period).max(gap)
+        };
+    }
+
+    /// Forgets VMs that are no lenders any more.
+    pub(crate) fn retain(&mut self, is_lender: impl Fn(&VmId) -> bool) {
+        self.lenders.retain(|vm, _| is_lender(vm));
+    }
+}
+
+impl Asks {
+    pub(crate) fn was_sent(&self, lender: &VmId, sent_at: Millis) -> bool {
+        let state = self.lenders.get(lender);
+        state.is_some_and(|s| s.sent == Some(sent_at))
+    }
+
+    fn serves(&self, now: Millis, lender: &VmId) -> bool {
+        let over = |since: Option<Millis>, most| since.is_some_and(|s| now.since(s) > most);
+        self.lenders
+            .get(lender)
+            .is_none_or(|s| !over(s.silent_since, SILENT) && !over(s.barren_since, BARREN))
+    }
+
+    fn waited(&self, now: Millis, lender: &VmId) -> Millis {
+        let sent = self.lenders.get(lender).and_then(|s| s.sent);
+        sent.map_or(Millis::MAX, |s| now.since(s))
+    }
+
+    fn gap(&self, lender: &VmId, least: Millis) -> Millis {
+        self.lenders.get(lender).map_or(least, |s| s.gap)
+    }
+
+    fn told(&self, lender: &VmId) -> u64 {
+        self.lenders.get(lender).map_or(0, |s| s.told)
+    }
+
+    fn any_untold(&self, account: &Account, now: Millis, lenders: &Lenders<'_>) -> bool {
+        lenders.others.iter().any(|l| account.untold(now, l))
+    }
+
+    /// Number of lenders of other domains whose last grant brought something, or that were not
+    /// asked yet; all of them if there is none.
+    fn givers(&self, lenders: &Lenders<'_>) -> u64 {
+        let gives = |vm: &&VmId| self.gap(vm, lenders.gap) <= lenders.gap;
+        match lenders.others.iter().filter(gives).count() as u64 {
+            0 => lenders.others.len() as u64,
+            count => count,
+        }
+    }
+}
+
+/// What to ask of one of several lenders: an equal part of what is missing, or the proportional
+/// part of what is still needed.
+fn target(need: u64, held: u64, lent: u64, givers: u64) -> u64 {
+    if need >= held {
+        lent.saturating_add((need - held).div_ceil(givers.max(1)))
+    } else {
+        scale(lent, need, held)
+    }
+}
--- /dev/null
+++ b/crates/waxwing_core/src/limit/round.rs
@@ -0,0 +1,123 @@
+//! The parts of a tick that look at all accounts.
+
+use std::collections::BTreeMap;
+
+use waxwing_types::{DomainId, Millis, Revision, VmId};
+
+use super::decide::{Decision, ShardFacts};
+use super::plan::Lenders;
+use super::{Ledger, LedgerAction, OwnersTable, SHARDS};
+use crate::{Ask, BorrowRequest, ShardId};
+
+/// Time for which a withdrawn limit is remembered, so that its leases are over if it returns.
+const FORGET: Millis = Millis::from_secs(3600);
+
+impl Ledger {
+    /// Reads or changes the domain's table of owners, if that is due.
+    pub(super) fn decide(&mut self, now: Millis) -> Vec<LedgerAction> {
+        let facts = self.facts(now);
+        let decision = self
+            .shards
+            .decide(now, &self.settings, self.revision, &facts);
+        let path = OwnersTable::path(&self.settings.domain);
+        match decision {
+            Decision::Nothing => Vec::new(),
+            Decision::Read => vec![LedgerAction::ReadOwners { path }],
+            Decision::Write(table) => vec![LedgerAction::WriteOwners {
+                path,
+                value: table.to_json(),
+                expected: self.shards.version,
+            }],
+        }
+    }
+
+    fn facts(&self, now: Millis) -> Vec<ShardFacts> {
+        let vacant = ShardFacts {
+            unconfirmed: false,
+            fits: true,
+            outstanding: Millis::ZERO,
+        };
+        let mut facts = vec![vacant; SHARDS];
+        for account in self.accounts.values() {
+            let index = usize::from(account.shard.0);
+            let shard = &mut facts[index];
+            let confirmed = self.shards.list[index].entry.confirmed;
+            shard.unconfirmed |= account.division.spec().revision > confirmed;
+            shard.fits &= account.fits(now);
+            shard.outstanding = shard.outstanding.max(account.given.last_end().since(now));
+        }
+        facts
+    }
+
+    /// Sends the asks that are due, one request to each lender.
+    pub(super) fn plan(&mut self, now: Millis, actions: &mut Vec<LedgerAction>) {
+        let period = self.settings.period(self.shards.live.len());
+        let mut requests: BTreeMap<VmId, Vec<Ask>> = BTreeMap::new();
+        for (key, account) in &mut self.accounts {
+            let index = usize::from(account.shard.0);
+            let owner = self.shards.window(&self.settings, index).is_some();
+            let home = self.shards.list[index].entry.owner.as_ref();
+            let lenders = Lenders {
+                owner,
+                home: home.filter(|vm| **vm != self.settings.vm),
+                others: &self.lenders[index],
+                period,
+                cross_period: Millis(self.settings.cross_term.0 / 3),
+                gap: self.settings.ask_gap,
+            };
+            for (lender, ask) in account.plan(now, key, &lenders) {
+                requests.entry(lender).or_default().push(ask);
+            }
+        }
+        for (to, asks) in requests {
+            let request = BorrowRequest {
+                from: self.settings.vm.clone(),
+                incarnation: self.settings.incarnation,
+                domain: self.settings.domain.clone(),
+                asks,
+            };
+            actions.push(LedgerAction::Borrow { to, request });
+        }
+    }
+
+    /// Puts changed divisions in force that all domains concerned have confirmed.
+    pub(super) fn settle(&mut self, now: Millis) {
+        let drift = self.settings.drift_permille;
+        let own = &self.settings.domain;
+        for account in self.accounts.values_mut() {
+            if account.division.is_settled() {
+                continue;
+            }
+            let revision = account.division.spec().revision;
+            let domains = account.division.spec().domains.iter();
+            let known = domains
+                .filter(|d| *d != own)
+                .all(|d| self.tables.contains_key(d));
+            let confirmed = self.tables.iter().all(|(domain, table)| {
+                let involved = account.division.involves(domain);
+                let entry = table.as_ref().and_then(|(_, t)| t.entry(account.shard));
+                entry.is_none_or(|e| {
+                    let idle = e.epoch == 0 || (e.owner.is_none() && !involved);
+                    let seen = e.owner.is_none() || e.confirmed <= self.revision;
+                    idle || (e.confirmed >= revision && seen)
+                })
+            });
+            if known && confirmed {
+                account.divide(now, |d| d.settle(own, drift));
+            }
+        }
+        self.accounts
+            .retain(|_, a| !a.division.is_withdrawn() || now.since(a.idle_since(now)) < FORGET);
+    }
+
+    /// Recomputes the owners in other domains, and forgets the asks to VMs that own nothing.
+    pub(super) fn note_lenders(&mut self) {
+        for (index, lenders) in self.lenders.iter_mut().enumerate() {
+            let shard = ShardId(u8::try_from(index).unwrap_or(u8::MAX));
+            let owner = |(_, table): (&DomainId, &Option<(Revision, OwnersTable)>)| {
+                table.as_ref()?.1.entry(shard)?.owner.clone()
+            };
+            *lenders = self.tables.iter().filter_map(owner).collect();
+        }
+    }
+}
--- a/crates/waxwing_core/src/limit/spec.rs
+++ b/crates/waxwing_core/src/limit/spec.rs
@@ -95,6 +95,18 @@
         Millis(drift + 1) + self.fixed_margin
     }
 
+    /// Time between periodic asks to the same owner in a domain of `vms` VMs.
+    pub(crate) fn period(&self, vms: usize) -> Millis {
+        let scaled = self.period_per_vm.0.saturating_mul(vms as u64);
+        self.borrow_period.max(Millis(scaled))
+    }
+
+    /// Term of quota leases inside a domain of `vms` VMs: three periods, but not beyond
+    /// `cross_term`, for which a successor waits whatever the number of VMs was.
+    pub(crate) fn quota_term(&self, vms: usize) -> Millis {
+        Millis(self.period(vms).0 * 3).min(self.cross_term)
+    }
+
     /// The term with its margin.
     pub(crate) fn with_margin(&self, term: Millis) -> Millis {
         term + self.margin(term)
