Fuzz the rate limits against a plain token bucket

Cause: the promise of never more than rate and burst over all VMs needs evidence under faults. Change: simulated deployment with drifting clocks, lossy network and store; proptest-state-machine test; a calm test that the rate is used.

--- /dev/null
+++ b/crates/waxwing_core/tests/limit_fuzz.rs
@@ -0,0 +1,312 @@
+//! Random faults against the rate limits, checked by a plain token bucket in true time.
+//!
+//! `WAXWING_FUZZ_CASES`, `WAXWING_FUZZ_STEPS` and `WAXWING_FUZZ_SEED` lengthen or move the run.
+
+mod world;
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
+use waxwing_core::LeaseMode;
+use waxwing_types::Millis;
+use world::{Bound, Setup, World};
+
+#[derive(Clone, Debug)]
+enum Step {
+    Run(u64),
+    Spend {
+        vm: usize,
+        limit: usize,
+        times: u64,
+        cost: u64,
+    },
+    SpendBoth {
+        vm: usize,
+        times: u64,
+    },
+    Kill(usize),
+    Start(usize),
+    Replace(usize),
+    Stop(usize),
+    Pause(usize),
+    Resume,
+    CutDomains(usize, usize),
+    CutStore(usize),
+    StoreDown,
+    Heal,
+    ChangeRate(usize, u64),
+    ChangeDomains(usize, u8),
+}
+
+/// The reference state only says how the run starts; all steps are valid at any time.
+struct Faults;
+
+impl ReferenceStateMachine for Faults {
+    type State = Setup;
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<Setup> {
+        let mode = prop_oneof![3 => Just(LeaseMode::Standby), 1 => Just(LeaseMode::Store)];
+        let orphan = prop_oneof![Just(Millis::from_secs(21_600)), Just(Millis::from_secs(60))];
+        (
+            any::<u64>(),
+            mode,
+            1..=3_usize,
+            1..=3_usize,
+            0..60_u64,
+            0..60_u64,
+            orphan,
+        )
+            .prop_map(
+                |(seed, mode, domains, vms, loss, slow, orphan_term)| Setup {
+                    seed,
+                    mode,
+                    domains,
+                    vms,
+                    bounds: vec![
+                        Bound {
+                            rate: 100,
+                            burst: 60,
+                        },
+                        Bound {
+                            rate: 400,
+                            burst: 300,
+                        },
+                    ],
+                    drift_ppm: 10_000,
+                    loss,
+                    slow,
+                    orphan_term,
+                    tick: 100,
+                },
+            )
+            .boxed()
+    }
+
+    fn transitions(_: &Setup) -> BoxedStrategy<Step> {
+        let vm = 0..12_usize;
+        let domain = 0..3_usize;
+        prop_oneof![
+            30 => prop_oneof![9 => 1..1_000_u64, 1 => 1_000..20_000_u64].prop_map(Step::Run),
+            40 => (vm.clone(), 0..2_usize, 1..200_u64, 1..3_u64)
+                .prop_map(|(vm, limit, times, cost)| Step::Spend { vm, limit, times, cost }),
+            5 => (vm.clone(), 1..50_u64).prop_map(|(vm, times)| Step::SpendBoth { vm, times }),
+            1 => vm.clone().prop_map(Step::Kill),
+            3 => vm.clone().prop_map(Step::Start),
+            1 => vm.clone().prop_map(Step::Replace),
+            1 => vm.clone().prop_map(Step::Stop),
+            1 => vm.prop_map(Step::Pause),
+            2 => Just(Step::Resume),
+            1 => (domain.clone(), domain.clone()).prop_map(|(a, b)| Step::CutDomains(a, b)),
+            1 => domain.prop_map(Step::CutStore),
+            1 => Just(Step::StoreDown),
+            3 => Just(Step::Heal),
+            1 => (0..2_usize, 50..500_u64).prop_map(|(limit, rate)| Step::ChangeRate(limit, rate)),
+            1 => (0..2_usize, 1..8_u8).prop_map(|(limit, set)| Step::ChangeDomains(limit, set)),
+        ]
+        .boxed()
+    }
+
+    fn apply(state: Setup, _: &Step) -> Setup {
+        state
+    }
+}
+
+struct Limits;
+
+static STEPS: AtomicU64 = AtomicU64::new(0);
+static ADMITTED: AtomicU64 = AtomicU64::new(0);
+
+impl StateMachineTest for Limits {
+    type SystemUnderTest = World;
+    type Reference = Faults;
+
+    fn init_test(setup: &Setup) -> World {
+        let mut world = World::new(setup.clone());
+        world.run_until(2_000);
+        world
+    }
+
+    fn apply(mut world: World, _: &Setup, step: Step) -> World {
+        // Every VM spends what it can, so that too many tokens anywhere show at the oracle.
+        let before: u64 = world.admitted.iter().sum();
+        apply_step(&mut world, step);
+        for vm in 0..world.vms.len() {
+            for limit in 0..2 {
+                spend(&mut world, vm, &[limit], 20, 1);
+            }
+        }
+        let after: u64 = world.admitted.iter().sum();
+        ADMITTED.fetch_add(after - before, Ordering::Relaxed);
+        STEPS.fetch_add(1, Ordering::Relaxed);
+        world
+    }
+
+    fn check_invariants(world: &World, _: &Setup) {
+        world.check();
+    }
+}
+
+fn apply_step(world: &mut World, step: Step) {
+    match step {
+        Step::Run(span) => run(world, span),
+        Step::Spend {
+            vm,
+            limit,
+            times,
+            cost,
+        } => {
+            let vm = vm % world.vms.len();
+            spend(world, vm, &[limit], times, cost);
+        }
+        Step::SpendBoth { vm, times } => {
+            let vm = vm % world.vms.len();
+            spend(world, vm, &[0, 1], times, 1);
+        }
+        Step::Kill(vm) => world.kill(vm % world.vms.len()),
+        Step::Start(vm) => {
+            let vm = vm % world.vms.len();
+            if !world.vms[vm].alive() && world.vms.iter().filter(|v| v.alive()).count() < 9 {
+                world.start(vm);
+            }
+        }
+        Step::Replace(vm) => {
+            let vm = vm % world.vms.len();
+            if world.vms[vm].alive() && world.vms.len() < 15 {
+                world.kill(vm);
+                world.add_vm(world.vms[vm].domain);
+            }
+        }
+        Step::Stop(vm) => world.stop(vm % world.vms.len()),
+        Step::Pause(vm) => world.pause(vm % world.vms.len()),
+        Step::Resume => {
+            for vm in 0..world.vms.len() {
+                if world.vms[vm].paused {
+                    world.resume(vm);
+                }
+            }
+        }
+        Step::CutDomains(a, b) => {
+            world.cut.insert((a.min(b), a.max(b)));
+        }
+        Step::CutStore(domain) => {
+            world.cut_store.insert(domain);
+        }
+        Step::StoreDown => world.store_down = true,
+        Step::Heal => {
+            world.cut.clear();
+            world.cut_store.clear();
+            world.store_down = false;
+        }
+        Step::ChangeRate(limit, rate) => {
+            let domains = domains_of(world, limit);
+            world.change_limit(
+                limit,
+                Bound {
+                    rate,
+                    burst: rate / 2,
+                },
+                &domains,
+            );
+        }
+        Step::ChangeDomains(limit, set) => change_domains(world, limit, set),
+    }
+}
+
+/// Lets time pass while every VM goes on spending.
+fn run(world: &mut World, span: u64) {
+    let end = world.now + span;
+    while world.now < end {
+        world.run_until((world.now + 97).min(end));
+        for vm in 0..world.vms.len() {
+            for limit in 0..2 {
+                spend(world, vm, &[limit], 8, 1);
+            }
+        }
+    }
+}
+
+fn spend(world: &mut World, vm: usize, limits: &[usize], times: u64, cost: u64) {
+    for _ in 0..times {
+        if world.admit(vm, limits, cost) != world::Outcome::Admitted {
+            return;
+        }
+    }
+}
+
+fn domains_of(world: &World, limit: usize) -> Vec<usize> {
+    let listed = |d: &usize| world.specs[limit].domains.contains(&world::domain_id(*d));
+    (0..world.setup.domains).filter(listed).collect()
+}
+
+/// Divides a limit over the domains whose bits are set.
+fn change_domains(world: &mut World, limit: usize, set: u8) {
+    let listed = |d: &usize| set & (1 << *d) != 0;
+    let domains: Vec<usize> = (0..world.setup.domains).filter(listed).collect();
+    let rate = world.specs[limit].rate.0 / 1_000_000;
+    let burst = world.specs[limit].burst.0 / 1_000_000;
+    if !domains.is_empty() {
+        world.change_limit(limit, Bound { rate, burst }, &domains);
+    }
+}
+
+fn from_env(name: &str, default: u64) -> u64 {
+    let value = std::env::var(name).ok();
+    value.and_then(|v| v.parse().ok()).unwrap_or(default)
+}
+
+/// Guards against any sequence of faults after which more is admitted than rate and burst allow,
+/// over all VMs.
+#[test]
+fn never_more_than_rate_and_burst() {
+    let steps = usize::try_from(from_env("WAXWING_FUZZ_STEPS", 150)).unwrap_or(150);
+    let config = ProptestConfig {
+        cases: u32::try_from(from_env("WAXWING_FUZZ_CASES", 40)).unwrap_or(40),
+        rng_seed: RngSeed::Fixed(from_env("WAXWING_FUZZ_SEED", 7)),
+        failure_persistence: None,
+        max_shrink_iters: 2_000,
+        ..ProptestConfig::default()
+    };
+    let strategy = Faults::sequential_strategy(steps..=steps);
+    proptest!(config.clone(), |((setup, steps, seen) in strategy)| {
+        Limits::test_sequential(config.clone(), setup, steps, seen);
+    });
+    println!("{STEPS:?} steps, {ADMITTED:?} admitted");
+}
+
+/// Guards against limits that pass the fuzz test because they admit next to nothing: without
+/// faults, greedy VMs get nearly the whole rate.
+#[test]
+fn greedy_demand_gets_the_rate() {
+    for mode in [LeaseMode::Standby, LeaseMode::Store] {
+        let mut world = World::new(Setup {
+            seed: 1,
+            mode,
+            domains: 3,
+            vms: 2,
+            bounds: vec![
+                Bound {
+                    rate: 100,
+                    burst: 60,
+                },
+                Bound {
+                    rate: 400,
+                    burst: 300,
+                },
+            ],
+            drift_ppm: 10_000,
+            loss: 0,
+            slow: 0,
+            orphan_term: Millis::from_secs(21_600),
+            tick: 100,
+        });
+
+        run(&mut world, 100_000);
+
+        world.check();
+        println!("{mode:?}: {:?} admitted", world.admitted);
+        assert!(world.admitted[0] > 9_000 && world.admitted[1] > 36_000);
+    }
+}
