--- /dev/null
+++ b/crates/waxwing_core/examples/limit_modes.rs
@@ -0,0 +1,336 @@
+//! Compares the two lease modes: requests refused while the demand was inside rate and burst.
+//!
+//! `cargo run --release -p waxwing_core --example limit_modes [SCENARIO]`
+
+#[path = "../tests/world/mod.rs"]
+mod world;
+
+use waxwing_core::LeaseMode;
+use waxwing_types::Millis;
+use world::{Bound, Outcome, Setup, World};
+
+const RATES: [u64; 8] = [20, 20, 50, 100, 200, 500, 1000, 2000];
+const DOMAINS: usize = 6;
+const VMS: usize = 3;
+const WARM_UP: u64 = 60_000;
+/// Demand as a part of the rate, in percent.
+const DEMAND: u64 = 60;
+
+/// A fault and the time over which refusals are counted.
+struct Scenario {
+    name: &'static str,
+    /// Milliseconds from the start of the fault.
+    length: u64,
+    start: fn(&mut World),
+    /// Called every second with the seconds since the start.
+    each_second: fn(&mut World, u64),
+}
+
+const SCENARIOS: [Scenario; 8] = [
+    Scenario {
+        name: "calm",
+        length: 300_000,
+        start: |_| {},
+        each_second: |_, _| {},
+    },
+    Scenario {
+        name: "owner_killed",
+        length: 60_000,
+        start: kill_owner,
+        each_second: |_, _| {},
+    },
+    Scenario {
+        name: "owner_restarted",
+        length: 60_000,
+        start: kill_owner,
+        each_second: restart,
+    },
+    Scenario {
+        name: "vm_paused_30s",
+        length: 60_000,
+        start: pause_owner,
+        each_second: resume,
+    },
+    Scenario {
+        name: "store_down_10min",
+        length: 600_000,
+        start: |w| w.store_down = true,
+        each_second: |_, _| {},
+    },
+    Scenario {
+        name: "domain_cut_1h",
+        length: 3_600_000,
+        start: cut_domain,
+        each_second: |_, _| {},
+    },
+    Scenario {
+        name: "rolling_replace",
+        length: 20_000 * (DOMAINS * VMS) as u64,
+        start: |_| {},
+        each_second: replace_next,
+    },
+    Scenario {
+        name: "all_replaced_store_down_60s",
+        length: 120_000,
+        start: replace_all,
+        each_second: store_back,
+    },
+];
+
+/// The VM that owns most shards of domain 0.
+fn busiest(world: &World) -> usize {
+    let vms = world.vms_of(0);
+    let owned = |vm: &usize| {
+        world.vms[*vm]
+            .ledger
+            .as_ref()
+            .map_or(0, |l| l.owned_shards().len())
+    };
+    vms.into_iter().max_by_key(owned).expect("a VM serves")
+}
+
+fn kill_owner(world: &mut World) {
+    let vm = busiest(world);
+    world.kill(vm);
+}
+
+fn restart(world: &mut World, second: u64) {
+    let dead = (0..world.vms.len()).find(|vm| !world.vms[*vm].alive());
+    if let Some(vm) = dead.filter(|_| second == 2) {
+        world.start(vm);
+    }
+}
+
+fn pause_owner(world: &mut World) {
+    let vm = busiest(world);
+    world.pause(vm);
+}
+
+fn resume(world: &mut World, second: u64) {
+    let paused = (0..world.vms.len()).find(|vm| world.vms[*vm].paused);
+    if let Some(vm) = paused.filter(|_| second == 30) {
+        world.resume(vm);
+    }
+}
+
+fn cut_domain(world: &mut World) {
+    world.cut.extend((1..DOMAINS).map(|other| (0, other)));
+    world.cut_store.insert(0);
+}
+
+fn replace_next(world: &mut World, second: u64) {
+    let vm = usize::try_from(second / 20).expect("the run is short");
+    if second % 20 == 0 && vm < DOMAINS * VMS {
+        world.stop(vm);
+    }
+    if second % 20 == 3 && vm < DOMAINS * VMS {
+        world.add_vm(world.vms[vm].domain);
+    }
+}
+
+fn replace_all(world: &mut World) {
+    world.store_down = true;
+    for vm in 0..world.vms.len() {
+        world.kill(vm);
+        world.add_vm(world.vms[vm].domain);
+    }
+}
+
+fn store_back(world: &mut World, second: u64) {
+    world.store_down &= second < 60;
+}
+
+/// Arrivals of one workspace: their time and the weight of each first VM.
+struct Arrivals {
+    next: f64,
+    gap: f64,
+    weights: Vec<u64>,
+}
+
+#[derive(Default, Clone)]
+struct Count {
+    asked: u64,
+    refused: u64,
+}
+
+struct Run {
+    world: World,
+    rng: fastrand::Rng,
+    arrivals: Vec<Arrivals>,
+    counts: Vec<Count>,
+}
+
+impl Run {
+    fn new(mode: LeaseMode, seed: u64, burst_ms: u64) -> Self {
+        let bound = |rate: &u64| Bound {
+            rate: *rate,
+            burst: rate * burst_ms / 1000,
+        };
+        let world = World::new(Setup {
+            seed,
+            mode,
+            domains: DOMAINS,
+            vms: VMS,
+            bounds: RATES.iter().map(bound).collect(),
+            drift_ppm: 1_000,
+            loss: 0,
+            slow: 0,
+            orphan_term: Millis::from_secs(21_600),
+            tick: 100,
+        });
+        let mut rng = fastrand::Rng::with_seed(seed + 1);
+        let mut arrivals = Vec::new();
+        for rate in RATES {
+            #[allow(clippy::cast_precision_loss)]
+            let gap = 100_000.0 / (rate * DEMAND) as f64;
+            let weights = (0..DOMAINS * VMS).map(|_| rng.u64(1..=10)).collect();
+            arrivals.push(Arrivals {
+                next: 0.0,
+                gap,
+                weights,
+            });
+        }
+        let counts = vec![Count::default(); RATES.len()];
+        Self {
+            world,
+            rng,
+            arrivals,
+            counts,
+        }
+    }
+
+    fn run(&mut self, until: u64, mut each_second: impl FnMut(&mut World, u64)) {
+        let start = self.world.now;
+        let mut second = 0;
+        while self.world.now < until {
+            let due = start + second * 1000;
+            let limit = (0..RATES.len())
+                .min_by(|a, b| self.arrivals[*a].next.total_cmp(&self.arrivals[*b].next))
+                .expect("workspaces exist");
+            #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+            let at = self.arrivals[limit].next as u64;
+            if due <= at {
+                self.world.run_until(due.max(self.world.now));
+                each_second(&mut self.world, second);
+                second += 1;
+                continue;
+            }
+            self.world.run_until(at.max(self.world.now));
+            self.request(limit);
+            let gap = -self.arrivals[limit].gap * (1.0 - self.rng.f64()).ln();
+            self.arrivals[limit].next += gap;
+        }
+    }
+
+    fn request(&mut self, limit: usize) {
+        let Some(vm) = self.serving_vm(limit) else {
+            return;
+        };
+        let count = &mut self.counts[limit];
+        match self.world.admit(vm, &[limit], 1) {
+            Outcome::Admitted => count.asked += 1,
+            Outcome::Refused { inside } => {
+                count.asked += 1;
+                count.refused += u64::from(inside);
+            }
+            Outcome::Absent => {}
+        }
+    }
+
+    /// A weighted choice; a VM that does not serve is replaced by one of its domain, or else of
+    /// any domain, as in lookups.
+    fn serving_vm(&mut self, limit: usize) -> Option<usize> {
+        let weights = &self.arrivals[limit].weights;
+        let mut left = self.rng.u64(0..weights.iter().sum());
+        let mut vm = 0;
+        while left >= weights[vm] {
+            left -= weights[vm];
+            vm += 1;
+        }
+        if self.world.vms[vm].serves() {
+            return Some(vm);
+        }
+        let domain = self.world.vms[vm].domain;
+        let mut serving = self.world.vms_of(domain);
+        if serving.is_empty() {
+            serving = (0..DOMAINS).flat_map(|d| self.world.vms_of(d)).collect();
+        }
+        let index = self.rng.usize(0..serving.len().max(1));
+        serving.get(index).copied()
+    }
+}
+
+fn percent(count: &Count) -> f64 {
+    #[allow(clippy::cast_precision_loss)]
+    let part = count.refused as f64 / count.asked.max(1) as f64;
+    part * 100.0
+}
+
+fn measure(scenario: &Scenario, mode: LeaseMode, burst_ms: u64) {
+    let mut run = Run::new(mode, 5, burst_ms);
+    run.run(WARM_UP, |_, _| {});
+    run.counts.fill(Count::default());
+    let (messages, writes) = (run.world.messages, run.world.store_writes);
+    (scenario.start)(&mut run.world);
+    let end = run.world.now + scenario.length;
+    run.run(end, scenario.each_second);
+    let total = run.counts.iter().fold(Count::default(), |sum, c| Count {
+        asked: sum.asked + c.asked,
+        refused: sum.refused + c.refused,
+    });
+    let worst = run.counts.iter().map(percent).fold(0.0, f64::max);
+    let seconds = scenario.length / 1000;
+    println!(
+        "{:28} {:8} {burst_ms:6} {:9} {:8} {:8.3} {worst:9.3} {:9} {:8} {}",
+        scenario.name,
+        format!("{mode:?}"),
+        total.asked,
+        total.refused,
+        percent(&total),
+        (run.world.messages - messages) / seconds,
+        run.world.store_writes - writes,
+        if run.world.overdrawn.is_some() {
+            "OVERDRAWN"
+        } else {
+            ""
+        },
+    );
+    if std::env::var_os("LIMIT_MODES_DETAIL").is_some() {
+        for (rate, count) in RATES.iter().zip(&run.counts) {
+            println!(
+                "    rate {rate:5}: {:8} refused {:6} {:.3} %",
+                count.asked,
+                count.refused,
+                percent(count)
+            );
+        }
+    }
+}
+
+fn main() {
+    let wanted = std::env::args().nth(1);
+    println!(
+        "{:28} {:8} {:>6} {:>9} {:>8} {:>8} {:>9} {:>9} {:>8}",
+        "scenario",
+        "mode",
+        "burst",
+        "requests",
+        "refused",
+        "percent",
+        "worst %",
+        "messages",
+        "writes"
+    );
+    println!(
+        "{:28} {:8} {:>6} {:>9} {:>8} {:>8} {:>9} {:>9} {:>8}",
+        "", "", "ms", "", "inside", "", "workspace", "a second", "in all"
+    );
+    for scenario in &SCENARIOS {
+        if wanted.as_ref().is_some_and(|w| w != scenario.name) {
+            continue;
+        }
+        for mode in [LeaseMode::Standby, LeaseMode::Store] {
+            measure(scenario, mode, 2_000);
+        }
+    }
+}
--- a/crates/waxwing_core/src/limit/ledger.rs
+++ b/crates/waxwing_core/src/limit/ledger.rs
@@ -6,10 +6,10 @@
 
 use super::account::{Account, Terms};
 use super::owners::shard_of;
-use super::shard::Shards;
+use super::shard::{Shards, shard_id};
 use super::share::Division;
 use super::{LedgerAction, LedgerSettings, LimitSpec, OwnersTable, SHARDS, WriteOutcome};
-use crate::{BorrowReply, BorrowRequest, LimitKey, RenewReply, RenewRequest};
+use crate::{BorrowReply, BorrowRequest, LimitKey, RenewReply, RenewRequest, ShardId};
 
 /// All limits of one VM: shards owned, quota leases given and held, admission.
 ///
@@ -124,6 +124,14 @@
         }
     }
 
+    /// What `admit` could take at `now`.
+    pub fn available(&mut self, now: Millis, key: &LimitKey) -> Micros {
+        self.accounts.get_mut(key).map_or(Micros::ZERO, |account| {
+            account.advance(now);
+            Micros(account.tokens())
+        })
+    }
+
     /// Answers a VM that borrows. What is not granted is missing in the reply.
     pub fn on_borrow(&mut self, now: Millis, request: &BorrowRequest) -> BorrowReply {
         let cross = request.domain != self.settings.domain;
@@ -268,12 +276,10 @@
         self.shards.list.iter().all(|s| s.owned.is_none())
     }
 
-    /// What `admit` could take at `now`.
-    pub fn available(&mut self, now: Millis, key: &LimitKey) -> Micros {
-        self.accounts.get_mut(key).map_or(Micros::ZERO, |account| {
-            account.advance(now);
-            Micros(account.tokens())
-        })
+    /// The shards that this VM owns, whether or not it may spend their shares at present.
+    pub fn owned_shards(&self) -> Vec<ShardId> {
+        let owned = |index: &usize| self.shards.list[*index].owned.is_some();
+        (0..SHARDS).filter(owned).map(shard_id).collect()
     }
 
     /// Identity and durations.
