Let shares of a new process wait for the tables of all domains

Change: configure takes the domains of the deployment; a found division settles only when the table of each was read.

--- a/crates/waxwing_core/src/limit/ledger.rs
+++ b/crates/waxwing_core/src/limit/ledger.rs
@@ -25,6 +25,8 @@
     /// Owners in other domains, by shard.
     pub(super) lenders: Vec<Vec<VmId>>,
     pub(super) revision: Revision,
+    /// All failure domains of the deployment.
+    pub(super) domains: Vec<DomainId>,
     /// A tick is due before the next regular one.
     pub(super) short: bool,
 }
@@ -39,13 +41,22 @@
             tables: BTreeMap::new(),
             lenders: vec![Vec::new(); SHARDS],
             revision: Revision(0),
+            domains: Vec::new(),
             short: false,
         }
     }
 
-    /// Takes over the limits of the configuration at `revision`, up to which it is complete.
-    pub fn configure(&mut self, now: Millis, revision: Revision, specs: Vec<LimitSpec>) {
+    /// Takes over the limits of the configuration at `revision`, up to which it is complete, and
+    /// all failure domains of the deployment.
+    pub fn configure(
+        &mut self,
+        now: Millis,
+        revision: Revision,
+        domains: Vec<DomainId>,
+        specs: Vec<LimitSpec>,
+    ) {
         let first = self.revision.0 == 0;
+        self.domains = domains;
         self.revision = self.revision.max(revision);
         let drift = self.settings.drift_permille;
         let own = self.settings.domain.clone();
--- a/crates/waxwing_core/src/limit/round.rs
+++ b/crates/waxwing_core/src/limit/round.rs
@@ -84,15 +84,14 @@
     pub(super) fn settle(&mut self, now: Millis) {
         let drift = self.settings.drift_permille;
         let own = &self.settings.domain;
+        // A domain whose table was not read yet may spend under an earlier division.
+        let mut others = self.domains.iter().filter(|d| *d != own);
+        let known = others.all(|d| self.tables.contains_key(d));
         for account in self.accounts.values_mut() {
             if account.division.is_settled() {
                 continue;
             }
             let revision = account.division.spec().revision;
-            let domains = account.division.spec().domains.iter();
-            let known = domains
-                .filter(|d| *d != own)
-                .all(|d| self.tables.contains_key(d));
             let confirmed = self.tables.iter().all(|(domain, table)| {
                 let involved = account.division.involves(domain);
                 let entry = table.as_ref().and_then(|(_, t)| t.entry(account.shard));
--- a/crates/waxwing_core/tests/world/net.rs
+++ b/crates/waxwing_core/tests/world/net.rs
@@ -345,7 +345,8 @@
         let (revision, specs) = (self.revision, self.specs.clone());
         self.vms[vm].revision = revision;
         if let Some(ledger) = self.vms[vm].ledger.as_mut() {
-            ledger.configure(clock, Revision(revision), specs);
+            let domains = (0..self.setup.domains).map(domain_id).collect();
+            ledger.configure(clock, Revision(revision), domains, specs);
         }
     }
 }
