--- a/crates/waxwing_core/src/limit/decide.rs
+++ b/crates/waxwing_core/src/limit/decide.rs
@@ -150,7 +150,7 @@
         let mine = entry.owner.as_ref() == Some(&settings.vm);
         if self.stopping {
             let ours = mine && (shard.owned.is_some() || entry.incarnation.0 == 0);
-            return ours.then(|| self.handover(settings, index, facts));
+            return ours.then(|| self.handover(now, settings, index, facts));
         }
         if shard.owned.is_some() {
             return self.keep(now, settings, revision, index, facts);
@@ -219,13 +219,19 @@
     }
 
     /// The entry that hands a shard over.
-    fn handover(&self, settings: &LedgerSettings, index: usize, facts: &ShardFacts) -> ShardEntry {
+    fn handover(
+        &self,
+        now: Millis,
+        settings: &LedgerSettings,
+        index: usize,
+        facts: &ShardFacts,
+    ) -> ShardEntry {
         let shard = &self.list[index];
         let mut others = self.others(settings, index).into_iter();
-        let outstanding = if shard.owned.is_some() {
-            Some(facts.outstanding)
-        } else {
-            shard.entry.outstanding_ms
+        // An owner that still waits for its predecessor's quota leases passes the wait on.
+        let outstanding = match &shard.owned {
+            Some(owned) => Some(facts.outstanding.max(owned.from.since(now))),
+            None => shard.entry.outstanding_ms,
         };
         ShardEntry {
             owner: others.next(),
@@ -253,7 +259,7 @@
         let displaced = shard.displaced.is_some_and(|t| now.since(t) >= SETTLED);
         let started = owned.from <= now;
         if displaced && idle && started {
-            return Some(self.handover(settings, index, facts));
+            return Some(self.handover(now, settings, index, facts));
         }
         let mut entry = shard.entry.clone();
         if let Some(standby) = self.better_standby(now, settings, index) {
--- a/crates/waxwing_core/tests/world/mod.rs
+++ b/crates/waxwing_core/tests/world/mod.rs
@@ -60,7 +60,7 @@
         self.alive() && !self.paused && !self.leaving
     }
 
-    fn clock(&self, now: u64) -> Millis {
+    pub fn clock(&self, now: u64) -> Millis {
         let scaled = i128::from(now) * (1_000_000 + i128::from(self.drift_ppm)) / 1_000_000;
         Millis(self.origin + u64::try_from(scaled).expect("time is positive"))
     }
