Pool the tokens of small limits at the owners

Cause: requests of small workspaces were refused while other buckets were full: each VM held a rate of its own that its full bucket wasted, tokens lay in parts in many buckets, and owners lent burst to each other. Change: VMs with few requests take whole tokens instead of a rate and ask 25 ms after the last ask; owners keep the refill, lend whole tokens, and borrow a reserve when nearly dry.

--- a/crates/waxwing_core/examples/limit_modes.rs
+++ b/crates/waxwing_core/examples/limit_modes.rs
@@ -270,7 +270,8 @@
     let mut run = Run::new(mode, 5, burst_ms);
     run.run(WARM_UP, |_, _| {});
     run.counts.fill(Count::default());
-    let (messages, writes) = (run.world.messages, run.world.store_writes);
+    let (messages, bytes) = (run.world.messages, run.world.bytes);
+    let writes = run.world.store_writes;
     (scenario.start)(&mut run.world);
     let end = run.world.now + scenario.length;
     run.run(end, scenario.each_second);
@@ -281,13 +282,14 @@
     let worst = run.counts.iter().map(percent).fold(0.0, f64::max);
     let seconds = scenario.length / 1000;
     println!(
-        "{:28} {:8} {burst_ms:6} {:9} {:8} {:8.3} {worst:9.3} {:9} {:8} {}",
+        "{:28} {:8} {burst_ms:6} {:9} {:8} {:8.3} {worst:9.3} {:9} {:8} {:8} {}",
         scenario.name,
         format!("{mode:?}"),
         total.asked,
         total.refused,
         percent(&total),
         (run.world.messages - messages) / seconds,
+        (run.world.bytes - bytes) / seconds / (DOMAINS * VMS) as u64,
         run.world.store_writes - writes,
         if run.world.overdrawn.is_some() {
             "OVERDRAWN"
@@ -307,24 +309,31 @@
     }
 }
 
+fn header(cells: [&str; 10]) {
+    let [name, mode, cells @ ..] = cells;
+    let widths = [6, 9, 8, 8, 9, 9, 8, 8];
+    let cells = cells.iter().zip(widths).map(|(c, w)| format!("{c:>w$}"));
+    println!("{name:28} {mode:8} {}", cells.collect::<Vec<_>>().join(" "));
+}
+
 fn main() {
     let wanted = std::env::args().nth(1);
-    println!(
-        "{:28} {:8} {:>6} {:>9} {:>8} {:>8} {:>9} {:>9} {:>8}",
-        "scenario",
-        "mode",
-        "burst",
-        "requests",
-        "refused",
-        "percent",
-        "worst %",
-        "messages",
-        "writes"
-    );
-    println!(
-        "{:28} {:8} {:>6} {:>9} {:>8} {:>8} {:>9} {:>9} {:>8}",
-        "", "", "ms", "", "inside", "", "workspace", "a second", "in all"
-    );
+    header([
+        "scenario", "mode", "burst", "requests", "refused", "percent", "worst %", "messages",
+        "B/s", "writes",
+    ]);
+    header([
+        "",
+        "",
+        "ms",
+        "",
+        "inside",
+        "",
+        "workspace",
+        "a second",
+        "per VM",
+        "in all",
+    ]);
     for scenario in &SCENARIOS {
         if wanted.as_ref().is_some_and(|w| w != scenario.name) {
             continue;
--- a/crates/waxwing_core/src/limit/account.rs
+++ b/crates/waxwing_core/src/limit/account.rs
@@ -46,6 +46,8 @@
     pub(crate) leases: Leases,
     pub(crate) given: Commitments,
     pub(crate) demand: Demand,
+    /// Tokens that VMs of the domain without a rate of their own took from the share.
+    drawn: Demand,
     pub(crate) asks: Asks,
     /// When the limit was withdrawn.
     withdrawn: Option<Millis>,
@@ -66,6 +68,7 @@
             leases: Leases::default(),
             given: Commitments::default(),
             demand: Demand::new(now),
+            drawn: Demand::new(now),
             asks: Asks::default(),
             withdrawn: None,
             window: None,
@@ -174,7 +177,10 @@
         if quota == Quota::ZERO && self.given.of(now, vm) == Quota::ZERO {
             return None;
         }
-        let tokens = self.debit(now, vm, quota, ask.tokens.0, terms.cross);
+        let tokens = self.debit(now, vm, quota, ask, terms.cross);
+        if !terms.cross && ask.rate.0 == 0 {
+            self.drawn.record(now, tokens);
+        }
         let seq = self.given.add(vm, terms.epoch, quota, terms.end);
         self.refresh(now);
         self.bucket.clip(self.capacity.burst);
@@ -189,20 +195,28 @@
     }
 
     /// Takes the tokens that go with a grant: all that its burst displaces, and beyond that what
-    /// is not needed as a reserve for the wants inside the domain, half of the tokens at most.
-    fn debit(&mut self, now: Millis, vm: &VmId, quota: Quota, wanted: u64, cross: bool) -> u64 {
+    /// is not needed as a reserve for the wants inside the domain, half of the tokens at most. A VM
+    /// of the domain that cannot admit a request gets enough for one, or nothing: parts of a token
+    /// in many buckets admit nothing.
+    fn debit(&mut self, now: Millis, vm: &VmId, quota: Quota, ask: &Ask, cross: bool) -> u64 {
         let held = self.share(now).plus(self.leases.total(now));
         let others = self.given.total(now).minus(self.given.of(now, vm));
         let committed = others.plus(self.given.of(now, vm).max(quota));
         let tokens = self.bucket.tokens();
         let displaced = tokens.saturating_sub(held.minus(committed).burst);
-        let reserve = if cross {
-            self.inside_wants(now).burst
+        let spare = if cross {
+            tokens - self.inside_wants(now).burst.min(tokens / 2)
         } else {
-            self.demand.want(now).burst
+            let present = ask.burst.0.saturating_sub(ask.tokens.0);
+            let lacking = self.demand.unit().saturating_sub(present);
+            let reserve = self.demand.want(now).burst.min(tokens / 2);
+            if lacking > tokens {
+                0
+            } else {
+                lacking.max(tokens - reserve)
+            }
         };
-        let spare = tokens - reserve.min(tokens / 2);
-        let amount = wanted.min(quota.burst).min(displaced.max(spare));
+        let amount = ask.tokens.0.min(quota.burst).min(displaced.max(spare));
         self.bucket.take(amount);
         amount
     }
@@ -245,7 +259,15 @@
     /// What the VM and the borrowers of its domain want together.
     pub(crate) fn inside_wants(&self, now: Millis) -> Quota {
         let inside = self.given.wants(now, false).into_iter();
-        inside.fold(self.demand.want(now), Quota::plus)
+        inside.fold(self.own_want(now), Quota::plus)
+    }
+
+    /// What the owner keeps: its own demand, and the rate for VMs that draw tokens alone.
+    fn own_want(&self, now: Millis) -> Quota {
+        Quota {
+            rate: self.demand.rate(now).saturating_add(self.drawn.rate(now)),
+            burst: self.demand.want(now).burst,
+        }
     }
 
     /// Whether the commitments fit into the share and the leases held.
@@ -269,10 +291,11 @@
         let free = backing.minus(others);
         let level = if terms.cross {
             let idle = backing.minus(self.inside_wants(now));
-            level(idle, &self.given.wants(now, true), 0)
+            let unit = self.demand.unit().min(idle.burst);
+            level(idle, &self.given.wants(now, true), unit)
         } else {
             let mut wants = self.given.wants(now, false);
-            wants.push(self.demand.want(now));
+            wants.push(self.own_want(now));
             level(backing, &wants, self.demand.unit())
         };
         want.min(level).min(free)
--- a/crates/waxwing_core/src/limit/demand.rs
+++ b/crates/waxwing_core/src/limit/demand.rs
@@ -14,6 +14,8 @@
 const MIN_SPAN: u64 = 500;
 /// A limit without demand for longer than this is not asked for.
 const WARM: Millis = Millis::from_secs(600);
+/// Requests a second below which a VM takes tokens one by one instead of a rate.
+const FEW: u64 = 8;
 /// Headroom of the wanted rate over the estimate, as a fraction.
 const HEADROOM: (u64, u64) = (5, 4);
 
@@ -65,18 +67,29 @@
 }
 
 impl Demand {
-    /// Rate and burst to ask for: the greater of the recent and the longer average with headroom,
-    /// and a second of it beside one request. Zero if the limit has been idle for long.
+    /// Rate and burst to ask for. Zero if the limit has been idle for long.
+    ///
+    /// A bucket that is topped up after nearly every request wastes a rate of its own, so a VM
+    /// with few requests asks for burst alone. More burst than half a second of the rate would lie
+    /// idle in many buckets while others run dry.
     pub(crate) fn want(&self, now: Millis) -> Quota {
         if !self.is_warm(now) {
             return Quota::ZERO;
         }
-        let estimate = self.average(now, RECENT).max(self.average(now, SLOTS));
-        let rate = estimate.saturating_mul(HEADROOM.0) / HEADROOM.1;
-        Quota {
-            rate,
-            burst: rate.saturating_add(self.unit),
+        let rate = self.rate(now);
+        let burst = (rate / 2).saturating_add(self.unit);
+        if rate < self.unit.saturating_mul(FEW) {
+            // Parts of a token in many buckets admit nothing.
+            let burst = burst - burst % self.unit;
+            return Quota { rate: 0, burst };
         }
+        Quota { rate, burst }
+    }
+
+    /// The greater of the recent and the longer average, with headroom.
+    pub(crate) fn rate(&self, now: Millis) -> u64 {
+        let estimate = self.average(now, RECENT).max(self.average(now, SLOTS));
+        estimate.saturating_mul(HEADROOM.0) / HEADROOM.1
     }
 
     /// Greatest cost of a request.
--- a/crates/waxwing_core/src/limit/ledger.rs
+++ b/crates/waxwing_core/src/limit/ledger.rs
@@ -6,6 +6,7 @@
 
 use super::account::{Account, Terms};
 use super::owners::shard_of;
+use super::plan::MAX_GAP;
 use super::shard::{Shards, shard_id};
 use super::share::Division;
 use super::{LedgerAction, LedgerSettings, LimitSpec, OwnersTable, SHARDS, WriteOutcome};
@@ -177,8 +178,13 @@
 
     /// Takes over grants of `owner` in reply to a request sent at `sent_at`.
     pub fn on_grants(&mut self, now: Millis, sent_at: Millis, owner: &VmId, reply: &BorrowReply) {
-        let period = self.settings.period(self.shards.live.len());
-        let gaps = (self.settings.ask_gap, period);
+        let gap = self.settings.ask_gap;
+        let cross = self.lenders.iter().any(|l| l.contains(owner));
+        let longest = if cross {
+            self.settings.borrow_period
+        } else {
+            MAX_GAP
+        };
         for (key, account) in &mut self.accounts {
             let grant = reply.grants.iter().find(|g| &g.key == key);
             let gained = grant.is_some_and(|g| account.adopt(now, sent_at, owner, g));
@@ -186,7 +192,7 @@
                 let useful = gained || !account.is_short(now);
                 account
                     .asks
-                    .note_reply(now, owner, (grant.is_some(), useful), gaps);
+                    .note_reply(now, owner, (grant.is_some(), useful), (gap, longest));
             }
         }
     }
--- a/crates/waxwing_core/src/limit/plan.rs
+++ b/crates/waxwing_core/src/limit/plan.rs
@@ -12,6 +12,14 @@
 const SILENT: Millis = Millis(700);
 /// The same for an owner that answers without granting anything.
 const BARREN: Millis = Millis(500);
+/// Greatest time between asks to the own domain's owner while tokens are short.
+pub(crate) const MAX_GAP: Millis = Millis(200);
+/// Requests below which the pool of an owner counts as nearly dry.
+const DRY: u64 = 2;
+/// Requests that the owner of such a pool asks of other domains.
+const DRY_NEED: u64 = 3;
+/// Time for which it goes on asking. Leases that come and go lose the tokens that they displace.
+const DRY_TIME: Millis = Millis::from_secs(3);
 /// Time after which leases beyond twice the need are reduced ahead of their renewal.
 const EXCESS: Millis = Millis(1000);
 
@@ -36,6 +44,8 @@
     #[derive(Default)]
     pub(crate) struct Asks {
         lenders: BTreeMap<VmId, AskState>,
+        /// End of the time in which an owner asks other domains for a reserve.
+        dry_until: Millis,
     }
 }
 
@@ -66,10 +76,13 @@
         lenders: &Lenders<'_>,
     ) -> Vec<(VmId, Ask)> {
         self.advance(now);
+        if self.tokens() < self.demand.unit().saturating_mul(DRY) {
+            self.asks.dry_until = now + DRY_TIME;
+        }
         let mut asks = Vec::new();
         let want = self.demand.want(now);
         let mut need = if lenders.owner {
-            self.inside_wants(now).minus(self.share(now))
+            self.owner_need(now)
         } else {
             want
         };
@@ -141,7 +154,21 @@
     /// Whether the tokens are so few that a request may soon find none.
     pub(crate) fn is_short(&self, now: Millis) -> bool {
         let want = self.demand.want(now);
-        want.burst > 0 && self.tokens() < (want.burst / 2).max(self.demand.unit()).min(want.burst)
+        want.burst > 0 && self.tokens() < (want.burst / 4).max(self.demand.unit()).min(want.burst)
+    }
+
+    /// What the domain lacks: quota beyond the share, with a second of the rate as burst, and two
+    /// requests when the pool has run dry.
+    fn owner_need(&self, now: Millis) -> Quota {
+        let mut need = self.inside_wants(now).minus(self.share(now));
+        if need.rate > 0 {
+            need.burst = need.burst.max(need.rate);
+        }
+        let unit = self.demand.unit();
+        if self.asks.dry_until > now {
+            need.burst = need.burst.max(unit.saturating_mul(DRY_NEED));
+        }
+        need
     }
 
     fn lent_by(&self, now: Millis, lender: &VmId) -> Quota {
@@ -169,7 +196,8 @@
     ) -> bool {
         let waited = self.asks.waited(now, lender);
         let lent = self.lent_by(now, lender);
-        let lacking = !need.fits(held) || (need != Quota::ZERO && self.is_short(now));
+        let lacking =
+            !need.minus(part(need)).fits(held) || (need != Quota::ZERO && self.is_short(now));
         let excess =
             lent != Quota::ZERO && need.plus(need).fits(held) && !target.plus(target).fits(lent);
         let idle = target == Quota::ZERO && lent == Quota::ZERO;
@@ -207,7 +235,7 @@
         now: Millis,
         lender: &VmId,
         (granted, gained): (bool, bool),
-        (gap, period): (Millis, Millis),
+        (gap, longest): (Millis, Millis),
     ) {
         let Some(state) = self.lenders.get_mut(lender) else {
             return;
@@ -221,7 +249,7 @@
         state.gap = if gained {
             gap
         } else {
-            (state.gap + state.gap).min(period).max(gap)
+            (state.gap + state.gap).min(longest).max(gap)
         };
     }
 
@@ -272,6 +300,14 @@
     }
 }
 
+/// What may be missing before it is asked for ahead of the period.
+fn part(need: Quota) -> Quota {
+    Quota {
+        rate: need.rate / 8,
+        burst: need.burst / 8,
+    }
+}
+
 /// What to ask of one of several lenders: an equal part of what is missing, or the proportional
 /// part of what is still needed.
 fn target(need: u64, held: u64, lent: u64, givers: u64) -> u64 {
--- a/crates/waxwing_core/src/limit/spec.rs
+++ b/crates/waxwing_core/src/limit/spec.rs
@@ -78,7 +78,7 @@
             borrow_period: Millis::from_secs(1),
             period_per_vm: Millis(150),
             cross_term: Millis::from_secs(10),
-            ask_gap: Millis(200),
+            ask_gap: Millis(25),
             orphan_term: Millis::from_secs(6 * 3600),
             rewrite_period: Millis::from_secs(1800),
             drift_permille: 10,
--- a/crates/waxwing_core/tests/world/mod.rs
+++ b/crates/waxwing_core/tests/world/mod.rs
@@ -60,7 +60,7 @@
         self.alive() && !self.paused && !self.leaving
     }
 
-    pub fn clock(&self, now: u64) -> Millis {
+    fn clock(&self, now: u64) -> Millis {
         let scaled = i128::from(now) * (1_000_000 + i128::from(self.drift_ppm)) / 1_000_000;
         Millis(self.origin + u64::try_from(scaled).expect("time is positive"))
     }
@@ -90,6 +90,7 @@
     pub store_down: bool,
     pub admitted: Vec<u64>,
     pub messages: u64,
+    pub bytes: u64,
     pub store_writes: u64,
     objects: BTreeMap<usize, (u64, Vec<u8>)>,
     revision: u64,
@@ -123,6 +124,7 @@
             store_down: false,
             admitted: vec![0; setup.bounds.len()],
             messages: 0,
+            bytes: 0,
             store_writes: 0,
             objects: BTreeMap::new(),
             revision: 1,
--- a/crates/waxwing_core/tests/world/net.rs
+++ b/crates/waxwing_core/tests/world/net.rs
@@ -52,6 +52,20 @@
     Written(Millis, WriteOutcome),
 }
 
+impl Message {
+    /// Estimate of the bytes on the wire: 60 for the frame and the ids, 56 for each limit.
+    fn size(&self) -> u64 {
+        let limits = match self {
+            Self::Borrow(_, _, request) => request.asks.len(),
+            Self::Grants(_, _, reply) => reply.grants.len(),
+            Self::Renew(_, _, request) => request.shards.len() / 3,
+            Self::Renewed(_, _, reply) => reply.acked.len() / 3,
+            Self::Owners(..) | Self::Written(..) => 0,
+        };
+        60 + 56 * limits as u64
+    }
+}
+
 impl World {
     pub(super) fn schedule(&mut self, delay: u64, event: Event) {
         self.sequence += 1;
@@ -172,6 +186,7 @@
 
     fn post(&mut self, from: usize, vm: usize, process: Option<u64>, message: Message) {
         self.messages += 1;
+        self.bytes += message.size();
         let copies = if self.lost() { 2 } else { 1 };
         for _ in 0..copies {
             let connected = self.reaches(self.vms[from].domain, self.vms[vm].domain);
