--- a/crates/waxwing_core/examples/limit_modes.rs
+++ b/crates/waxwing_core/examples/limit_modes.rs
@@ -120,7 +120,7 @@
 
 fn replace_next(world: &mut World, second: u64) {
     let vm = usize::try_from(second / 20).expect("the run is short");
-    if second % 20 == 0 && vm < DOMAINS * VMS {
+    if second.is_multiple_of(20) && vm < DOMAINS * VMS {
         world.stop(vm);
     }
     if second % 20 == 3 && vm < DOMAINS * VMS {
--- a/crates/waxwing_core/src/limit/bucket.rs
+++ b/crates/waxwing_core/src/limit/bucket.rs
@@ -56,14 +56,6 @@
     pub(crate) fn fits(self, other: Self) -> bool {
         self.rate <= other.rate && self.burst <= other.burst
     }
-
-    /// `self * part / whole` in both components.
-    pub(crate) fn scaled(self, part: Self, whole: Self) -> Self {
-        Self {
-            rate: scale(self.rate, part.rate, whole.rate),
-            burst: scale(self.burst, part.burst, whole.burst),
-        }
-    }
 }
 
 /// `amount * part / whole`, rounded down; `amount` if `whole` is zero.
--- a/crates/waxwing_core/src/limit/decide.rs
+++ b/crates/waxwing_core/src/limit/decide.rs
@@ -211,7 +211,10 @@
             owner: Some(settings.vm.clone()),
             incarnation: settings.incarnation,
             epoch: former.epoch + 1,
-            standby: others.into_iter().next(),
+            standby: others
+                .into_iter()
+                .next()
+                .filter(|_| settings.mode == LeaseMode::Standby),
             beat: former.beat,
             confirmed,
             outstanding_ms: None,
@@ -262,8 +265,8 @@
             return Some(self.handover(now, settings, index, facts));
         }
         let mut entry = shard.entry.clone();
-        if let Some(standby) = self.better_standby(now, settings, index) {
-            entry.standby = standby;
+        entry.standby = self.best_standby(now, settings, index, owned.heard);
+        if entry.standby != shard.entry.standby {
             entry.epoch += 1;
         }
         if facts.unconfirmed && facts.fits && started {
@@ -277,29 +280,26 @@
         (entry != shard.entry || age >= due).then_some(entry)
     }
 
-    /// Another standby if the present one is missing, not live, or silent.
-    fn better_standby(
+    /// The present standby, or another one if it is missing, not live, or silent since `heard`.
+    fn best_standby(
         &self,
         now: Millis,
         settings: &LedgerSettings,
         index: usize,
-    ) -> Option<Option<VmId>> {
-        let shard = &self.list[index];
-        let owned = shard.owned.as_ref()?;
+        heard: Millis,
+    ) -> Option<VmId> {
         if settings.mode == LeaseMode::Store {
             return None;
         }
-        let mut others = self.others(settings, index);
-        let standby = shard.entry.standby.as_ref();
-        let live = standby.is_some_and(|vm| others.contains(vm));
-        let silent = now.since(owned.heard).0 > settings.renew_period.0 * 5 / 2;
+        let others = self.others(settings, index);
+        let present = self.list[index].entry.standby.clone();
+        let live = present.as_ref().is_some_and(|vm| others.contains(vm));
+        let silent = now.since(heard).0 > settings.renew_period.0 * 5 / 2;
         if live && !silent {
-            return None;
+            return present;
         }
-        others.retain(|vm| Some(vm) != standby);
-        let next = others.into_iter().next();
-        let useful = next.is_some() || (standby.is_some() && !live);
-        useful.then_some(next)
+        let another = others.into_iter().find(|vm| Some(vm) != present.as_ref());
+        another.or(present.filter(|_| live))
     }
 
     /// The other live VMs by rendezvous rank.
--- a/crates/waxwing_core/src/limit/lease.rs
+++ b/crates/waxwing_core/src/limit/lease.rs
@@ -102,10 +102,6 @@
             .find(|l| &l.lender == lender && l.until > at)
     }
 
-    pub(crate) fn lenders(&self) -> impl Iterator<Item = &VmId> {
-        self.held.iter().map(|l| &l.lender)
-    }
-
     /// First end of a lease after `at`.
     pub(crate) fn next_end(&self, at: Millis) -> Millis {
         let ends = self.held.iter().map(|l| l.until).filter(|&u| u > at);
--- a/crates/waxwing_core/src/limit/plan.rs
+++ b/crates/waxwing_core/src/limit/plan.rs
@@ -79,6 +79,7 @@
         if self.tokens() < self.demand.unit().saturating_mul(DRY) {
             self.asks.dry_until = now + DRY_TIME;
         }
+        self.asks.forget_former(lenders);
         let mut asks = Vec::new();
         let want = self.demand.want(now);
         let mut need = if lenders.owner {
@@ -111,7 +112,7 @@
     ) {
         let held = lenders.others.iter().map(|l| self.lent_by(now, l));
         let held = held.fold(Quota::ZERO, Quota::plus);
-        if need == Quota::ZERO && held == Quota::ZERO && !self.asks.any_untold(self, now, lenders) {
+        if need == Quota::ZERO && held == Quota::ZERO && !self.any_untold(now, lenders) {
             return;
         }
         let givers = self.asks.givers(lenders);
@@ -207,6 +208,10 @@
             || (excess && waited >= EXCESS)
     }
 
+    fn any_untold(&self, now: Millis, lenders: &Lenders<'_>) -> bool {
+        lenders.others.iter().any(|l| self.untold(now, l))
+    }
+
     /// Whether the lender does not know yet that a reduced lease is in force.
     fn untold(&self, now: Millis, lender: &VmId) -> bool {
         let lease = self.leases.of(now, lender);
@@ -254,8 +259,11 @@
     }
 
     /// Forgets VMs that are no lenders any more.
-    pub(crate) fn retain(&mut self, is_lender: impl Fn(&VmId) -> bool) {
-        self.lenders.retain(|vm, _| is_lender(vm));
+    fn forget_former(&mut self, lenders: &Lenders<'_>) {
+        if self.lenders.len() > lenders.others.len() + 1 {
+            self.lenders
+                .retain(|vm, _| lenders.home == Some(vm) || lenders.others.contains(vm));
+        }
     }
 }
 
@@ -285,10 +293,6 @@
         self.lenders.get(lender).map_or(0, |s| s.told)
     }
 
-    fn any_untold(&self, account: &Account, now: Millis, lenders: &Lenders<'_>) -> bool {
-        lenders.others.iter().any(|l| account.untold(now, l))
-    }
-
     /// Number of lenders of other domains whose last grant brought something, or that were not
     /// asked yet; all of them if there is none.
     fn givers(&self, lenders: &Lenders<'_>) -> u64 {
--- a/crates/waxwing_core/tests/limit_fuzz.rs
+++ b/crates/waxwing_core/tests/limit_fuzz.rs
@@ -13,7 +13,7 @@
 use waxwing_types::Millis;
 use world::{Bound, Setup, World};
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 enum Step {
     Run(u64),
     Spend {
--- a/crates/waxwing_core/tests/world/net.rs
+++ b/crates/waxwing_core/tests/world/net.rs
@@ -180,11 +180,11 @@
 
     fn send(&mut self, from: usize, to: &VmId, message: Message) {
         if let Some(vm) = self.vms.iter().position(|v| &v.id == to) {
-            self.post(from, vm, None, message);
+            self.post(from, vm, None, &message);
         }
     }
 
-    fn post(&mut self, from: usize, vm: usize, process: Option<u64>, message: Message) {
+    fn post(&mut self, from: usize, vm: usize, process: Option<u64>, message: &Message) {
         self.messages += 1;
         self.bytes += message.size();
         let copies = if self.lost() { 2 } else { 1 };
@@ -218,11 +218,11 @@
         match message {
             Message::Borrow(sent_at, process, request) => {
                 let reply = Message::Grants(sent_at, own, ledger.on_borrow(clock, &request));
-                self.post(vm, from, Some(process), reply);
+                self.post(vm, from, Some(process), &reply);
             }
             Message::Renew(sent_at, process, request) => {
                 let reply = Message::Renewed(sent_at, own, ledger.on_renew(clock, &request));
-                self.post(vm, from, Some(process), reply);
+                self.post(vm, from, Some(process), &reply);
             }
             Message::Grants(sent_at, owner, reply) => {
                 ledger.on_grants(clock, sent_at, &owner, &reply);
