--- a/crates/waxwing_core/tests/world/net.rs
+++ b/crates/waxwing_core/tests/world/net.rs
@@ -147,10 +147,10 @@
         for action in actions {
             match action {
                 LedgerAction::Borrow { to, request } => {
-                    self.send(vm, &to, Message::Borrow(clock, process, request));
+                    self.send(vm, &to, &Message::Borrow(clock, process, request));
                 }
                 LedgerAction::Renew { to, request } => {
-                    self.send(vm, &to, Message::Renew(clock, process, request));
+                    self.send(vm, &to, &Message::Renew(clock, process, request));
                 }
                 LedgerAction::WriteOwners {
                     value, expected, ..
@@ -178,9 +178,9 @@
         self.rng.u64(0..1000) < self.setup.loss
     }
 
-    fn send(&mut self, from: usize, to: &VmId, message: Message) {
+    fn send(&mut self, from: usize, to: &VmId, message: &Message) {
         if let Some(vm) = self.vms.iter().position(|v| &v.id == to) {
-            self.post(from, vm, None, &message);
+            self.post(from, vm, None, message);
         }
     }
 
