Add the public interface of Config, BlockTable, Members and Steering

Cause: the request path and the daemon build against these types. Change: records by path and version with paged deltas, the table of client blocks, the membership view with rendezvous ranking, and steering, all without I/O. A message's PullReply.revision is what the sender holds in full; while `more` is set the receiver continues after the last record.

--- /dev/null
+++ b/crates/waxwing_core/src/config/page.rs
@@ -0,0 +1,120 @@
+//! Exchange of records between replicas.
+
+use waxwing_types::{Millis, Revision, common_derives};
+
+use super::{Candidate, Config, Value, signed};
+use crate::{PullReply, PullRequest, VersionedRecord};
+
+common_derives! {
+    /// The part of a [`PullReply`] that concerns the configuration.
+    pub struct Delta {
+        /// Revision that the sender holds in full.
+        pub revision: Revision,
+        /// Age of the sender's newest word from the store, [`Millis::MAX`] for none.
+        pub age: Millis,
+        /// Whether further records follow.
+        pub more: bool,
+        /// Records in the order of their versions.
+        pub records: Vec<VersionedRecord>,
+    }
+}
+
+/// A peer's answer to a pull, read and checked.
+#[derive(Clone, Debug)]
+pub struct Page {
+    /// The revision after which the pull asked.
+    pub after: Revision,
+    /// Revision that the sender holds in full.
+    pub revision: Revision,
+    /// Age of the sender's newest word from the store.
+    pub age: Millis,
+    /// Whether further records follow.
+    pub more: bool,
+    /// The records.
+    pub records: Vec<Candidate>,
+}
+
+impl Page {
+    /// Reads the records of a reply, which leaves the reply without them.
+    pub fn read(after: Revision, reply: &mut PullReply) -> Self {
+        let records = std::mem::take(&mut reply.records);
+        Self {
+            after,
+            revision: reply.revision,
+            age: reply.age,
+            more: reply.more,
+            records: records.into_iter().map(Candidate::read).collect(),
+        }
+    }
+}
+
+impl Config {
+    /// Where the next pull or store call starts: the revision in force, or the end of the last page
+    /// of a transfer under way. A transfer goes on fastest with the peer that began it.
+    pub fn position(&self) -> Revision {
+        self.transfer.map_or(self.revision, |t| t.cursor)
+    }
+
+    /// The records that changed after `after`, up to about `max_bytes` of values but at least one.
+    ///
+    /// A replica that holds records above its revision in force offers nothing: a record that was
+    /// replaced meanwhile would be missing at its earlier version.
+    pub fn delta(&self, now: Millis, after: Revision, max_bytes: usize) -> Delta {
+        let mut delta = Delta {
+            revision: self.revision,
+            age: self.age(now),
+            more: false,
+            records: Vec::new(),
+        };
+        if after >= self.revision {
+            return delta;
+        }
+        if self.newest() > self.revision {
+            delta.revision = Revision::default();
+            return delta;
+        }
+        let mut bytes = 0;
+        let from = (Revision(after.0.saturating_add(1)), "".into());
+        for (version, path) in self.by_version.range(from..) {
+            let value = self.value(path);
+            bytes += value.len() + path.len();
+            if bytes > max_bytes && !delta.records.is_empty() {
+                delta.more = true;
+                break;
+            }
+            delta.records.push(VersionedRecord {
+                path: path.clone(),
+                version: *version,
+                value,
+            });
+        }
+        delta
+    }
+
+    /// Whether the sender of a pull holds news for this replica, which then pulls from it at once.
+    pub fn wants(&self, request: &PullRequest) -> bool {
+        request.after > self.revision
+    }
+
+    /// Time since the store, directly or through peers, was last known to hold nothing newer.
+    /// [`Millis::MAX`] if that has never been known.
+    pub fn age(&self, now: Millis) -> Millis {
+        let Some(heard) = self.heard else {
+            return Millis::MAX;
+        };
+        let age = signed(now).saturating_sub(heard);
+        Millis(u64::try_from(age).unwrap_or(0))
+    }
+
+    fn newest(&self) -> Revision {
+        self.by_version.last().map(|(v, _)| *v).unwrap_or_default()
+    }
+
+    fn value(&self, path: &str) -> Vec<u8> {
+        match self.entries.get(path).map(|e| &e.value) {
+            Some(Value::Raw(raw)) => raw.clone(),
+            Some(Value::Blocks) => self.blocks.render(path),
+            None => Vec::new(),
+        }
+    }
+}
--- a/crates/waxwing_core/src/lib.rs
+++ b/crates/waxwing_core/src/lib.rs
@@ -3,9 +3,17 @@
 //! Nothing here opens a socket, reads a clock, starts a thread or draws from an ambient random
 //! source: time and seeds come in as arguments.
 
+mod block;
+mod config;
+mod member;
 mod message;
+mod steer;
 
+pub use block::{BlockParts, BlockTable};
+pub use config::{ActiveShift, Adoption, Candidate, Config, ConfigCounts, Delta, Page};
+pub use member::{Members, PULL_PERIOD, SILENCE, Vm, WATCHERS, rank};
 pub use message::{
     Ask, BorrowReply, BorrowRequest, Fingerprint, Grant, LimitKey, PullReply, PullRequest,
     RenewReply, RenewRequest, ShardEpoch, ShardId, VersionedRecord,
 };
+pub use steer::{Answer, Course, LIFETIME, Steering};
--- /dev/null
+++ b/crates/waxwing_core/src/steer.rs
@@ -0,0 +1,112 @@
+//! Where callers and requests go.
+
+mod lookup;
+
+use fastrand::Rng;
+use waxwing_types::{DomainId, Millis, RegionId, ServiceId, ShiftName, common_derives};
+
+use crate::{ActiveShift, Config, LimitKey, Members, Vm};
+
+pub use lookup::{Answer, LIFETIME};
+
+/// Millionths in a whole share.
+const WHOLE: u64 = 1_000_000;
+
+common_derives! {
+    /// Where a request should run.
+    pub enum Course {
+        /// In the region of this VM.
+        Here,
+        /// In another region, if a token of the shift's cap can be had; else here.
+        Shifted {
+            /// The planned shift.
+            shift: ShiftName,
+            /// The region that it moves traffic to.
+            to: RegionId,
+        },
+    }
+}
+
+impl Course {
+    /// The limit whose token the request spends, if any.
+    pub fn limit(&self) -> Option<LimitKey> {
+        match self {
+            Self::Here => None,
+            Self::Shifted { shift, .. } => Some(LimitKey::Shift(shift.clone())),
+        }
+    }
+}
+
+/// Steering of one VM.
+#[derive(Clone, Debug)]
+pub struct Steering {
+    domain: DomainId,
+}
+
+impl Steering {
+    /// Steering of a VM in a failure domain.
+    pub fn new(domain: DomainId) -> Self {
+        Self { domain }
+    }
+
+    /// The region of this VM, once its record is in force.
+    pub fn region<'a>(&self, config: &'a Config) -> Option<&'a RegionId> {
+        config.region_of(&self.domain)
+    }
+
+    /// Where a request that entered at this VM should run.
+    ///
+    /// Several shifts of a service from one region divide its traffic; together they move at most
+    /// all of it.
+    pub fn course(
+        &self,
+        now: Millis,
+        config: &Config,
+        service: &ServiceId,
+        rng: &mut Rng,
+    ) -> Course {
+        let Some(home) = self.region(config) else {
+            return Course::Here;
+        };
+        let mut draw = rng.u64(..WHOLE);
+        for active in config.shifts_from(service, home) {
+            let share = share(now, active);
+            if draw < share {
+                return Course::Shifted {
+                    shift: active.name.clone(),
+                    to: active.shift.to.clone(),
+                };
+            }
+            draw -= share;
+        }
+        Course::Here
+    }
+
+    /// An entry VM of another region, at random among those that are usable.
+    pub fn entry_vm<'a>(
+        &self,
+        now: Millis,
+        config: &Config,
+        members: &'a Members,
+        region: &RegionId,
+        rng: &mut Rng,
+    ) -> Option<&'a Vm> {
+        let region = config.regions().get(region)?;
+        let domains = region.domains.iter();
+        let vms = domains.flat_map(|d| members.listed(&d.name));
+        let usable: Vec<_> = vms.filter(|id| members.usable(now, id)).collect();
+        members.vm(rng.choice(usable)?)
+    }
+}
+
+/// The part of the traffic that a shift moves now, in millionths.
+fn share(now: Millis, active: &ActiveShift) -> u64 {
+    let full = u64::from(active.shift.percent) * (WHOLE / 100);
+    let ramp = active.shift.ramp.0;
+    let passed = now.since(active.since).0;
+    if passed >= ramp {
+        return full;
+    }
+    let scaled = u128::from(full) * u128::from(passed) / u128::from(ramp);
+    u64::try_from(scaled).unwrap_or(full)
+}
