--- a/crates/waxwing_core/src/lib.rs
+++ b/crates/waxwing_core/src/lib.rs
@@ -5,15 +5,20 @@
 
 mod block;
 mod config;
+mod limit;
 mod member;
 mod message;
 mod steer;
 
 pub use block::{BlockParts, BlockTable};
 pub use config::{ActiveShift, Adoption, Candidate, Config, ConfigCounts, Delta, Page};
+pub use limit::{
+    LeaseMode, Ledger, LedgerAction, LedgerSettings, LimitSpec, OwnersTable, SHARDS, ShardEntry,
+    WriteOutcome,
+};
 pub use member::{Members, PULL_PERIOD, SILENCE, Vm, WATCHERS, rank};
 pub use message::{
     Ask, BorrowReply, BorrowRequest, Fingerprint, Grant, LimitKey, PullReply, PullRequest,
     RenewReply, RenewRequest, ShardEpoch, ShardId, VersionedRecord,
 };
-pub use steer::{Answer, Course, LIFETIME, Steering};
+pub use steer::{Answer, LIFETIME, Steering};
--- a/crates/waxwing_core/src/member.rs
+++ b/crates/waxwing_core/src/member.rs
@@ -29,10 +29,12 @@
         pub id: VmId,
         /// Failure domain.
         pub domain: DomainId,
+        /// Address for callers.
+        pub client: SocketAddr,
         /// Address of the protocol between daemons.
         pub peer: SocketAddr,
-        /// Address for callers and for work from other regions.
-        pub http: SocketAddr,
+        /// Address for requests that entry VMs of other regions pass on.
+        pub peer_http: SocketAddr,
         /// Whether the platform takes it away.
         pub leaving: bool,
     }
--- a/crates/waxwing_core/src/message.rs
+++ b/crates/waxwing_core/src/message.rs
@@ -174,13 +174,13 @@
         pub from: VmId,
         /// The sender's process.
         pub incarnation: Incarnation,
-        /// Revision that the receiver holds once it has adopted `records`.
+        /// Revision that the sender holds in full, and the receiver once no records follow.
         pub revision: Revision,
         /// Time since the sender, or one from whom it learnt, last heard from the store.
         pub age: Millis,
         /// Records that changed, in the order of their versions.
         pub records: Vec<VersionedRecord>,
-        /// Whether further records follow in the next pull.
+        /// Whether further records follow in the next pull, after the last of `records`.
         pub more: bool,
         /// Requests in quarantine, newest first.
         pub quarantined: Vec<Fingerprint>,
--- a/crates/waxwing_core/src/steer.rs
+++ b/crates/waxwing_core/src/steer.rs
@@ -3,40 +3,15 @@
 mod lookup;
 
 use fastrand::Rng;
-use waxwing_types::{DomainId, Millis, RegionId, ServiceId, ShiftName, common_derives};
+use waxwing_types::{DomainId, Millis, RegionId, ServiceId, ShiftName};
 
-use crate::{ActiveShift, Config, LimitKey, Members, Vm};
+use crate::{ActiveShift, Config, Members, Vm};
 
 pub use lookup::{Answer, LIFETIME};
 
 /// Millionths in a whole share.
 const WHOLE: u64 = 1_000_000;
 
-common_derives! {
-    /// Where a request should run.
-    pub enum Course {
-        /// In the region of this VM.
-        Here,
-        /// In another region, if a token of the shift's cap can be had; else here.
-        Shifted {
-            /// The planned shift.
-            shift: ShiftName,
-            /// The region that it moves traffic to.
-            to: RegionId,
-        },
-    }
-}
-
-impl Course {
-    /// The limit whose token the request spends, if any.
-    pub fn limit(&self) -> Option<LimitKey> {
-        match self {
-            Self::Here => None,
-            Self::Shifted { shift, .. } => Some(LimitKey::Shift(shift.clone())),
-        }
-    }
-}
-
 /// Steering of one VM.
 #[derive(Clone, Debug)]
 pub struct Steering {
@@ -54,32 +29,29 @@
         config.region_of(&self.domain)
     }
 
-    /// Where a request that entered at this VM should run.
+    /// The planned shift that moves a request of the service that entered here, and the region that
+    /// should run it. Without a shift, or without a token of [`LimitKey::Shift`](crate::LimitKey),
+    /// it runs in this region.
     ///
     /// Several shifts of a service from one region divide its traffic; together they move at most
     /// all of it.
-    pub fn course(
+    pub fn shift(
         &self,
         now: Millis,
         config: &Config,
         service: &ServiceId,
         rng: &mut Rng,
-    ) -> Course {
-        let Some(home) = self.region(config) else {
-            return Course::Here;
-        };
+    ) -> Option<(ShiftName, RegionId)> {
+        let home = self.region(config)?;
         let mut draw = rng.u64(..WHOLE);
         for active in config.shifts_from(service, home) {
             let share = share(now, active);
             if draw < share {
-                return Course::Shifted {
-                    shift: active.name.clone(),
-                    to: active.shift.to.clone(),
-                };
+                return Some((active.name.clone(), active.shift.to.clone()));
             }
             draw -= share;
         }
-        Course::Here
+        None
     }
 
     /// An entry VM of another region, at random among those that are usable.
