Add the schedule of pulls and store calls

Cause: daemon, fuzz tests and the propagation measurement need the same protocol. Change: Puller turns timers, replies and requests into pulls and store calls, and says when a new VM is ready. Conclusion: the simulation of propagation can be written against it.

--- a/crates/waxwing_core/src/lib.rs
+++ b/crates/waxwing_core/src/lib.rs
@@ -8,6 +8,7 @@
 mod limit;
 mod member;
 mod message;
+mod pull;
 mod steer;
 
 pub use block::{BlockParts, BlockTable};
@@ -21,4 +22,5 @@
     Ask, BorrowReply, BorrowRequest, Fingerprint, Grant, LimitKey, PullReply, PullRequest,
     RenewReply, RenewRequest, ShardEpoch, ShardId, VersionedRecord,
 };
+pub use pull::{Clocks, PAGE_BYTES, PullAction, PullSettings, Puller, STALE_AGE, WATCH_WAIT};
 pub use steer::{Answer, LIFETIME, Steering};
--- a/crates/waxwing_core/src/member/pull.rs
+++ b/crates/waxwing_core/src/member/pull.rs
@@ -21,6 +21,34 @@
         }
     }
 
+    /// Other usable VMs of the own failure domain, at random and without repetition.
+    pub fn neighbours(&self, count: usize, rng: &mut Rng) -> Vec<VmId> {
+        let others = self.listed(&self.domain).iter();
+        let others = others.filter(|id| **id != self.me && self.is_usable(id));
+        let chosen = rng.choose_multiple(others, count);
+        chosen.into_iter().cloned().collect()
+    }
+
+    /// Every other VM of the own failure domain and one of each other domain, in random order.
+    pub fn sweep(&self, rng: &mut Rng) -> Vec<VmId> {
+        let mut all: Vec<_> = self.listed(&self.domain).to_vec();
+        all.retain(|id| *id != self.me);
+        let others = self.domains().filter(|d| **d != self.domain);
+        all.extend(others.filter_map(|d| self.pick(d, rng)));
+        rng.shuffle(&mut all);
+        all
+    }
+
+    /// Whether every other VM on the list was heard of or failed to answer.
+    pub fn all_tried(&self) -> bool {
+        let mut others = self.all.iter().filter(|(id, _)| **id != self.me);
+        others.all(|(_, m)| m.failed || m.heard.is_some())
+    }
+
+    fn is_usable(&self, id: &VmId) -> bool {
+        self.all.get(id).is_some_and(|m| !m.failed && !m.stopping)
+    }
+
     fn inside(&self, rng: &mut Rng) -> Option<VmId> {
         self.pick(&self.domain, rng)
     }
