Measure the propagation of a change in virtual time

Cause: a change has to be in force everywhere within 13 s; the schedule of pulls had not been measured.

--- /dev/null
+++ b/crates/waxwing_bench/examples/propagation.rs
@@ -0,0 +1,140 @@
+//! Time in which a change reaches all VMs, in virtual time, with parts of the protocol left out.
+//!
+//! `cargo run --release -p waxwing_bench --example propagation -- [--domains 32] [--vms 34]
+//! [--changes 20] [--seed 1]`
+
+#[path = "../../waxwing_core/tests/world/mod.rs"]
+mod world;
+
+use anyhow::Context;
+use lexopt::prelude::*;
+use smol_str::SmolStr;
+use waxwing_core::PullSettings;
+use waxwing_types::{Millis, Revision};
+use world::{STORE, World};
+
+#[derive(Clone, Copy)]
+struct Options {
+    domains: usize,
+    vms: usize,
+    changes: usize,
+    seed: u64,
+}
+
+fn main() -> anyhow::Result<()> {
+    let options = options()?;
+    let variants = [
+        ("pulls only", false, 0),
+        ("pull back", true, 0),
+        ("pull back, announce to 1", true, 1),
+        ("pull back, announce to 2", true, 2),
+        ("pull back, announce to 3", true, 3),
+    ];
+    for (name, pull_back, announce) in variants {
+        let settings = PullSettings {
+            pull_back,
+            announce,
+            ..PullSettings::default()
+        };
+        measure(name, settings, options, false);
+        measure(name, settings, options, true);
+    }
+    Ok(())
+}
+
+fn options() -> anyhow::Result<Options> {
+    let mut options = Options {
+        domains: 32,
+        vms: 34,
+        changes: 20,
+        seed: 1,
+    };
+    let mut parser = lexopt::Parser::from_env();
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Long("domains") => options.domains = parser.value()?.parse()?,
+            Long("vms") => options.vms = parser.value()?.parse()?,
+            Long("changes") => options.changes = parser.value()?.parse()?,
+            Long("seed") => options.seed = parser.value()?.parse()?,
+            _ => return Err(arg.unexpected()).context("see the head of the file"),
+        }
+    }
+    Ok(options)
+}
+
+/// Measures a variant; with `cut`, the last domain cannot reach the store.
+fn measure(name: &str, settings: PullSettings, options: Options, cut: bool) {
+    let mut world = World::new(options.domains, options.vms, options.seed, settings);
+    // A VM without any record is not ready and pulls more often.
+    change_once(&mut world, options.changes);
+    if cut {
+        world.cuts.insert((options.domains - 1, STORE));
+    }
+    world.run(Millis(20_000));
+    let (pulls, reads, start) = (world.pulls, world.reads, world.now);
+    world.run(Millis(10_000));
+    let seconds = world.now.since(start).0 / 1000;
+    let quiet = (world.pulls - pulls) as f64 / (seconds * world.nodes.len() as u64) as f64;
+    let reads = (world.reads - reads) / seconds;
+    let ages = ages(&world);
+    let mut times = Vec::new();
+    let before = world.pulls;
+    for change in 0..options.changes {
+        times.extend(change_once(&mut world, change));
+    }
+    let spent = (world.pulls - before) as f64 / (options.changes * world.nodes.len()) as f64;
+    times.sort_unstable();
+    println!(
+        "{name}{}: p50 {} ms, p99 {} ms, max {} ms; {quiet:.2} pulls/s of a VM and {reads} store \
+         reads/s without changes, {spent:.1} pulls of a VM in the time of a change; age p50 {} ms, \
+         p99 {} ms, max {} ms",
+        if cut {
+            ", one domain without the store"
+        } else {
+            ""
+        },
+        at(&times, 50),
+        at(&times, 99),
+        at(&times, 100),
+        at(&ages, 50),
+        at(&ages, 99),
+        at(&ages, 100),
+    );
+}
+
+/// Writes a record and returns the times until each VM has it.
+fn change_once(world: &mut World, change: usize) -> Vec<u64> {
+    let path = SmolStr::from(format!("config/workspace/w{change}"));
+    let value = format!(
+        r#"{{"schema":1,"kind":"workspace","name":"w{change}","spec":{{"rate":5,"burst":5}}}}"#
+    );
+    let version = world
+        .put(&path, value.into_bytes(), Revision(0))
+        .expect("the store is up");
+    let start = world.now;
+    let mut times = vec![None; world.nodes.len()];
+    while times.iter().any(Option::is_none) {
+        world.run(Millis(10));
+        let passed = world.now.since(start).0;
+        for (time, node) in times.iter_mut().zip(&world.nodes) {
+            if time.is_none() && node.config.revision() >= version {
+                *time = Some(passed);
+            }
+        }
+        assert!(passed < 120_000, "the change does not arrive");
+    }
+    times.into_iter().flatten().collect()
+}
+
+fn ages(world: &World) -> Vec<u64> {
+    let ages = world.nodes.iter();
+    let mut ages: Vec<_> = ages
+        .map(|n| n.config.age(world.now.since(n.origin)).0)
+        .collect();
+    ages.sort_unstable();
+    ages
+}
+
+fn at(sorted: &[u64], percent: usize) -> u64 {
+    sorted[(sorted.len() - 1) * percent / 100]
+}
--- a/crates/waxwing_core/src/pull.rs
+++ b/crates/waxwing_core/src/pull.rs
@@ -9,7 +9,7 @@
 
 use crate::{Adoption, Config, Members, PULL_PERIOD, Page, PullReply, PullRequest};
 
-/// Bytes of records in a reply, unless one record alone is larger.
+/// Default of [`PullSettings::page_bytes`].
 pub const PAGE_BYTES: usize = 256 * 1024;
 
 /// Time for which the store holds a watch without news. It bounds the age of a watcher's
@@ -52,6 +52,8 @@
         pub pull_back: bool,
         /// Peers that a VM pulls from at once after news, so that they pull back.
         pub announce: usize,
+        /// Bytes of records in a reply, unless one record alone is larger.
+        pub page_bytes: usize,
     }
 }
 
@@ -61,6 +63,7 @@
             period: PULL_PERIOD,
             pull_back: true,
             announce: 2,
+            page_bytes: PAGE_BYTES,
         }
     }
 }
@@ -185,7 +188,7 @@
         if self.settings.pull_back && config.wants(request) && self.sender.is_none() {
             actions.extend(self.pull(config, members, request.from.clone()));
         }
-        let delta = config.delta(now, request.after, PAGE_BYTES);
+        let delta = config.delta(now, request.after, self.settings.page_bytes);
         let reply = PullReply {
             from: members.me().clone(),
             incarnation: self.incarnation,
--- /dev/null
+++ b/crates/waxwing_core/tests/world/mod.rs
@@ -0,0 +1,430 @@
+//! Failure domains of VMs that exchange records in virtual time over a network with faults.
+
+// Each test and the propagation example use a part of this module.
+#![allow(dead_code, unreachable_pub)]
+
+pub mod store;
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+
+use fastrand::Rng;
+use smol_str::SmolStr;
+use store::Store;
+use waxwing_core::{
+    Clocks, Config, Members, Page, PullAction, PullReply, PullRequest, PullSettings, Puller,
+    VersionedRecord, Vm,
+};
+use waxwing_types::{DomainId, Incarnation, Millis, Revision, VmId};
+
+const TIMEOUT: Millis = Millis(1000);
+const TICK: Millis = Millis(100);
+/// Number of the store among the domains, for cuts.
+pub const STORE: usize = usize::MAX;
+
+/// A process on a VM.
+pub struct Node {
+    pub id: VmId,
+    pub domain: usize,
+    pub origin: Millis,
+    pub config: Config,
+    pub members: Members,
+    pub puller: Puller,
+    rng: Rng,
+    process: u64,
+    calls: BTreeSet<u64>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Net {
+    /// Messages lost, of a thousand.
+    pub loss: u64,
+    /// Messages delivered twice, of a thousand.
+    pub duplicates: u64,
+    /// Greatest additional delay.
+    pub delay: u64,
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Tick,
+    List,
+    Request {
+        from: usize,
+        from_process: u64,
+        call: u64,
+        sent: Millis,
+        request: PullRequest,
+    },
+    Reply {
+        call: u64,
+        sent: Millis,
+        after: Revision,
+        reply: PullReply,
+    },
+    Failed {
+        call: u64,
+        to: VmId,
+    },
+    StoreCall {
+        call: u64,
+        sent: Millis,
+        after: Revision,
+        wait: Millis,
+    },
+    StoreWaited {
+        call: u64,
+    },
+    StoreReply {
+        call: u64,
+        as_of: Millis,
+        after: Revision,
+        reached: Revision,
+        records: Vec<VersionedRecord>,
+    },
+    StoreFailed {
+        call: u64,
+    },
+}
+
+struct Waiting {
+    node: usize,
+    process: u64,
+    sent: Millis,
+    after: Revision,
+    wait: Millis,
+}
+
+pub struct World {
+    pub now: Millis,
+    pub nodes: Vec<Node>,
+    pub store: Store,
+    pub net: Net,
+    /// Pairs of domains, or of a domain and [`STORE`], that cannot reach each other.
+    pub cuts: BTreeSet<(usize, usize)>,
+    pub settings: PullSettings,
+    pub pulls: u64,
+    pub reads: u64,
+    rng: Rng,
+    events: BinaryHeap<Reverse<(Millis, u64)>>,
+    bodies: BTreeMap<u64, (usize, u64, Event)>,
+    waiting: BTreeMap<u64, Waiting>,
+    next: u64,
+}
+
+impl World {
+    pub fn new(domains: usize, vms: usize, seed: u64, settings: PullSettings) -> Self {
+        let mut world = Self {
+            now: Millis(0),
+            nodes: Vec::new(),
+            store: Store::default(),
+            net: Net::default(),
+            cuts: BTreeSet::new(),
+            settings,
+            pulls: 0,
+            reads: 0,
+            rng: Rng::with_seed(seed),
+            events: BinaryHeap::new(),
+            bodies: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            next: 0,
+        };
+        for domain in 0..domains {
+            for vm in 0..vms {
+                let id = VmId::from(format!("d{domain}-v{vm}").as_str());
+                let node = world.node(id, domain);
+                world.nodes.push(node);
+            }
+        }
+        for i in 0..world.nodes.len() {
+            world.boot(i);
+        }
+        world
+    }
+
+    fn node(&mut self, id: VmId, domain: usize) -> Node {
+        self.next += 1;
+        let name = DomainId::from(format!("d{domain}").as_str());
+        Node {
+            members: Members::new(id.clone(), name),
+            id,
+            domain,
+            origin: self.now,
+            config: Config::new(),
+            puller: Puller::new(Millis(0), Incarnation(self.next), self.settings),
+            rng: self.rng.fork(),
+            process: self.next,
+            calls: BTreeSet::new(),
+        }
+    }
+
+    fn boot(&mut self, i: usize) {
+        let list = self.list();
+        self.nodes[i].members.on_list(Millis(0), list);
+        let phase = Millis(self.rng.u64(0..TICK.0));
+        self.schedule(phase, i, Event::Tick);
+    }
+
+    /// Ends a process at once and starts another, under the same id or a new one.
+    pub fn replace(&mut self, i: usize, same_id: bool) {
+        let domain = self.nodes[i].domain;
+        let id = if same_id {
+            self.nodes[i].id.clone()
+        } else {
+            VmId::from(format!("d{domain}-n{}", self.next).as_str())
+        };
+        self.nodes[i] = self.node(id, domain);
+        self.boot(i);
+        // The platform's list lags.
+        for other in 0..self.nodes.len() {
+            let lag = Millis(self.rng.u64(1000..5000));
+            self.schedule(lag, other, Event::List);
+        }
+    }
+
+    fn list(&self) -> Vec<Vm> {
+        let address = "127.0.0.1:1".parse().expect("an address");
+        let vm = |node: &Node| Vm {
+            id: node.id.clone(),
+            domain: node.members.domain().clone(),
+            client: address,
+            peer: address,
+            peer_http: address,
+            leaving: false,
+        };
+        self.nodes.iter().map(vm).collect()
+    }
+
+    /// A conditional update by an operator, unless the store is down.
+    pub fn put(&mut self, path: &SmolStr, value: Vec<u8>, expected: Revision) -> Option<Revision> {
+        if self.store.down {
+            return None;
+        }
+        let version = self.store.put(self.now, path, value, expected)?;
+        for (call, waiting) in std::mem::take(&mut self.waiting) {
+            self.answer(call, &waiting, waiting.sent);
+        }
+        Some(version)
+    }
+
+    pub fn run(&mut self, span: Millis) {
+        let end = self.now + span;
+        while let Some(Reverse((at, number))) = self.events.peek().copied() {
+            if at > end {
+                break;
+            }
+            self.events.pop();
+            self.now = at;
+            if let Some((node, process, event)) = self.bodies.remove(&number) {
+                if self.nodes[node].process == process {
+                    self.handle(node, event);
+                }
+            }
+        }
+        self.now = end;
+    }
+
+    pub fn is_cut(&self, a: usize, b: usize) -> bool {
+        (b == STORE && self.store.down) || self.cuts.contains(&(a.min(b), a.max(b)))
+    }
+
+    fn schedule(&mut self, delay: Millis, node: usize, event: Event) {
+        self.next += 1;
+        self.events.push(Reverse((self.now + delay, self.next)));
+        let process = self.nodes[node].process;
+        self.bodies.insert(self.next, (node, process, event));
+    }
+
+    /// Sends a message to a node, with the faults of the network.
+    fn send(&mut self, from: usize, node: usize, event: &Event) {
+        if self.is_cut(from, self.nodes[node].domain) || self.rng.u64(0..1000) < self.net.loss {
+            return;
+        }
+        let twice = self.rng.u64(0..1000) < self.net.duplicates;
+        for _ in 0..=u32::from(twice) {
+            let extra = self.rng.u64(0..=self.net.delay);
+            let delay = if from == self.nodes[node].domain {
+                1
+            } else {
+                30
+            };
+            self.schedule(Millis(delay + extra), node, event.clone());
+        }
+    }
+
+    fn handle(&mut self, i: usize, event: Event) {
+        let now = self.now.since(self.nodes[i].origin);
+        match event {
+            Event::Tick => {
+                let n = &mut self.nodes[i];
+                let actions = n.puller.tick(now, &n.config, &mut n.members, &mut n.rng);
+                self.act(i, actions);
+                self.schedule(TICK, i, Event::Tick);
+            }
+            Event::List => {
+                let list = self.list();
+                self.nodes[i].members.on_list(now, list);
+            }
+            Event::Request {
+                from,
+                from_process,
+                call,
+                sent,
+                request,
+            } => {
+                let n = &mut self.nodes[i];
+                let (reply, actions) =
+                    n.puller
+                        .on_request(now, &n.config, &mut n.members, &request);
+                self.act(i, actions);
+                if self.nodes[from].process == from_process {
+                    let after = request.after;
+                    let event = Event::Reply {
+                        call,
+                        sent,
+                        after,
+                        reply,
+                    };
+                    self.send(self.nodes[i].domain, from, &event);
+                }
+            }
+            Event::Reply {
+                call,
+                sent,
+                after,
+                mut reply,
+            } => {
+                let page = Page::read(after, &mut reply);
+                let n = &mut self.nodes[i];
+                n.calls.remove(&call);
+                let clocks = Clocks { now, sent };
+                let tables = (&mut n.config, &mut n.members);
+                let (_, actions) = n.puller.on_reply(clocks, tables, &reply, page, &mut n.rng);
+                self.act(i, actions);
+            }
+            Event::Failed { call, to } => {
+                let n = &mut self.nodes[i];
+                if n.calls.remove(&call) {
+                    n.puller.on_failed(&n.config, &mut n.members, &to);
+                }
+            }
+            Event::StoreCall { .. } | Event::StoreWaited { .. } => self.on_store_side(i, event),
+            Event::StoreReply {
+                call,
+                as_of,
+                after,
+                reached,
+                records,
+            } => {
+                let page = Page::from_store(after, reached, false, records);
+                let n = &mut self.nodes[i];
+                n.calls.remove(&call);
+                let clocks = Clocks { now, sent: as_of };
+                let tables = (&mut n.config, &mut n.members);
+                let (_, actions) = n.puller.on_store(clocks, tables, page, &mut n.rng);
+                self.act(i, actions);
+            }
+            Event::StoreFailed { call } => {
+                let n = &mut self.nodes[i];
+                if n.calls.remove(&call) {
+                    n.puller
+                        .on_store_failed(now, &n.config, &n.members, &mut n.rng);
+                }
+            }
+        }
+    }
+
+    fn on_store_side(&mut self, i: usize, event: Event) {
+        match event {
+            Event::StoreCall {
+                call,
+                sent,
+                after,
+                wait,
+            } => {
+                if self.is_cut(self.nodes[i].domain, STORE) {
+                    return;
+                }
+                self.reads += 1;
+                let process = self.nodes[i].process;
+                let waiting = Waiting {
+                    node: i,
+                    process,
+                    sent,
+                    after,
+                    wait,
+                };
+                if wait == Millis(0) || self.store.revision > after {
+                    self.answer(call, &waiting, sent);
+                } else {
+                    self.waiting.insert(call, waiting);
+                    self.schedule(wait, i, Event::StoreWaited { call });
+                }
+            }
+            Event::StoreWaited { call } => {
+                if let Some(waiting) = self.waiting.remove(&call) {
+                    self.answer(call, &waiting, waiting.sent + waiting.wait);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn answer(&mut self, call: u64, waiting: &Waiting, as_of: Millis) {
+        let node = waiting.node;
+        if self.nodes[node].process != waiting.process {
+            return;
+        }
+        if self.is_cut(self.nodes[node].domain, STORE) {
+            return;
+        }
+        let event = Event::StoreReply {
+            call,
+            as_of,
+            after: waiting.after,
+            reached: self.store.revision,
+            records: self.store.changes(waiting.after),
+        };
+        self.schedule(Millis(2), node, event);
+    }
+
+    fn act(&mut self, i: usize, actions: Vec<PullAction>) {
+        let sent = self.now.since(self.nodes[i].origin);
+        for action in actions {
+            self.next += 1;
+            let call = self.next;
+            self.nodes[i].calls.insert(call);
+            match action {
+                PullAction::Pull { to, request } => {
+                    self.pulls += 1;
+                    let target = self.nodes.iter().position(|n| n.id == to);
+                    let (from, from_process) = (i, self.nodes[i].process);
+                    let event = Event::Request {
+                        from,
+                        from_process,
+                        call,
+                        sent,
+                        request,
+                    };
+                    if let Some(target) = target {
+                        self.send(self.nodes[i].domain, target, &event);
+                    }
+                    self.schedule(TIMEOUT, i, Event::Failed { call, to });
+                }
+                PullAction::Watch { after, wait } => {
+                    self.schedule(
+                        Millis(2),
+                        i,
+                        Event::StoreCall {
+                            call,
+                            sent,
+                            after,
+                            wait,
+                        },
+                    );
+                    self.schedule(TIMEOUT + wait, i, Event::StoreFailed { call });
+                }
+            }
+        }
+    }
+}
