--- a/crates/waxwing_bench/examples/propagation.rs
+++ b/crates/waxwing_bench/examples/propagation.rs
@@ -74,7 +74,8 @@
     let (pulls, reads, start) = (world.pulls, world.reads, world.now);
     world.run(Millis(10_000));
     let seconds = world.now.since(start).0 / 1000;
-    let quiet = (world.pulls - pulls) as f64 / (seconds * world.nodes.len() as u64) as f64;
+    let vms = world.nodes.len() as u64;
+    let quiet = ratio(world.pulls - pulls, seconds * vms);
     let reads = (world.reads - reads) / seconds;
     let ages = ages(&world);
     let mut times = Vec::new();
@@ -82,11 +83,11 @@
     for change in 0..options.changes {
         times.extend(change_once(&mut world, change));
     }
-    let spent = (world.pulls - before) as f64 / (options.changes * world.nodes.len()) as f64;
+    let spent = ratio(world.pulls - before, options.changes as u64 * vms);
     times.sort_unstable();
     println!(
-        "{name}{}: p50 {} ms, p99 {} ms, max {} ms; {quiet:.2} pulls/s of a VM and {reads} store \
-         reads/s without changes, {spent:.1} pulls of a VM in the time of a change; age p50 {} ms, \
+        "{name}{}: p50 {} ms, p99 {} ms, max {} ms; {quiet} pulls/s of a VM and {reads} store \
+         reads/s without changes, {spent} pulls of a VM in the time of a change; age p50 {} ms, \
          p99 {} ms, max {} ms",
         if cut {
             ", one domain without the store"
@@ -138,3 +139,9 @@
 fn at(sorted: &[u64], percent: usize) -> u64 {
     sorted[(sorted.len() - 1) * percent / 100]
 }
+
+/// A quotient with two decimals.
+fn ratio(a: u64, b: u64) -> String {
+    let hundredths = a * 100 / b.max(1);
+    format!("{}.{:02}", hundredths / 100, hundredths % 100)
+}
--- a/crates/waxwing_core/tests/world/mod.rs
+++ b/crates/waxwing_core/tests/world/mod.rs
@@ -3,6 +3,8 @@
 // Each test and the propagation example use a part of this module.
 #![allow(dead_code, unreachable_pub)]
 
+pub mod oracle;
+mod service;
 pub mod store;
 
 use std::cmp::Reverse;
@@ -66,12 +68,7 @@
         call: u64,
         to: VmId,
     },
-    StoreCall {
-        call: u64,
-        sent: Millis,
-        after: Revision,
-        wait: Millis,
-    },
+    StoreCall(Waiting),
     StoreWaited {
         call: u64,
     },
@@ -87,9 +84,10 @@
     },
 }
 
+#[derive(Clone, Debug)]
 struct Waiting {
     node: usize,
-    process: u64,
+    call: u64,
     sent: Millis,
     after: Revision,
     wait: Millis,
@@ -201,8 +199,8 @@
             return None;
         }
         let version = self.store.put(self.now, path, value, expected)?;
-        for (call, waiting) in std::mem::take(&mut self.waiting) {
-            self.answer(call, &waiting, waiting.sent);
+        for waiting in std::mem::take(&mut self.waiting).into_values() {
+            self.answer(&waiting, waiting.sent);
         }
         Some(version)
     }
@@ -215,10 +213,10 @@
             }
             self.events.pop();
             self.now = at;
-            if let Some((node, process, event)) = self.bodies.remove(&number) {
-                if self.nodes[node].process == process {
-                    self.handle(node, event);
-                }
+            let body = self.bodies.remove(&number);
+            let body = body.filter(|(node, process, _)| self.nodes[*node].process == *process);
+            if let Some((node, _, event)) = body {
+                self.handle(node, event);
             }
         }
         self.now = end;
@@ -308,7 +306,13 @@
                     n.puller.on_failed(&n.config, &mut n.members, &to);
                 }
             }
-            Event::StoreCall { .. } | Event::StoreWaited { .. } => self.on_store_side(i, event),
+            Event::StoreCall(waiting) => self.on_store_call(waiting),
+            Event::StoreWaited { call } => {
+                if let Some(waiting) = self.waiting.remove(&call) {
+                    let as_of = waiting.sent + waiting.wait;
+                    self.answer(&waiting, as_of);
+                }
+            }
             Event::StoreReply {
                 call,
                 as_of,
@@ -334,60 +338,6 @@
         }
     }
 
-    fn on_store_side(&mut self, i: usize, event: Event) {
-        match event {
-            Event::StoreCall {
-                call,
-                sent,
-                after,
-                wait,
-            } => {
-                if self.is_cut(self.nodes[i].domain, STORE) {
-                    return;
-                }
-                self.reads += 1;
-                let process = self.nodes[i].process;
-                let waiting = Waiting {
-                    node: i,
-                    process,
-                    sent,
-                    after,
-                    wait,
-                };
-                if wait == Millis(0) || self.store.revision > after {
-                    self.answer(call, &waiting, sent);
-                } else {
-                    self.waiting.insert(call, waiting);
-                    self.schedule(wait, i, Event::StoreWaited { call });
-                }
-            }
-            Event::StoreWaited { call } => {
-                if let Some(waiting) = self.waiting.remove(&call) {
-                    self.answer(call, &waiting, waiting.sent + waiting.wait);
-                }
-            }
-            _ => {}
-        }
-    }
-
-    fn answer(&mut self, call: u64, waiting: &Waiting, as_of: Millis) {
-        let node = waiting.node;
-        if self.nodes[node].process != waiting.process {
-            return;
-        }
-        if self.is_cut(self.nodes[node].domain, STORE) {
-            return;
-        }
-        let event = Event::StoreReply {
-            call,
-            as_of,
-            after: waiting.after,
-            reached: self.store.revision,
-            records: self.store.changes(waiting.after),
-        };
-        self.schedule(Millis(2), node, event);
-    }
-
     fn act(&mut self, i: usize, actions: Vec<PullAction>) {
         let sent = self.now.since(self.nodes[i].origin);
         for action in actions {
@@ -412,16 +362,14 @@
                     self.schedule(TIMEOUT, i, Event::Failed { call, to });
                 }
                 PullAction::Watch { after, wait } => {
-                    self.schedule(
-                        Millis(2),
-                        i,
-                        Event::StoreCall {
-                            call,
-                            sent,
-                            after,
-                            wait,
-                        },
-                    );
+                    let waiting = Waiting {
+                        node: i,
+                        call,
+                        sent,
+                        after,
+                        wait,
+                    };
+                    self.schedule(Millis(2), i, Event::StoreCall(waiting));
                     self.schedule(TIMEOUT + wait, i, Event::StoreFailed { call });
                 }
             }
--- a/crates/waxwing_core/tests/world/store.rs
+++ b/crates/waxwing_core/tests/world/store.rs
@@ -52,6 +52,15 @@
         newest.map_or(Revision(0), |i| self.history[*i].version)
     }
 
+    pub fn paths(&self) -> impl Iterator<Item = &SmolStr> {
+        self.newest.keys()
+    }
+
+    /// A write to another part of the store, which raises its revision.
+    pub fn write_elsewhere(&mut self) {
+        self.revision.0 += 1;
+    }
+
     pub fn changes(&self, after: Revision) -> Vec<VersionedRecord> {
         let newest = self.newest.values().map(|i| &self.history[*i]);
         let mut changed: Vec<_> = newest.filter(|w| w.version > after).collect();
