Build the table of client blocks by merging, look VMs up by their places

Cause: beside the old table a rebuild of 1.2 million blocks peaked at 57.5 MB, and a look-up of entry VMs compared names for each VM; control state has to stay under 64 MB. Change: parts are sorted once and merged while they are flattened, without a copy; the rosters of the failure domains hold the places of their VMs.

--- a/crates/waxwing_core/src/block.rs
+++ b/crates/waxwing_core/src/block.rs
@@ -31,9 +31,9 @@
     /// Builds the table. Where two parts hold the same prefix, the last by name wins.
     pub fn build(parts: &BlockParts) -> Self {
         Self {
-            v4: Flat::build(parts.prefixes(|p| &p.v4)),
-            short: Flat::build(parts.prefixes(|p| &p.short)),
-            long: Flat::build(parts.prefixes(|p| &p.long)),
+            v4: Flat::build(&parts.lists(|p| &p.v4)),
+            short: Flat::build(&parts.lists(|p| &p.short)),
+            long: Flat::build(&parts.lists(|p| &p.long)),
             sites: parts.sites(),
             blocks: parts.len(),
         }
--- a/crates/waxwing_core/src/block/flat.rs
+++ b/crates/waxwing_core/src/block/flat.rs
@@ -1,5 +1,9 @@
 //! Nested prefixes flattened to disjoint ranges.
 
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::collections::binary_heap::PeekMut;
+
 /// The bits of an address, or of its upper half.
 pub(super) trait Word: Copy + Ord + std::fmt::Debug {
     /// The greatest address of a prefix that starts at `self`.
@@ -31,7 +35,8 @@
 word!(u64);
 word!(u128);
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// Prefixes order by their first address, the longer after the shorter.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Prefix<T> {
     pub(super) base: T,
     pub(super) bits: u8,
@@ -58,13 +63,18 @@
 }
 
 impl<T: Word> Flat<T> {
-    /// Flattens prefixes; of two that are equal the later one in the list wins.
-    pub(super) fn build(mut prefixes: Vec<Prefix<T>>) -> Self {
-        // Stable, so that equal prefixes keep their order.
-        prefixes.sort_by_key(|p| (p.base, p.bits));
-        let mut flat = Self::default();
+    /// Flattens sorted lists of prefixes; of two that are equal the one of the later list wins.
+    ///
+    /// The lists are merged on the way, so that no copy of them is held.
+    pub(super) fn build(lists: &[&[Prefix<T>]]) -> Self {
+        // A prefix makes at most two ranges. What is not used is never resident.
+        let most = 2 * lists.iter().map(|l| l.len()).sum::<usize>();
+        let mut flat = Self {
+            starts: Vec::with_capacity(most),
+            sites: Vec::with_capacity(most),
+        };
         let mut open: Vec<Prefix<T>> = Vec::new();
-        for prefix in prefixes {
+        for prefix in merge(lists) {
             while let Some(top) = open.pop_if(|top| top.base.last(top.bits) < prefix.base) {
                 flat.close(top, open.last());
             }
@@ -114,3 +124,21 @@
         assert!(merged, "adjacent ranges of one site");
     }
 }
+
+/// All prefixes in order; of equal ones the one of the later list comes later.
+fn merge<T: Word>(lists: &[&[Prefix<T>]]) -> impl Iterator<Item = Prefix<T>> {
+    let head = |i: usize, at: usize| {
+        let prefix = lists[i].get(at)?;
+        Some(Reverse((prefix.base, prefix.bits, i, at)))
+    };
+    let mut heads: BinaryHeap<_> = (0..lists.len()).filter_map(|i| head(i, 0)).collect();
+    std::iter::from_fn(move || {
+        let mut top = heads.peek_mut()?;
+        let Reverse((_, _, i, at)) = *top;
+        match head(i, at + 1) {
+            Some(next) => *top = next,
+            None => drop(PeekMut::pop(top)),
+        }
+        Some(lists[i][at])
+    })
+}
--- a/crates/waxwing_core/src/block/part.rs
+++ b/crates/waxwing_core/src/block/part.rs
@@ -56,11 +56,8 @@
         Arc::clone(&self.sites)
     }
 
-    pub(super) fn prefixes<T: Copy>(&self, of: impl Fn(&Part) -> &Vec<T>) -> Vec<T> {
-        let parts = self.parts.values();
-        let mut all = Vec::with_capacity(parts.clone().map(|p| of(p).len()).sum());
-        parts.for_each(|p| all.extend_from_slice(of(p)));
-        all
+    pub(super) fn lists<T>(&self, of: impl Fn(&Part) -> &Vec<T>) -> Vec<&[T]> {
+        self.parts.values().map(|p| of(p).as_slice()).collect()
     }
 
     /// The record at a path as JSON.
@@ -100,7 +97,7 @@
             };
             part.push(block, site);
         }
-        part.shrink();
+        part.sort();
         self.parts.insert(name.clone(), Arc::new(part));
         self.generation += 1;
         Ok(())
@@ -139,7 +136,10 @@
         }
     }
 
-    fn shrink(&mut self) {
+    fn sort(&mut self) {
+        self.v4.sort_unstable();
+        self.short.sort_unstable();
+        self.long.sort_unstable();
         self.v4.shrink_to_fit();
         self.short.shrink_to_fit();
         self.long.shrink_to_fit();
--- a/crates/waxwing_core/src/member.rs
+++ b/crates/waxwing_core/src/member.rs
@@ -54,13 +54,23 @@
     stopping: bool,
 }
 
+/// The VMs of a failure domain.
+#[derive(Clone, Debug, Default)]
+struct Roster {
+    ids: Vec<VmId>,
+    /// Their places in `Members::all`, which a look-up follows without comparing names.
+    slots: Vec<usize>,
+}
+
 /// The membership view of one VM.
 #[derive(Clone, Debug)]
 pub struct Members {
     me: VmId,
     domain: DomainId,
-    all: BTreeMap<VmId, Member>,
-    by_domain: BTreeMap<DomainId, Vec<VmId>>,
+    all: Vec<Member>,
+    slots: BTreeMap<VmId, usize>,
+    rosters: BTreeMap<DomainId, Roster>,
+    silence: Millis,
     turn: u64,
 }
 
@@ -70,48 +80,58 @@
         Self {
             me,
             domain,
-            all: BTreeMap::new(),
-            by_domain: BTreeMap::new(),
+            all: Vec::new(),
+            slots: BTreeMap::new(),
+            rosters: BTreeMap::new(),
+            silence: SILENCE,
             turn: 0,
         }
     }
 
     /// Adopts the platform's list. What is known of a VM that stays is kept.
     pub fn on_list(&mut self, now: Millis, list: Vec<Vm>) {
-        let mut old = std::mem::take(&mut self.all);
-        self.by_domain.clear();
+        let old = std::mem::take(&mut self.all);
+        let known = old.into_iter().map(|m| (m.vm.id.clone(), m));
+        let mut known: BTreeMap<_, _> = known.collect();
+        self.slots.clear();
+        self.rosters.clear();
         for vm in list {
-            let names = self.by_domain.entry(vm.domain.clone()).or_default();
-            if self.all.contains_key(&vm.id) {
+            if self.slots.contains_key(&vm.id) {
                 continue;
             }
-            names.push(vm.id.clone());
-            let member = match old.remove(&vm.id) {
+            let slot = self.all.len();
+            let roster = self.rosters.entry(vm.domain.clone()).or_default();
+            roster.ids.push(vm.id.clone());
+            roster.slots.push(slot);
+            self.slots.insert(vm.id.clone(), slot);
+            self.all.push(match known.remove(&vm.id) {
                 Some(member) if member.vm.peer == vm.peer => Member { vm, ..member },
                 Some(_) | None => Member::new(now, vm),
-            };
-            self.all.insert(member.vm.id.clone(), member);
+            });
         }
+        let vms = self.listed(&self.domain).len() as u64;
+        self.silence = SILENCE.max(Millis(vms * SILENCE_TURNS * PULL_PERIOD.0));
     }
 
     /// Notes that a VM answered a call or made one.
     pub fn on_heard(&mut self, now: Millis, vm: &VmId, incarnation: Incarnation, stopping: bool) {
-        let Some(member) = self.all.get_mut(vm) else {
+        let Some(member) = self.slots.get(vm).map(|slot| &mut self.all[*slot]) else {
             return;
         };
         // A message of an earlier process may arrive after the first of its successor.
         if incarnation < member.incarnation {
             return;
         }
+        let same = incarnation == member.incarnation;
+        member.stopping = stopping || (same && member.stopping);
         member.incarnation = incarnation;
         member.heard = Some(now);
         member.failed = false;
-        member.stopping = stopping;
     }
 
     /// Notes that a call to a VM failed.
     pub fn on_failed(&mut self, vm: &VmId) {
-        if let Some(member) = self.all.get_mut(vm) {
+        if let Some(member) = self.slots.get(vm).map(|slot| &mut self.all[*slot]) {
             member.failed = true;
         }
     }
@@ -130,22 +150,22 @@
 
     /// A VM on the list.
     pub fn vm(&self, id: &VmId) -> Option<&Vm> {
-        self.all.get(id).map(|m| &m.vm)
+        self.member(id).map(|m| &m.vm)
     }
 
     /// The latest process of a VM that was heard of.
     pub fn incarnation(&self, id: &VmId) -> Option<Incarnation> {
-        self.all.get(id).map(|m| m.incarnation)
+        self.member(id).map(|m| m.incarnation)
     }
 
     /// VMs on the list in a failure domain.
     pub fn listed(&self, domain: &DomainId) -> &[VmId] {
-        self.by_domain.get(domain).map_or(&[], Vec::as_slice)
+        self.rosters.get(domain).map_or(&[], |r| &r.ids)
     }
 
     /// Failure domains that have VMs on the list.
     pub fn domains(&self) -> impl Iterator<Item = &DomainId> {
-        self.by_domain.keys()
+        self.rosters.keys()
     }
 
     /// Whether a VM responds, as far as is known. The own VM always does.
@@ -153,20 +173,13 @@
         if *id == self.me {
             return true;
         }
-        let Some(member) = self.all.get(id) else {
-            return false;
-        };
-        if member.failed {
-            return false;
-        }
-        let last = member.heard.unwrap_or(member.listed);
-        member.vm.domain != self.domain || now.since(last) <= self.silence()
+        self.member(id).is_some_and(|m| self.answers(now, m))
     }
 
     /// Whether a VM responds and is neither leaving nor stopping.
     pub fn usable(&self, now: Millis, id: &VmId) -> bool {
-        let stays = |m: &Member| !m.vm.leaving && !m.stopping;
-        self.responds(now, id) && self.all.get(id).is_none_or(stays)
+        let member = self.member(id);
+        member.map_or(*id == self.me, |m| self.serves(now, m))
     }
 
     /// Live and leaving VMs of the own failure domain.
@@ -177,13 +190,29 @@
         (usable, responding - usable)
     }
 
-    /// Silence after which a VM of the own failure domain counts as gone.
-    ///
-    /// A domain of more than one VM for each second of [`SILENCE`] does not meet each of its VMs in
-    /// that time.
-    fn silence(&self) -> Millis {
-        let vms = self.listed(&self.domain).len() as u64;
-        SILENCE.max(Millis(vms * SILENCE_TURNS * PULL_PERIOD.0))
+    /// Places of the VMs of a failure domain, for [`Members::usable_at`].
+    pub(crate) fn slots(&self, domain: &DomainId) -> &[usize] {
+        self.rosters.get(domain).map_or(&[], |r| &r.slots)
+    }
+
+    /// The VM in a place, if it is usable.
+    pub(crate) fn usable_at(&self, now: Millis, slot: usize) -> Option<&Vm> {
+        let member = self.all.get(slot)?;
+        self.serves(now, member).then_some(&member.vm)
+    }
+
+    fn member(&self, id: &VmId) -> Option<&Member> {
+        self.slots.get(id).map(|slot| &self.all[*slot])
+    }
+
+    fn answers(&self, now: Millis, member: &Member) -> bool {
+        let last = member.heard.unwrap_or(member.listed);
+        let heard = now.since(last) <= self.silence || member.vm.domain != self.domain;
+        (heard && !member.failed) || member.vm.id == self.me
+    }
+
+    fn serves(&self, now: Millis, member: &Member) -> bool {
+        !member.vm.leaving && !member.stopping && self.answers(now, member)
     }
 }
 
--- a/crates/waxwing_core/src/member/pull.rs
+++ b/crates/waxwing_core/src/member/pull.rs
@@ -41,12 +41,12 @@
 
     /// Whether every other VM on the list was heard of or failed to answer.
     pub fn all_tried(&self) -> bool {
-        let mut others = self.all.iter().filter(|(id, _)| **id != self.me);
-        others.all(|(_, m)| m.failed || m.heard.is_some())
+        let mut others = self.all.iter().filter(|m| m.vm.id != self.me);
+        others.all(|m| m.failed || m.heard.is_some())
     }
 
     fn is_usable(&self, id: &VmId) -> bool {
-        self.all.get(id).is_some_and(|m| !m.failed && !m.stopping)
+        self.member(id).is_some_and(|m| !m.failed && !m.stopping)
     }
 
     fn inside(&self, rng: &mut Rng) -> Option<VmId> {
--- a/crates/waxwing_core/src/steer/lookup.rs
+++ b/crates/waxwing_core/src/steer/lookup.rs
@@ -82,14 +82,13 @@
         let goal = self.vms.len() + count;
         for i in 0..domains.len() {
             let domain = domains[rotated(self.spread >> 32, i, domains.len())];
-            let listed = self.members.listed(domain);
+            let slots = self.members.slots(domain);
             // Each domain gives its part, and the last ones what the others lack.
             let left = domains.len() - i;
             let part = (goal - self.vms.len()).div_ceil(left);
-            let usable = (0..listed.len())
-                .map(|k| &listed[rotated(self.spread, k, listed.len())])
-                .filter(|id| self.members.usable(self.now, id))
-                .filter_map(|id| self.members.vm(id))
+            let usable = (0..slots.len())
+                .map(|k| slots[rotated(self.spread, k, slots.len())])
+                .filter_map(|slot| self.members.usable_at(self.now, slot))
                 .take(part);
             self.vms.extend(usable);
         }
