Test partitions in which one way to the news is left

Change: a domain that reaches only one of fifteen others, VMs that reach only the store, a peer that failed before.

--- a/crates/waxwing_core/tests/propagation.rs
+++ b/crates/waxwing_core/tests/propagation.rs
@@ -5,7 +5,7 @@
 use smol_str::SmolStr;
 use waxwing_core::PullSettings;
 use waxwing_types::{Millis, Revision};
-use world::World;
+use world::{STORE, World};
 
 /// The design page's bound for a change to be in force everywhere.
 const BOUND: Millis = Millis(13_000);
@@ -61,3 +61,48 @@
     let last = times.into_iter().max().expect("there are VMs");
     assert!(Millis(last) <= BOUND, "the last VM took {last} ms");
 }
+
+/// Fails if a domain that one other domain reaches waits for a random pull to find it.
+#[test]
+fn a_change_reaches_a_domain_over_the_only_one_that_it_reaches() {
+    let mut world = World::new(16, 2, 5, PullSettings::default());
+    spread(&mut world, "first");
+    world.cuts.insert((0, STORE));
+    world.cuts.extend((1..15).map(|other| (0, other)));
+
+    for change in 0..5 {
+        world.run(Millis(9_000));
+        let times = spread(&mut world, &format!("w{change}"));
+        let last = times.into_iter().max().expect("there are VMs");
+        assert!(Millis(last) <= BOUND, "the last VM took {last} ms");
+    }
+}
+
+/// Fails if a peer that did not answer once is never asked again.
+#[test]
+fn a_peer_that_failed_is_asked_again() {
+    let mut world = World::new(2, 1, 3, PullSettings::default());
+    spread(&mut world, "first");
+    world.cuts.extend([(0, STORE), (0, 1)]);
+    world.run(Millis(20_000));
+    world.cuts.remove(&(0, 1));
+
+    let times = spread(&mut world, "w");
+
+    let last = times.into_iter().max().expect("there are VMs");
+    assert!(Millis(last) <= BOUND, "the last VM took {last} ms");
+}
+
+/// Fails if a VM that reaches the store but no peer relies on watchers that it cannot reach.
+#[test]
+fn a_change_reaches_vms_that_reach_only_the_store() {
+    let mut world = World::new(1, 34, 9, PullSettings::default());
+    spread(&mut world, "first");
+    world.cuts.insert((0, 0));
+
+    for change in 0..3 {
+        let times = spread(&mut world, &format!("w{change}"));
+        let last = times.into_iter().max().expect("there are VMs");
+        assert!(Millis(last) <= BOUND, "the last VM took {last} ms");
+    }
+}
