Rename the virtual cluster of the configuration tests

Cause: the tests of the rate limits have a module of the same name. Change: tests/cluster instead of tests/world.

--- a/crates/waxwing_bench/examples/propagation.rs
+++ b/crates/waxwing_bench/examples/propagation.rs
@@ -3,15 +3,15 @@
 //! `cargo run --release -p waxwing_bench --example propagation -- [--domains 32] [--vms 34]
 //! [--changes 20] [--seed 1]`
 
-#[path = "../../waxwing_core/tests/world/mod.rs"]
-mod world;
+#[path = "../../waxwing_core/tests/cluster/mod.rs"]
+mod cluster;
 
 use anyhow::Context;
+use cluster::{Cluster, STORE};
 use lexopt::prelude::*;
 use smol_str::SmolStr;
 use waxwing_core::PullSettings;
 use waxwing_types::{Millis, Revision};
-use world::{STORE, World};
 
 #[derive(Clone, Copy)]
 struct Options {
@@ -64,26 +64,26 @@
 
 /// Measures a variant; with `cut`, the last domain cannot reach the store.
 fn measure(name: &str, settings: PullSettings, options: Options, cut: bool) {
-    let mut world = World::new(options.domains, options.vms, options.seed, settings);
+    let mut cluster = Cluster::new(options.domains, options.vms, options.seed, settings);
     // A VM without any record is not ready and pulls more often.
-    change_once(&mut world, options.changes);
+    change_once(&mut cluster, options.changes);
     if cut {
-        world.cuts.insert((options.domains - 1, STORE));
+        cluster.cuts.insert((options.domains - 1, STORE));
     }
-    world.run(Millis(20_000));
-    let (pulls, reads, start) = (world.pulls, world.reads, world.now);
-    world.run(Millis(10_000));
-    let seconds = world.now.since(start).0 / 1000;
-    let vms = world.nodes.len() as u64;
-    let quiet = ratio(world.pulls - pulls, seconds * vms);
-    let reads = (world.reads - reads) / seconds;
-    let ages = ages(&world);
+    cluster.run(Millis(20_000));
+    let (pulls, reads, start) = (cluster.pulls, cluster.reads, cluster.now);
+    cluster.run(Millis(10_000));
+    let seconds = cluster.now.since(start).0 / 1000;
+    let vms = cluster.nodes.len() as u64;
+    let quiet = ratio(cluster.pulls - pulls, seconds * vms);
+    let reads = (cluster.reads - reads) / seconds;
+    let ages = ages(&cluster);
     let mut times = Vec::new();
-    let before = world.pulls;
+    let before = cluster.pulls;
     for change in 0..options.changes {
-        times.extend(change_once(&mut world, change));
+        times.extend(change_once(&mut cluster, change));
     }
-    let spent = ratio(world.pulls - before, options.changes as u64 * vms);
+    let spent = ratio(cluster.pulls - before, options.changes as u64 * vms);
     times.sort_unstable();
     println!(
         "{name}{}: p50 {} ms, p99 {} ms, max {} ms; {quiet} pulls/s of a VM and {reads} store \
@@ -104,20 +104,20 @@
 }
 
 /// Writes a record and returns the times until each VM has it.
-fn change_once(world: &mut World, change: usize) -> Vec<u64> {
+fn change_once(cluster: &mut Cluster, change: usize) -> Vec<u64> {
     let path = SmolStr::from(format!("config/workspace/w{change}"));
     let value = format!(
         r#"{{"schema":1,"kind":"workspace","name":"w{change}","spec":{{"rate":5,"burst":5}}}}"#
     );
-    let version = world
+    let version = cluster
         .put(&path, value.into_bytes(), Revision(0))
         .expect("the store is up");
-    let start = world.now;
-    let mut times = vec![None; world.nodes.len()];
+    let start = cluster.now;
+    let mut times = vec![None; cluster.nodes.len()];
     while times.iter().any(Option::is_none) {
-        world.run(Millis(10));
-        let passed = world.now.since(start).0;
-        for (time, node) in times.iter_mut().zip(&world.nodes) {
+        cluster.run(Millis(10));
+        let passed = cluster.now.since(start).0;
+        for (time, node) in times.iter_mut().zip(&cluster.nodes) {
             if time.is_none() && node.config.revision() >= version {
                 *time = Some(passed);
             }
@@ -127,10 +127,10 @@
     times.into_iter().flatten().collect()
 }
 
-fn ages(world: &World) -> Vec<u64> {
-    let ages = world.nodes.iter();
+fn ages(cluster: &Cluster) -> Vec<u64> {
+    let ages = cluster.nodes.iter();
     let mut ages: Vec<_> = ages
-        .map(|n| n.config.age(world.now.since(n.origin)).0)
+        .map(|n| n.config.age(cluster.now.since(n.origin)).0)
         .collect();
     ages.sort_unstable();
     ages
--- a/crates/waxwing_core/tests/world/mod.rs
+++ b/crates/waxwing_core/tests/cluster/mod.rs
@@ -93,7 +93,7 @@
     wait: Millis,
 }
 
-pub struct World {
+pub struct Cluster {
     pub now: Millis,
     pub nodes: Vec<Node>,
     pub store: Store,
@@ -110,9 +110,9 @@
     next: u64,
 }
 
-impl World {
+impl Cluster {
     pub fn new(domains: usize, vms: usize, seed: u64, settings: PullSettings) -> Self {
-        let mut world = Self {
+        let mut cluster = Self {
             now: Millis(0),
             nodes: Vec::new(),
             store: Store::default(),
@@ -130,14 +130,14 @@
         for domain in 0..domains {
             for vm in 0..vms {
                 let id = VmId::from(format!("d{domain}-v{vm}").as_str());
-                let node = world.node(id, domain);
-                world.nodes.push(node);
+                let node = cluster.node(id, domain);
+                cluster.nodes.push(node);
             }
         }
-        for i in 0..world.nodes.len() {
-            world.boot(i);
+        for i in 0..cluster.nodes.len() {
+            cluster.boot(i);
         }
-        world
+        cluster
     }
 
     fn node(&mut self, id: VmId, domain: usize) -> Node {
--- a/crates/waxwing_core/tests/world/oracle.rs
+++ b/crates/waxwing_core/tests/cluster/oracle.rs
@@ -1,4 +1,4 @@
-//! What must hold in the world at every moment.
+//! What must hold in the cluster at every moment.
 
 use std::collections::BTreeMap;
 
@@ -6,7 +6,7 @@
 use waxwing_records::{Document, KeyHash, RecordName};
 use waxwing_types::{Millis, Revision, WorkspaceId};
 
-use super::{Node, STORE, World};
+use super::{Cluster, Node, STORE};
 
 /// Time in which a change has to be in force wherever the store can be reached.
 pub const BOUND: Millis = Millis(13_000);
@@ -28,31 +28,36 @@
 
 impl Oracle {
     /// Notes faults that begin or end now.
-    pub fn note_faults(&mut self, world: &World) {
-        let domains = world.nodes.iter().map(|n| n.domain + 1).max().unwrap_or(0);
+    pub fn note_faults(&mut self, cluster: &Cluster) {
+        let domains = cluster
+            .nodes
+            .iter()
+            .map(|n| n.domain + 1)
+            .max()
+            .unwrap_or(0);
         self.linked.resize(domains, None);
-        let clean = world.net.loss == 0 && !world.store.down;
+        let clean = cluster.net.loss == 0 && !cluster.store.down;
         for domain in 0..domains {
             let over = |other| {
-                let whole = !world.is_cut(other, other) && !world.is_cut(other, STORE);
-                whole && !world.is_cut(domain, other)
+                let whole = !cluster.is_cut(other, other) && !cluster.is_cut(other, STORE);
+                whole && !cluster.is_cut(domain, other)
             };
             let linked = clean && (0..domains).any(over);
-            let since = self.linked[domain].or(Some(world.now));
+            let since = self.linked[domain].or(Some(cluster.now));
             self.linked[domain] = since.filter(|_| linked);
         }
     }
 
-    pub fn check(&mut self, world: &World) {
-        self.seen.resize_with(world.nodes.len(), Seen::default);
-        for (node, seen) in world.nodes.iter().zip(&mut self.seen) {
+    pub fn check(&mut self, cluster: &Cluster) {
+        self.seen.resize_with(cluster.nodes.len(), Seen::default);
+        for (node, seen) in cluster.nodes.iter().zip(&mut self.seen) {
             node.config.check_invariants();
             check_monotonic(node, seen);
-            check_in_force(world, node);
-            check_revision(world, node);
-            check_age(world, node);
+            check_in_force(cluster, node);
+            check_revision(cluster, node);
+            check_age(cluster, node);
             if let Some(linked) = self.linked.get(node.domain).copied().flatten() {
-                check_bound(world, node, linked);
+                check_bound(cluster, node, linked);
             }
         }
     }
@@ -83,12 +88,12 @@
 }
 
 /// The record in force is the newest valid one that arrived, and queries answer from it.
-fn check_in_force(world: &World, node: &Node) {
-    for path in world.store.paths() {
+fn check_in_force(cluster: &Cluster, node: &Node) {
+    for path in cluster.store.paths() {
         let Some((held, in_force)) = node.config.versions(path) else {
             continue;
         };
-        let valid = |v: Revision| Document::parse(&world.store.write(v).value);
+        let valid = |v: Revision| Document::parse(&cluster.store.write(v).value);
         let path_known = RecordName::from_path(path).is_some();
         let good = path_known && valid(held).is_ok();
         assert_eq!(in_force == Some(held), good, "{} at {path}", node.id);
@@ -104,9 +109,9 @@
 }
 
 /// Everything below the revision in force is held.
-fn check_revision(world: &World, node: &Node) {
+fn check_revision(cluster: &Cluster, node: &Node) {
     let revision = node.config.revision();
-    for (path, version) in world.store.at_revision(revision) {
+    for (path, version) in cluster.store.at_revision(revision) {
         let held = node.config.versions(path).map_or(Revision(0), |v| v.0);
         let id = &node.id;
         assert!(
@@ -117,12 +122,12 @@
 }
 
 /// The age is never lower than the truth.
-fn check_age(world: &World, node: &Node) {
-    let age = node.config.age(world.now.since(node.origin));
-    if age > world.now {
+fn check_age(cluster: &Cluster, node: &Node) {
+    let age = node.config.age(cluster.now.since(node.origin));
+    if age > cluster.now {
         return;
     }
-    let due = world.store.at_time(world.now.since(age));
+    let due = cluster.store.at_time(cluster.now.since(age));
     let revision = node.config.revision();
     assert!(
         revision >= due,
@@ -132,20 +137,20 @@
 }
 
 /// What was written longer ago than the bound is in force, and withdrawn keys are refused.
-fn check_bound(world: &World, node: &Node, linked: Millis) {
+fn check_bound(cluster: &Cluster, node: &Node, linked: Millis) {
     let since = linked.max(node.origin);
-    if world.now.since(since) < BOUND {
+    if cluster.now.since(since) < BOUND {
         return;
     }
-    let due = world.store.at_time(world.now.since(BOUND));
-    for (path, version) in world.store.at_revision(due) {
+    let due = cluster.store.at_time(cluster.now.since(BOUND));
+    for (path, version) in cluster.store.at_revision(due) {
         let held = node.config.versions(path).map_or(Revision(0), |v| v.0);
-        let (id, now) = (&node.id, world.now);
+        let (id, now) = (&node.id, cluster.now);
         assert!(
             held >= version,
             "{id} has {path} at {held}, not {version}, at {now}"
         );
-        let withdrawn = Document::parse(&world.store.write(held).value);
+        let withdrawn = Document::parse(&cluster.store.write(held).value);
         let withdrawn = withdrawn.is_ok_and(|d| d.record.is_none());
         if let Some(key) = path.strip_prefix("config/key/").filter(|_| withdrawn) {
             let hash = KeyHash::of(&format!("{key}.secret"));
--- a/crates/waxwing_core/tests/world/service.rs
+++ b/crates/waxwing_core/tests/cluster/service.rs
@@ -2,9 +2,9 @@
 
 use waxwing_types::Millis;
 
-use super::{Event, STORE, Waiting, World};
+use super::{Cluster, Event, STORE, Waiting};
 
-impl World {
+impl Cluster {
     pub(super) fn on_store_call(&mut self, waiting: Waiting) {
         if self.is_cut(self.nodes[waiting.node].domain, STORE) {
             return;
--- a/crates/waxwing_core/tests/config_fuzz.rs
+++ b/crates/waxwing_core/tests/config_fuzz.rs
@@ -1,15 +1,15 @@
 //! Exchange of records under random faults, against an oracle.
 
-mod world;
+mod cluster;
 
+use cluster::oracle::{BOUND, Oracle};
+use cluster::{Cluster, Net, STORE};
 use proptest::prelude::*;
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 use smol_str::SmolStr;
 use waxwing_core::PullSettings;
 use waxwing_records::{KeyHash, RecordName};
 use waxwing_types::{Millis, Revision};
-use world::oracle::{BOUND, Oracle};
-use world::{Net, STORE, World};
 
 const PATHS: &[&str] = &[
     "config/workspace/w0",
@@ -105,7 +105,7 @@
 }
 
 struct Sut {
-    world: World,
+    cluster: Cluster,
     oracle: Oracle,
     /// The path and version that each operator read.
     read: [(usize, Revision); 2],
@@ -139,12 +139,12 @@
 
 impl Sut {
     fn run(&mut self, span: u64) {
-        self.oracle.note_faults(&self.world);
+        self.oracle.note_faults(&self.cluster);
         let mut left = span;
         while left > 0 {
             let part = left.min(200);
-            self.world.run(Millis(part));
-            self.oracle.check(&self.world);
+            self.cluster.run(Millis(part));
+            self.oracle.check(&self.cluster);
             left -= part;
         }
     }
@@ -154,21 +154,21 @@
         self.written += 1;
         let value = value(PATHS[path], content, self.written);
         let name = SmolStr::new(PATHS[path]);
-        if let Some(version) = self.world.put(&name, value.clone(), expected) {
+        if let Some(version) = self.cluster.put(&name, value.clone(), expected) {
             self.acknowledged.push((path, version, value));
         }
     }
 
     fn heal(&mut self) {
-        self.world.cuts.clear();
-        self.world.store.down = false;
-        self.world.net = Net::default();
+        self.cluster.cuts.clear();
+        self.cluster.store.down = false;
+        self.cluster.net = Net::default();
     }
 
     /// Fails if an acknowledged update was overwritten by one whose operator did not know it.
     fn check_acknowledged(&self) {
         for (path, version, value) in &self.acknowledged {
-            let write = self.world.store.write(*version);
+            let write = self.cluster.store.write(*version);
             assert_eq!(write.path, PATHS[*path], "an update is lost");
             assert_eq!(write.value, *value, "an update is lost");
         }
@@ -186,7 +186,7 @@
             ..PullSettings::default()
         };
         Sut {
-            world: World::new(DOMAINS, VMS, seed.0, settings),
+            cluster: Cluster::new(DOMAINS, VMS, seed.0, settings),
             oracle: Oracle::default(),
             read: [(0, Revision(0)); 2],
             acknowledged: Vec::new(),
@@ -198,33 +198,33 @@
         match step {
             Step::Run(span) => sut.run(span),
             Step::Read { operator, path } => {
-                sut.read[operator] = (path, sut.world.store.version(PATHS[path]));
+                sut.read[operator] = (path, sut.cluster.store.version(PATHS[path]));
             }
             Step::Write { operator, content } => sut.write(operator, content),
-            Step::WriteElsewhere => sut.world.store.write_elsewhere(),
+            Step::WriteElsewhere => sut.cluster.store.write_elsewhere(),
             Step::Cut { a, b } => {
-                sut.world.cuts.insert((a.min(b), a.max(b)));
+                sut.cluster.cuts.insert((a.min(b), a.max(b)));
             }
             Step::CutStore(domain) => {
-                sut.world.cuts.insert((domain, STORE));
+                sut.cluster.cuts.insert((domain, STORE));
             }
-            Step::StoreDown => sut.world.store.down = true,
+            Step::StoreDown => sut.cluster.store.down = true,
             Step::Net {
                 loss,
                 duplicates,
                 delay,
             } => {
-                sut.world.net = Net {
+                sut.cluster.net = Net {
                     loss,
                     duplicates,
                     delay,
                 };
             }
-            Step::Replace { node, same_id } => sut.world.replace(node, same_id),
+            Step::Replace { node, same_id } => sut.cluster.replace(node, same_id),
             Step::Heal => sut.heal(),
         }
-        sut.oracle.note_faults(&sut.world);
-        sut.oracle.check(&sut.world);
+        sut.oracle.note_faults(&sut.cluster);
+        sut.oracle.check(&sut.cluster);
         sut
     }
 
@@ -232,8 +232,8 @@
         sut.heal();
         sut.run(BOUND.0 + 200);
         sut.check_acknowledged();
-        let newest = sut.world.store.changes(Revision(0));
-        for node in &sut.world.nodes {
+        let newest = sut.cluster.store.changes(Revision(0));
+        for node in &sut.cluster.nodes {
             for record in &newest {
                 let held = node.config.versions(&record.path).map(|v| v.0);
                 assert_eq!(held, Some(record.version), "{} at {}", node.id, record.path);
--- a/crates/waxwing_core/tests/propagation.rs
+++ b/crates/waxwing_core/tests/propagation.rs
@@ -1,30 +1,30 @@
 //! Guards the time in which a change reaches every VM.
 
-mod world;
+mod cluster;
 
+use cluster::{Cluster, STORE};
 use smol_str::SmolStr;
 use waxwing_core::PullSettings;
 use waxwing_types::{Millis, Revision};
-use world::{STORE, World};
 
 /// The design page's bound for a change to be in force everywhere.
 const BOUND: Millis = Millis(13_000);
 
 /// Times from the write to the adoption by each VM.
-fn spread(world: &mut World, name: &str) -> Vec<u64> {
+fn spread(cluster: &mut Cluster, name: &str) -> Vec<u64> {
     let path = SmolStr::from(format!("config/workspace/{name}"));
     let value = format!(
         r#"{{"schema":1,"kind":"workspace","name":"{name}","spec":{{"rate":5,"burst":5}}}}"#
     );
-    let version = world.put(&path, value.into_bytes(), Revision(0));
+    let version = cluster.put(&path, value.into_bytes(), Revision(0));
     let version = version.expect("the store is up");
-    let start = world.now;
-    let mut times = vec![None; world.nodes.len()];
-    while times.iter().any(Option::is_none) && world.now.since(start) < Millis(60_000) {
-        world.run(Millis(20));
-        for (time, node) in times.iter_mut().zip(&world.nodes) {
+    let start = cluster.now;
+    let mut times = vec![None; cluster.nodes.len()];
+    while times.iter().any(Option::is_none) && cluster.now.since(start) < Millis(60_000) {
+        cluster.run(Millis(20));
+        for (time, node) in times.iter_mut().zip(&cluster.nodes) {
             if time.is_none() && node.config.revision() >= version {
-                *time = Some(world.now.since(start).0);
+                *time = Some(cluster.now.since(start).0);
             }
         }
     }
@@ -34,10 +34,10 @@
 /// Fails if news travels by periodic pulls alone or not at all.
 #[test]
 fn a_change_reaches_every_vm_within_the_bound() {
-    let mut world = World::new(4, 34, 7, PullSettings::default());
-    world.run(Millis(10_000));
+    let mut cluster = Cluster::new(4, 34, 7, PullSettings::default());
+    cluster.run(Millis(10_000));
 
-    let times = spread(&mut world, "w");
+    let times = spread(&mut cluster, "w");
 
     let last = times.into_iter().max().expect("there are VMs");
     assert!(Millis(last) <= BOUND, "the last VM took {last} ms");
@@ -46,17 +46,17 @@
 /// Fails if the store's watchers are not replaced when both are lost at once.
 #[test]
 fn a_change_passes_a_domain_whose_watchers_are_lost() {
-    let mut world = World::new(3, 8, 11, PullSettings::default());
-    world.run(Millis(20_000));
-    let now = world.now;
+    let mut cluster = Cluster::new(3, 8, 11, PullSettings::default());
+    cluster.run(Millis(20_000));
+    let now = cluster.now;
     let watchers: Vec<_> = (0..8)
-        .filter(|i| world.nodes[*i].members.is_watcher(now))
+        .filter(|i| cluster.nodes[*i].members.is_watcher(now))
         .collect();
     for i in watchers {
-        world.replace(i, false);
+        cluster.replace(i, false);
     }
 
-    let times = spread(&mut world, "w");
+    let times = spread(&mut cluster, "w");
 
     let last = times.into_iter().max().expect("there are VMs");
     assert!(Millis(last) <= BOUND, "the last VM took {last} ms");
@@ -65,14 +65,14 @@
 /// Fails if a domain that one other domain reaches waits for a random pull to find it.
 #[test]
 fn a_change_reaches_a_domain_over_the_only_one_that_it_reaches() {
-    let mut world = World::new(16, 2, 5, PullSettings::default());
-    spread(&mut world, "first");
-    world.cuts.insert((0, STORE));
-    world.cuts.extend((1..15).map(|other| (0, other)));
+    let mut cluster = Cluster::new(16, 2, 5, PullSettings::default());
+    spread(&mut cluster, "first");
+    cluster.cuts.insert((0, STORE));
+    cluster.cuts.extend((1..15).map(|other| (0, other)));
 
     for change in 0..5 {
-        world.run(Millis(9_000));
-        let times = spread(&mut world, &format!("w{change}"));
+        cluster.run(Millis(9_000));
+        let times = spread(&mut cluster, &format!("w{change}"));
         let last = times.into_iter().max().expect("there are VMs");
         assert!(Millis(last) <= BOUND, "the last VM took {last} ms");
     }
@@ -81,13 +81,13 @@
 /// Fails if a peer that did not answer once is never asked again.
 #[test]
 fn a_peer_that_failed_is_asked_again() {
-    let mut world = World::new(2, 1, 3, PullSettings::default());
-    spread(&mut world, "first");
-    world.cuts.extend([(0, STORE), (0, 1)]);
-    world.run(Millis(20_000));
-    world.cuts.remove(&(0, 1));
+    let mut cluster = Cluster::new(2, 1, 3, PullSettings::default());
+    spread(&mut cluster, "first");
+    cluster.cuts.extend([(0, STORE), (0, 1)]);
+    cluster.run(Millis(20_000));
+    cluster.cuts.remove(&(0, 1));
 
-    let times = spread(&mut world, "w");
+    let times = spread(&mut cluster, "w");
 
     let last = times.into_iter().max().expect("there are VMs");
     assert!(Millis(last) <= BOUND, "the last VM took {last} ms");
@@ -96,12 +96,12 @@
 /// Fails if a VM that reaches the store but no peer relies on watchers that it cannot reach.
 #[test]
 fn a_change_reaches_vms_that_reach_only_the_store() {
-    let mut world = World::new(1, 34, 9, PullSettings::default());
-    spread(&mut world, "first");
-    world.cuts.insert((0, 0));
+    let mut cluster = Cluster::new(1, 34, 9, PullSettings::default());
+    spread(&mut cluster, "first");
+    cluster.cuts.insert((0, 0));
 
     for change in 0..3 {
-        let times = spread(&mut world, &format!("w{change}"));
+        let times = spread(&mut cluster, &format!("w{change}"));
         let last = times.into_iter().max().expect("there are VMs");
         assert!(Millis(last) <= BOUND, "the last VM took {last} ms");
     }
