Define the store trait and its outcomes

Cause: the daemon and the command line need one interface to the platform's object store. Change: trait Store with boxed futures for get, put, delete, changes and vms; each outcome separates a conflict, an absent object, a call that was never sent and a write whose effect is unknown.

--- a/crates/waxwing_store/src/lib.rs
+++ b/crates/waxwing_store/src/lib.rs
@@ -1,1 +1,7 @@
 //! The platform's object store: the trait and its HTTP adapter.
+
+mod outcome;
+mod store;
+
+pub use outcome::{ChangesOutcome, Object, ReadOutcome, Vm, VmState, VmsOutcome, WriteOutcome};
+pub use store::{Condition, MAX_VALUE_BYTES, Pending, Store};
