Add the in-process store double

Cause: tests of the daemon and the command line need a store with versions, watches and faults. Change: MemoryStore implements Store; Control sets delay, outage, lost answers and the lagging list of VMs. Conclusion: usable in process.

--- /dev/null
+++ b/crates/waxwing_testkit/src/store/mod.rs
@@ -0,0 +1,9 @@
+//! The store double: in process as a [`waxwing_store::Store`] and over HTTP as a process.
+
+mod control;
+mod memory;
+mod state;
+
+pub use control::Control;
+pub use memory::MemoryStore;
+pub use state::Stats;
