--- a/crates/waxwing_records/src/document.rs
+++ b/crates/waxwing_records/src/document.rs
@@ -52,6 +52,12 @@
         }
     }
 
+    /// The paths of all fields of `spec` in a schema version, such as `spec.routes[].method`.
+    /// `None`: the kind has no such version.
+    pub fn field_paths(self, schema: u32) -> Option<Vec<String>> {
+        wire::field_paths(self, schema)
+    }
+
     /// The kind with this name.
     pub fn from_name(name: &str) -> Option<Self> {
         Self::ALL.iter().copied().find(|k| k.as_str() == name)
--- a/crates/waxwing_records/src/finding.rs
+++ b/crates/waxwing_records/src/finding.rs
@@ -4,6 +4,9 @@
 
 use waxwing_types::common_derives;
 
+/// Most faults that are reported of one record; a faulty table of blocks has thousands.
+pub(crate) const MAX_FINDINGS: usize = 100;
+
 common_derives! {
     /// One fault of a record.
     pub struct Finding {
@@ -25,8 +28,18 @@
 pub struct Findings(pub Vec<Finding>);
 
 impl Findings {
-    /// Adds a fault.
+    /// Adds a fault. Beyond [`MAX_FINDINGS`] faults only the fact that there are more is kept.
     pub fn add(&mut self, place: impl Into<String>, message: impl Into<String>) {
+        if self.0.len() > MAX_FINDINGS {
+            return;
+        }
+        if self.0.len() == MAX_FINDINGS {
+            self.0.push(Finding {
+                place: "record".into(),
+                message: "further findings left out".into(),
+            });
+            return;
+        }
         self.0.push(Finding {
             place: place.into(),
             message: message.into(),
--- a/crates/waxwing_records/src/key.rs
+++ b/crates/waxwing_records/src/key.rs
@@ -6,6 +6,9 @@
 use subtle::ConstantTimeEq;
 use waxwing_types::{WorkspaceId, common_derives};
 
+use crate::Findings;
+use crate::check::check_name;
+
 common_derives! {
     copy
     /// SHA-256 of a key.
@@ -26,6 +29,10 @@
         }
         let mut out = [0; 32];
         for (byte, pair) in out.iter_mut().zip(text.chunks_exact(2)) {
+            // `from_str_radix` accepts a sign.
+            if !pair.iter().all(u8::is_ascii_hexdigit) {
+                return None;
+            }
             let digits = std::str::from_utf8(pair).ok()?;
             *byte = u8::from_str_radix(digits, 16).ok()?;
         }
@@ -55,3 +62,9 @@
         pub hash: KeyHash,
     }
 }
+
+impl Key {
+    pub(crate) fn check(&self, place: &str, out: &mut Findings) {
+        check_name(&format!("{place}.workspace"), self.workspace.as_str(), out);
+    }
+}
--- a/crates/waxwing_records/src/lib.rs
+++ b/crates/waxwing_records/src/lib.rs
@@ -2,6 +2,7 @@
 //! client blocks: their types, their schema versions and their checks.
 
 mod blocks;
+mod check;
 mod document;
 mod finding;
 mod key;
--- a/crates/waxwing_records/src/service.rs
+++ b/crates/waxwing_records/src/service.rs
@@ -1,18 +1,25 @@
 //! The record of a service: who may call it, its routes and its targets.
 
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use smol_str::SmolStr;
 use waxwing_types::{DomainId, Millis, TargetId, WorkspaceId, common_derives};
 
 use crate::Findings;
+use crate::check::{check_name, check_names, check_range, check_unique};
 
 /// Greatest timeout of a route.
 pub(crate) const MAX_TIMEOUT: Millis = Millis::from_secs(3600);
 /// Greatest number of requests that a target runs at once.
 pub(crate) const MAX_SLOTS: u32 = 10_000;
 
+/// Greatest cost of a request in tokens.
+pub(crate) const MAX_COST: u32 = 10_000;
+/// Greatest length of a method.
+pub(crate) const MAX_METHOD_BYTES: usize = 20;
+/// Greatest length of a route's prefix.
+pub(crate) const MAX_PREFIX_BYTES: usize = 1024;
+
 common_derives! {
     /// A method and a path prefix, and how its requests are treated.
     pub struct Route {
@@ -75,63 +82,94 @@
         self.workspaces.is_empty() || self.workspaces.contains(workspace)
     }
 
-    pub(crate) fn check(&self, place: &str, findings: &mut Findings) {
+    pub(crate) fn check(&self, place: &str, out: &mut Findings) {
+        check_names(&format!("{place}.workspaces"), &self.workspaces, out);
+        let list = format!("{place}.routes");
         if self.routes.is_empty() {
-            findings.add(format!("{place}.routes"), "expected at least one route");
+            out.add(&list, "expected at least one route");
         }
         for (i, route) in self.routes.iter().enumerate() {
-            route.check(&format!("{place}.routes[{i}]"), findings);
+            route.check(&format!("{list}[{i}]"), out);
         }
-        let mut names = BTreeSet::new();
+        let routes = self.routes.iter();
+        check_unique(
+            &list,
+            "",
+            routes.map(|r| format!("{} {}", r.method, r.prefix)),
+            out,
+        );
+        let list = format!("{place}.targets");
         for (i, target) in self.targets.iter().enumerate() {
-            let place = format!("{place}.targets[{i}]");
-            if !names.insert(&target.name) {
-                findings.add(
-                    format!("{place}.name"),
-                    format!("\"{}\" stands twice", target.name),
-                );
-            }
-            if target.slots == 0 || target.slots > MAX_SLOTS {
-                findings.add(
-                    format!("{place}.slots"),
-                    format!("expected 1 to {MAX_SLOTS}, got {}", target.slots),
-                );
-            }
+            target.check(&format!("{list}[{i}]"), out);
         }
+        check_unique(&list, ".name", self.targets.iter().map(|t| &t.name), out);
+        check_unique(
+            &list,
+            ".address",
+            self.targets.iter().map(|t| t.address),
+            out,
+        );
+    }
+}
+
+impl Target {
+    fn check(&self, place: &str, out: &mut Findings) {
+        check_name(&format!("{place}.name"), self.name.as_str(), out);
+        check_name(&format!("{place}.domain"), self.domain.as_str(), out);
+        if self.address.port() == 0 || self.address.ip().is_unspecified() {
+            out.add(
+                format!("{place}.address"),
+                format!(
+                    "expected an address and port to connect to, got {}",
+                    self.address
+                ),
+            );
+        }
+        let slots = self.slots.into();
+        check_range(&format!("{place}.slots"), 1, MAX_SLOTS.into(), slots, out);
     }
 }
 
 impl Route {
-    fn check(&self, place: &str, findings: &mut Findings) {
-        if self.method.is_empty() || !self.method.bytes().all(|b| b.is_ascii_uppercase()) {
-            findings.add(
+    fn check(&self, place: &str, out: &mut Findings) {
+        if self.method.is_empty()
+            || self.method.len() > MAX_METHOD_BYTES
+            || !self.method.bytes().all(|b| b.is_ascii_uppercase())
+        {
+            out.add(
                 format!("{place}.method"),
                 format!("expected an upper-case method, got \"{}\"", self.method),
             );
         }
-        if !self.prefix.starts_with('/') {
-            findings.add(
+        let graphic = |b: u8| b.is_ascii_graphic() && !matches!(b, b'?' | b'#');
+        if !self.prefix.starts_with('/')
+            || self.prefix.len() > MAX_PREFIX_BYTES
+            || !self.prefix.bytes().all(graphic)
+        {
+            out.add(
                 format!("{place}.prefix"),
                 format!(
-                    "expected a path that starts with \"/\", got \"{}\"",
+                    "expected a path that starts with \"/\", of at most {MAX_PREFIX_BYTES} bytes \
+                     and without query, got \"{}\"",
                     self.prefix
                 ),
             );
         }
         if self.idempotent && self.key_required {
-            findings.add(
+            out.add(
                 format!("{place}.key_required"),
                 "expected false on an idempotent route",
             );
         }
-        if self.cost == 0 {
-            findings.add(format!("{place}.cost"), "expected at least 1, got 0");
-        }
-        if self.timeout == Millis::ZERO || self.timeout > MAX_TIMEOUT {
-            findings.add(
-                format!("{place}.timeout_ms"),
-                format!("expected 1 to {}, got {}", MAX_TIMEOUT.0, self.timeout.0),
-            );
-        }
+        let cost = self.cost.into();
+        check_range(&format!("{place}.cost"), 1, MAX_COST.into(), cost, out);
+        let timeout = self.timeout.0;
+        check_range(
+            &format!("{place}.timeout_ms"),
+            1,
+            MAX_TIMEOUT.0,
+            timeout,
+            out,
+        );
     }
 }
--- a/crates/waxwing_records/src/shift.rs
+++ b/crates/waxwing_records/src/shift.rs
@@ -3,6 +3,11 @@
 use waxwing_types::{Millis, RegionId, ServiceId, common_derives};
 
 use crate::Findings;
+use crate::check::{check_name, check_range};
+use crate::workspace::MAX_RATE;
+
+/// Longest time over which a shift grows to its share.
+pub(crate) const MAX_RAMP: Millis = Millis::from_secs(24 * 3600);
 
 common_derives! {
     /// A planned shift. It is in force from the moment the record is.
@@ -25,24 +30,37 @@
 }
 
 impl Shift {
-    pub(crate) fn check(&self, place: &str, findings: &mut Findings) {
+    pub(crate) fn check(&self, place: &str, out: &mut Findings) {
+        check_name(&format!("{place}.service"), self.service.as_str(), out);
+        check_name(&format!("{place}.from"), self.from.as_str(), out);
+        check_name(&format!("{place}.to"), self.to.as_str(), out);
         if self.from == self.to {
-            findings.add(
+            out.add(
                 format!("{place}.to"),
                 "expected a region other than \"from\"",
             );
         }
-        if self.percent > 100 {
-            findings.add(
-                format!("{place}.percent"),
-                format!("expected 0 to 100, got {}", self.percent),
-            );
-        }
-        if self.cap_rate == 0 || self.cap_burst == 0 {
-            findings.add(
-                format!("{place}.cap_rate"),
-                "expected a cap rate and a cap burst of at least 1",
-            );
-        }
+        check_range(
+            &format!("{place}.percent"),
+            0,
+            100,
+            self.percent.into(),
+            out,
+        );
+        check_range(
+            &format!("{place}.cap_rate"),
+            1,
+            MAX_RATE,
+            self.cap_rate,
+            out,
+        );
+        check_range(
+            &format!("{place}.cap_burst"),
+            1,
+            MAX_RATE,
+            self.cap_burst,
+            out,
+        );
+        check_range(&format!("{place}.ramp_ms"), 0, MAX_RAMP.0, self.ramp.0, out);
     }
 }
--- a/crates/waxwing_records/src/workspace.rs
+++ b/crates/waxwing_records/src/workspace.rs
@@ -3,11 +3,17 @@
 use waxwing_types::{DomainId, Millis, common_derives};
 
 use crate::Findings;
+use crate::check::{check_names, check_range};
 
-/// Greatest rate of a workspace, in requests a second.
+/// Greatest rate in requests a second, and greatest burst in requests, of any limit.
 pub(crate) const MAX_RATE: u64 = 10_000_000;
 /// Greatest weight in fair queueing.
 pub(crate) const MAX_WEIGHT: u32 = 1000;
+/// Shortest time after which keys are refused for want of news. The age of the configuration
+/// reaches this without any fault while a watch of the store is renewed.
+pub(crate) const MIN_KEY_STALENESS: Millis = Millis::from_secs(1);
+/// Longest time after which keys are refused for want of news.
+pub(crate) const MAX_KEY_STALENESS: Millis = Millis::from_secs(7 * 24 * 3600);
 
 common_derives! {
     /// A workspace: what its callers may spend together.
@@ -26,26 +32,26 @@
 }
 
 impl Workspace {
-    pub(crate) fn check(&self, place: &str, findings: &mut Findings) {
-        if self.rate == 0 || self.rate > MAX_RATE {
-            findings.add(
-                format!("{place}.rate"),
-                format!(
-                    "expected 1 to {MAX_RATE} requests a second, got {}",
-                    self.rate
-                ),
-            );
-        }
-        if self.burst == 0 || self.burst > MAX_RATE {
-            findings.add(
-                format!("{place}.burst"),
-                format!("expected 1 to {MAX_RATE} requests, got {}", self.burst),
-            );
-        }
-        if self.weight == 0 || self.weight > MAX_WEIGHT {
-            findings.add(
-                format!("{place}.weight"),
-                format!("expected 1 to {MAX_WEIGHT}, got {}", self.weight),
+    pub(crate) fn check(&self, place: &str, out: &mut Findings) {
+        check_range(&format!("{place}.rate"), 1, MAX_RATE, self.rate, out);
+        check_range(&format!("{place}.burst"), 1, MAX_RATE, self.burst, out);
+        let weight = u64::from(self.weight);
+        check_range(
+            &format!("{place}.weight"),
+            1,
+            MAX_WEIGHT.into(),
+            weight,
+            out,
+        );
+        check_names(&format!("{place}.domains"), &self.domains, out);
+        if let Some(age) = self.key_staleness {
+            let (least, most) = (MIN_KEY_STALENESS.0, MAX_KEY_STALENESS.0);
+            check_range(
+                &format!("{place}.key_staleness_ms"),
+                least,
+                most,
+                age.0,
+                out,
             );
         }
     }
