--- /dev/null
+++ b/crates/waxwing_http/src/client.rs
@@ -0,0 +1,228 @@
+//! The client with its pool of connections.
+
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use async_executor::Executor;
+use futures_lite::future;
+use hyper::body::{Body as _, Bytes, Frame, Incoming, SizeHint};
+use hyper::header::{HOST, HeaderValue};
+use hyper::{Request, Response};
+
+use crate::conn::{Conn, Outcome};
+use crate::pool::Pool;
+use crate::{Body, BodyError, streamed};
+
+/// Limits of a client.
+#[derive(Clone, Copy, Debug)]
+pub struct ClientLimits {
+    /// Idle connections kept for each address.
+    pub idle: usize,
+    /// Time after which an idle connection is closed.
+    pub idle_life: Duration,
+    /// Time allowed for opening a connection.
+    pub connect: Duration,
+    /// Greatest size of a response's header section in bytes.
+    pub header_bytes: usize,
+}
+
+impl Default for ClientLimits {
+    fn default() -> Self {
+        Self {
+            idle: 64,
+            idle_life: Duration::from_secs(30),
+            connect: Duration::from_secs(1),
+            header_bytes: 32 * 1024,
+        }
+    }
+}
+
+/// Why no response head arrived.
+#[derive(Debug)]
+pub enum SendError {
+    /// The connection could not be opened; no byte was written and the body is untouched.
+    Connect(io::Error),
+    /// No byte was written, but part of the body may have been taken from its source.
+    NotSent(hyper::Error),
+    /// The connection broke after the first byte was written; the request may have run.
+    Broken(hyper::Error),
+}
+
+impl SendError {
+    /// Whether a byte of the request may have reached the other side.
+    pub fn may_have_run(&self) -> bool {
+        matches!(self, Self::Broken(_))
+    }
+}
+
+impl fmt::Display for SendError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Connect(error) => write!(f, "cannot connect: {error}"),
+            Self::NotSent(error) => write!(f, "nothing sent: {error}"),
+            Self::Broken(error) => write!(f, "connection broke: {error}"),
+        }
+    }
+}
+
+impl std::error::Error for SendError {}
+
+struct Inner {
+    executor: Arc<Executor<'static>>,
+    pool: Pool,
+    limits: ClientLimits,
+}
+
+/// An HTTP/1.1 client. Clones share their pool.
+#[derive(Clone)]
+pub struct Client {
+    inner: Arc<Inner>,
+}
+
+impl fmt::Debug for Client {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Client").finish_non_exhaustive()
+    }
+}
+
+impl Client {
+    /// A client whose connections are driven by `executor`.
+    pub fn new(executor: Arc<Executor<'static>>, limits: ClientLimits) -> Self {
+        let pool = Pool::new(limits.idle, limits.idle_life);
+        Self {
+            inner: Arc::new(Inner {
+                executor,
+                pool,
+                limits,
+            }),
+        }
+    }
+
+    /// Sends a request and waits for the head of the response.
+    ///
+    /// Idle connections are used first; one that turns out to be closed before the request was
+    /// taken is replaced. Dropping the future, or the response's body before its end, closes the
+    /// connection.
+    ///
+    /// # Errors
+    /// See [`SendError`].
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        mut request: Request<Body>,
+    ) -> Result<Response<Body>, SendError> {
+        set_host(&mut request, address);
+        while let Some(mut conn) = self.inner.pool.take(address) {
+            if !conn.is_usable().await {
+                continue;
+            }
+            match conn.send(request).await {
+                Outcome::Unsent(returned) => request = returned,
+                outcome => return self.finish(address, conn, outcome),
+            }
+        }
+        let mut conn = self.open(address).await.map_err(SendError::Connect)?;
+        let outcome = conn.send(request).await;
+        self.finish(address, conn, outcome)
+    }
+
+    /// Closes the idle connections whose time is over. To be called now and then.
+    pub fn prune(&self) {
+        self.inner.pool.prune();
+    }
+
+    /// Number of idle connections.
+    pub fn idle(&self) -> usize {
+        self.inner.pool.len()
+    }
+
+    async fn open(&self, address: SocketAddr) -> io::Result<Conn> {
+        let limits = &self.inner.limits;
+        let open = Conn::open(&self.inner.executor, address, limits.header_bytes);
+        let timer = async {
+            async_io::Timer::after(limits.connect).await;
+            Err(io::ErrorKind::TimedOut.into())
+        };
+        future::or(open, timer).await
+    }
+
+    fn finish(
+        &self,
+        address: SocketAddr,
+        conn: Conn,
+        outcome: Outcome,
+    ) -> Result<Response<Body>, SendError> {
+        match outcome {
+            Outcome::Head(response) => {
+                let (head, incoming) = response.into_parts();
+                let mut body = PooledBody {
+                    incoming,
+                    address,
+                    lease: Some((conn, Arc::clone(&self.inner))),
+                };
+                if body.incoming.is_end_stream() {
+                    body.give_back();
+                }
+                Ok(Response::from_parts(head, streamed(body)))
+            }
+            Outcome::Unsent(_) => Err(SendError::Connect(io::ErrorKind::NotConnected.into())),
+            Outcome::UnsentSpent(error) => Err(SendError::NotSent(error)),
+            Outcome::Broken(error) => Err(SendError::Broken(error)),
+        }
+    }
+}
+
+fn set_host(request: &mut Request<Body>, address: SocketAddr) {
+    if !request.headers().contains_key(HOST)
+        && let Ok(value) = HeaderValue::from_str(&address.to_string())
+    {
+        request.headers_mut().insert(HOST, value);
+    }
+}
+
+/// A response body that returns its connection to the pool at its end.
+struct PooledBody {
+    incoming: Incoming,
+    address: SocketAddr,
+    lease: Option<(Conn, Arc<Inner>)>,
+}
+
+impl PooledBody {
+    fn give_back(&mut self) {
+        if let Some((conn, inner)) = self.lease.take() {
+            inner.pool.put(self.address, conn);
+        }
+    }
+}
+
+impl hyper::body::Body for PooledBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let frame = Pin::new(&mut self.incoming).poll_frame(cx);
+        match frame {
+            Poll::Ready(None) => self.give_back(),
+            Poll::Ready(Some(Ok(_))) if self.incoming.is_end_stream() => self.give_back(),
+            Poll::Ready(Some(Err(_))) => self.lease = None,
+            Poll::Ready(Some(Ok(_))) | Poll::Pending => {}
+        }
+        frame.map_err(Into::into)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.incoming.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.incoming.size_hint()
+    }
+}
--- a/crates/waxwing_http/src/lib.rs
+++ b/crates/waxwing_http/src/lib.rs
@@ -1,1 +1,16 @@
 //! HTTP/1.1 server and client on `hyper` and `smol-hyper`.
+
+mod body;
+mod client;
+mod conn;
+mod counted;
+mod hop;
+mod pool;
+mod problem;
+mod server;
+
+pub use body::{Body, BodyError, collect, empty, full, streamed};
+pub use client::{Client, ClientLimits, SendError};
+pub use hop::{remove_hop_headers, remove_proxy_headers};
+pub use problem::{Problem, json};
+pub use server::{Handler, Server, ServerLimits};
