Add the HTTP adapter of the store and the store double's HTTP front

Cause: daemon and command line reach the store over HTTP; tests and the quickstart need a store process.

--- /dev/null
+++ b/crates/waxwing_store/src/http.rs
@@ -0,0 +1,242 @@
+//! The store over HTTP.
+
+use std::net::SocketAddr;
+
+use futures_lite::future;
+use http_body_util::BodyExt;
+use hyper::header::{ETAG, IF_MATCH, IF_NONE_MATCH};
+use hyper::{Method, Request, Response, StatusCode};
+use smol_str::SmolStr;
+use waxwing_http::{Body, Client, SendError, empty, full};
+use waxwing_types::{Millis, Revision};
+
+use crate::wire::{ChangesBody, VmsBody, etag, parse_etag};
+use crate::{
+    ChangesOutcome, Condition, Object, Pending, ReadOutcome, Store, VmsOutcome, WriteOutcome,
+};
+
+/// Most bytes read of one response. A page of changes holds 4 MB of values, which are quoted.
+const MAX_BODY_BYTES: usize = 32_000_000;
+
+/// The store at an address. Clones share the client's connections.
+#[derive(Clone, Debug)]
+pub struct HttpStore {
+    client: Client,
+    address: SocketAddr,
+}
+
+/// A response that was read to its end.
+struct Answer {
+    status: StatusCode,
+    version: Option<Revision>,
+    body: Vec<u8>,
+}
+
+/// Why there is no response.
+enum Failure {
+    /// Nothing was sent.
+    Unsent(String),
+    /// The request may have taken effect.
+    Sent(String),
+}
+
+impl Failure {
+    fn reason(self) -> String {
+        match self {
+            Self::Unsent(reason) | Self::Sent(reason) => reason,
+        }
+    }
+}
+
+impl HttpStore {
+    /// The store at `address`, over the connections of `client`.
+    pub fn new(client: Client, address: SocketAddr) -> Self {
+        Self { client, address }
+    }
+
+    async fn call(
+        &self,
+        request: Result<Request<Body>, hyper::http::Error>,
+        timeout: Millis,
+    ) -> Result<Answer, Failure> {
+        let request = request.map_err(|e| Failure::Unsent(e.to_string()))?;
+        let answer = async {
+            let response = self.client.send(self.address, request).await;
+            match response {
+                Ok(response) => read_answer(response).await,
+                Err(error @ (SendError::Connect(_) | SendError::NotSent(_))) => {
+                    Err(Failure::Unsent(error.to_string()))
+                }
+                Err(error @ SendError::Broken(_)) => Err(Failure::Sent(error.to_string())),
+            }
+        };
+        // The deadline may pass between sending and answering, so a write counts as sent.
+        let expired = async {
+            async_io::Timer::after(timeout.duration()).await;
+            Err(Failure::Sent(format!("no answer within {timeout}")))
+        };
+        future::or(answer, expired).await
+    }
+
+    async fn write(
+        &self,
+        request: Result<Request<Body>, hyper::http::Error>,
+        timeout: Millis,
+    ) -> WriteOutcome {
+        match self.call(request, timeout).await {
+            Ok(answer) => write_outcome(&answer),
+            Err(Failure::Unsent(reason)) => WriteOutcome::Unreachable(reason),
+            Err(Failure::Sent(reason)) => WriteOutcome::Unknown(reason),
+        }
+    }
+
+    /// A read whose answer must have status 200.
+    async fn read(&self, uri: String, timeout: Millis) -> Result<Vec<u8>, String> {
+        let request = Request::get(uri).body(empty());
+        match self.call(request, timeout).await {
+            Ok(answer) if answer.status == StatusCode::OK => Ok(answer.body),
+            Ok(answer) => Err(format!("status {}", answer.status)),
+            Err(failure) => Err(failure.reason()),
+        }
+    }
+}
+
+impl Store for HttpStore {
+    fn get<'a>(&'a self, path: &'a str, timeout: Millis) -> Pending<'a, ReadOutcome> {
+        Box::pin(async move {
+            let request = Request::get(object_uri(path)).body(empty());
+            match self.call(request, timeout).await {
+                Ok(answer) => read_outcome(path, answer),
+                Err(failure) => ReadOutcome::Unreachable(failure.reason()),
+            }
+        })
+    }
+
+    fn put<'a>(
+        &'a self,
+        path: &'a str,
+        value: Vec<u8>,
+        condition: Condition,
+        timeout: Millis,
+    ) -> Pending<'a, WriteOutcome> {
+        Box::pin(async move {
+            let request = Request::put(object_uri(path));
+            let request = match condition {
+                Condition::Absent => request.header(IF_NONE_MATCH, "*"),
+                Condition::Version(version) => request.header(IF_MATCH, etag(version)),
+            };
+            self.write(request.body(full(value)), timeout).await
+        })
+    }
+
+    fn delete<'a>(
+        &'a self,
+        path: &'a str,
+        version: Revision,
+        timeout: Millis,
+    ) -> Pending<'a, WriteOutcome> {
+        Box::pin(async move {
+            let request = Request::builder()
+                .method(Method::DELETE)
+                .uri(object_uri(path))
+                .header(IF_MATCH, etag(version))
+                .body(empty());
+            self.write(request, timeout).await
+        })
+    }
+
+    fn changes<'a>(
+        &'a self,
+        prefix: &'a str,
+        after: Revision,
+        wait: Millis,
+        timeout: Millis,
+    ) -> Pending<'a, ChangesOutcome> {
+        Box::pin(async move {
+            let wait_ms = wait.0;
+            let uri = format!("/v1/changes?prefix={prefix}&after={after}&wait_ms={wait_ms}");
+            let body = match self.read(uri, wait + timeout).await {
+                Ok(body) => body,
+                Err(reason) => return ChangesOutcome::Unreachable(reason),
+            };
+            match serde_json::from_slice::<ChangesBody>(&body) {
+                Ok(body) => body.into(),
+                Err(error) => ChangesOutcome::Unreachable(error.to_string()),
+            }
+        })
+    }
+
+    fn vms(&self, timeout: Millis) -> Pending<'_, VmsOutcome> {
+        Box::pin(async move {
+            let body = match self.read("/v1/vms".into(), timeout).await {
+                Ok(body) => body,
+                Err(reason) => return VmsOutcome::Unreachable(reason),
+            };
+            match serde_json::from_slice::<VmsBody>(&body) {
+                Ok(body) => VmsOutcome::Listed(body.vms),
+                Err(error) => VmsOutcome::Unreachable(error.to_string()),
+            }
+        })
+    }
+}
+
+fn object_uri(path: &str) -> String {
+    format!("/v1/objects/{path}")
+}
+
+async fn read_answer(response: Response<Body>) -> Result<Answer, Failure> {
+    let status = response.status();
+    let tag = response.headers().get(ETAG);
+    let version = tag.and_then(|t| parse_etag(t.to_str().ok()?));
+    let body = read_body(response.into_body()).await?;
+    Ok(Answer {
+        status,
+        version,
+        body,
+    })
+}
+
+/// Reads frame by frame: the compiler cannot show that the future of `waxwing_http::collect` over a
+/// [`Body`] is `Send`.
+async fn read_body(mut body: Body) -> Result<Vec<u8>, Failure> {
+    let mut bytes = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|e| Failure::Sent(e.to_string()))?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if bytes.len() + data.len() > MAX_BODY_BYTES {
+            return Err(Failure::Sent(format!(
+                "answer exceeds {MAX_BODY_BYTES} bytes"
+            )));
+        }
+        bytes.extend_from_slice(&data);
+    }
+    Ok(bytes)
+}
+
+fn read_outcome(path: &str, answer: Answer) -> ReadOutcome {
+    match (answer.status, answer.version) {
+        (StatusCode::OK, Some(version)) => ReadOutcome::Found(Object {
+            path: SmolStr::new(path),
+            version,
+            value: answer.body,
+        }),
+        (StatusCode::NOT_FOUND, _) => ReadOutcome::Absent,
+        (status, _) => ReadOutcome::Unreachable(format!("status {status}")),
+    }
+}
+
+fn write_outcome(answer: &Answer) -> WriteOutcome {
+    match (answer.status, answer.version) {
+        (StatusCode::CREATED, Some(version)) => WriteOutcome::Created(version),
+        (StatusCode::OK, Some(version)) => WriteOutcome::Updated(version),
+        (StatusCode::PRECONDITION_FAILED, current) => WriteOutcome::Conflict(current),
+        (StatusCode::NOT_FOUND, _) => WriteOutcome::Absent,
+        (status, _) if status.is_client_error() => WriteOutcome::Rejected {
+            status: status.as_u16(),
+            message: String::from_utf8_lossy(&answer.body).into_owned(),
+        },
+        (status, _) => WriteOutcome::Unknown(format!("status {status}")),
+    }
+}
--- a/crates/waxwing_store/src/lib.rs
+++ b/crates/waxwing_store/src/lib.rs
@@ -1,7 +1,10 @@
 //! The platform's object store: the trait and its HTTP adapter.
 
+mod http;
 mod outcome;
 mod store;
+pub mod wire;
 
+pub use http::HttpStore;
 pub use outcome::{ChangesOutcome, Object, ReadOutcome, Vm, VmState, VmsOutcome, WriteOutcome};
 pub use store::{Condition, MAX_VALUE_BYTES, Pending, Store};
--- a/crates/waxwing_testkit/src/lib.rs
+++ b/crates/waxwing_testkit/src/lib.rs
@@ -1,5 +1,6 @@
 //! Test doubles for the platform, targets and callers.
 
+mod http;
 mod store;
 
-pub use store::{Control, MemoryStore, Stats};
+pub use store::{Control, MemoryStore, Stats, serve_store};
--- a/crates/waxwing_testkit/src/store/mod.rs
+++ b/crates/waxwing_testkit/src/store/mod.rs
@@ -2,8 +2,10 @@
 
 mod control;
 mod memory;
+mod server;
 mod state;
 
 pub use control::Control;
 pub use memory::MemoryStore;
+pub use server::serve_store;
 pub use state::Stats;
