--- a/crates/waxwing_testkit/src/http.rs
+++ b/crates/waxwing_testkit/src/http.rs
@@ -1,7 +1,7 @@
 //! Parts that the HTTP fronts of the doubles share.
 
 use hyper::{Response, StatusCode};
-use waxwing_http::{Body, full, streamed};
+use waxwing_http::{Body, full, json, streamed};
 
 /// A response that breaks its connection before any byte of it is sent.
 pub(crate) fn broken() -> Response<Body> {
@@ -24,3 +24,11 @@
     let mut found = pairs.filter(|(key, _)| *key == name);
     found.next().map(|(_, value)| value.to_owned())
 }
+
+/// A response with a value as JSON.
+pub(crate) fn to_json(value: &impl serde::Serialize) -> Response<Body> {
+    match serde_json::to_string(value) {
+        Ok(json_text) => json(StatusCode::OK, json_text),
+        Err(error) => text(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string()),
+    }
+}
--- a/crates/waxwing_testkit/src/store/server.rs
+++ b/crates/waxwing_testkit/src/store/server.rs
@@ -9,7 +9,7 @@
 use hyper::body::Incoming;
 use hyper::header::{ETAG, HeaderValue, IF_MATCH, IF_NONE_MATCH};
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
-use waxwing_http::{Body, Handler, Server, ServerLimits, collect, empty, full, json};
+use waxwing_http::{Body, Handler, Server, ServerLimits, collect, empty, full};
 use waxwing_store::wire::{ChangesBody, ObjectBody, VmsBody, etag, parse_etag};
 use waxwing_store::{
     ChangesOutcome, Condition, MAX_VALUE_BYTES, ReadOutcome, Store, VmsOutcome, WriteOutcome,
@@ -17,7 +17,7 @@
 use waxwing_types::{Millis, Revision};
 
 use super::MemoryStore;
-use crate::http::{broken, query, text};
+use crate::http::{broken, query, text, to_json};
 
 /// The double itself never gives up on a call; the caller's deadline does.
 const NO_TIMEOUT: Millis = Millis::from_secs(24 * 3600);
@@ -187,10 +187,3 @@
         response.headers_mut().insert(ETAG, value);
     }
 }
-
-fn to_json(value: &impl serde::Serialize) -> Response<Body> {
-    match serde_json::to_string(value) {
-        Ok(json_text) => json(StatusCode::OK, json_text),
-        Err(error) => text(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string()),
-    }
-}
