--- a/crates/waxwing_records/src/blocks.rs
+++ b/crates/waxwing_records/src/blocks.rs
@@ -1,11 +1,13 @@
 //! Blocks of client addresses and the sites to which they are assigned.
 
+use std::collections::BTreeSet;
 use std::net::IpAddr;
 
 use waxwing_types::{SiteId, common_derives};
 
 use crate::Findings;
-use crate::check::{check_name, check_unique};
+use crate::check::check_name;
+use crate::wire::Place;
 
 common_derives! {
     /// Addresses that share a prefix.
@@ -45,22 +47,29 @@
 }
 
 impl Blocks {
-    pub(crate) fn check(&self, place: &str, out: &mut Findings) {
-        let list = format!("{place}.blocks");
-        for (i, block) in self.blocks.iter().enumerate() {
-            check_name(&format!("{list}[{i}]"), block.site.as_str(), out);
+    /// Checks the blocks of a record, each with its position there: entries that cannot be read are
+    /// missing from the list.
+    pub(crate) fn check(list: &Place<'_>, blocks: &[(usize, Block)], out: &mut Findings) {
+        let mut seen = BTreeSet::new();
+        for (i, block) in blocks {
+            let place = Place::Item(list, *i);
+            check_name(&place, block.site.as_str(), out);
             let masked = block.masked();
             if masked != block.base {
                 out.add(
-                    format!("{list}[{i}]"),
+                    place.to_string(),
                     format!(
                         "expected the block's first address, {masked}/{}",
                         block.bits
                     ),
                 );
             }
+            if !seen.insert((block.base, block.bits)) {
+                out.add(
+                    place.to_string(),
+                    format!("\"{}/{}\" stands twice", block.base, block.bits),
+                );
+            }
         }
-        let prefixes = self.blocks.iter().map(|b| format!("{}/{}", b.base, b.bits));
-        check_unique(&list, "", prefixes, out);
     }
 }
--- a/crates/waxwing_records/src/check.rs
+++ b/crates/waxwing_records/src/check.rs
@@ -9,11 +9,11 @@
 pub(crate) const MAX_NAME_BYTES: usize = 128;
 
 /// Checks the name of a record or of something that a record names.
-pub(crate) fn check_name(place: &str, name: &str, out: &mut Findings) {
+pub(crate) fn check_name(place: &impl ToString, name: &str, out: &mut Findings) {
     let valid = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_');
     if name.is_empty() || name.len() > MAX_NAME_BYTES || !name.bytes().all(valid) {
         out.add(
-            place,
+            place.to_string(),
             format!("expected 1 to {MAX_NAME_BYTES} letters, digits, \"-\" or \"_\""),
         );
     }
--- a/crates/waxwing_records/src/wire/convert.rs
+++ b/crates/waxwing_records/src/wire/convert.rs
@@ -30,14 +30,17 @@
     let list = Place::Field(place, "blocks");
     for (i, text) in wire.blocks.iter().enumerate() {
         match block(text) {
-            Some(block) => blocks.push(block),
+            Some(block) => blocks.push((i, block)),
             None => out.add(
                 Place::Item(&list, i).to_string(),
                 format!("expected \"ADDRESS/BITS SITE\", got \"{text}\""),
             ),
         }
     }
-    Blocks { blocks }
+    Blocks::check(&list, &blocks, out);
+    Blocks {
+        blocks: blocks.into_iter().map(|(_, block)| block).collect(),
+    }
 }
 
 fn block(text: &str) -> Option<Block> {
--- a/crates/waxwing_records/src/wire/mod.rs
+++ b/crates/waxwing_records/src/wire/mod.rs
@@ -10,7 +10,8 @@
 use self::objects::{
     BlocksV1, Envelope, KeyV1, RegionV1, RegionV2, ServiceV1, ShiftV1, WorkspaceV1, WorkspaceV2,
 };
-use self::read::{Place, Wire};
+pub(crate) use self::read::Place;
+use self::read::Wire;
 use self::unique::Unique;
 use crate::check::check_name;
 use crate::{Document, Findings, Kind, MAX_RECORD_BYTES, Record, RecordName};
@@ -152,7 +153,8 @@
         Record::Service(s) => s.check(&text, out),
         Record::Region(r) => r.check(&id.name, &text, out),
         Record::Shift(s) => s.check(&text, out),
-        Record::Blocks(b) => b.check(&text, out),
+        // Checked while it was read.
+        Record::Blocks(_) => {}
     }
     Some(record)
 }
