Add the status of a failure domain, files of many records and checks of references

Cause: the command line reads files with several records, and faulty references were found only at run time. Change: DomainStatus (the value of status/{domain}) in waxwing_store; split_records and check_references in waxwing_records.

--- a/crates/waxwing_records/src/wire/mod.rs
+++ b/crates/waxwing_records/src/wire/mod.rs
@@ -12,7 +12,7 @@
 };
 pub(crate) use self::read::Place;
 use self::read::Wire;
-use self::unique::Unique;
+pub(crate) use self::unique::Unique;
 use crate::check::check_name;
 use crate::{Document, Findings, Kind, MAX_RECORD_BYTES, Record, RecordName};
 
--- a/crates/waxwing_records/src/wire/unique.rs
+++ b/crates/waxwing_records/src/wire/unique.rs
@@ -8,7 +8,7 @@
 use serde::de::{Deserialize, Deserializer, Error, MapAccess, SeqAccess, Visitor};
 use serde_json::{Map, Number, Value};
 
-pub(super) struct Unique(pub(super) Value);
+pub(crate) struct Unique(pub(crate) Value);
 
 impl<'de> Deserialize<'de> for Unique {
     fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
--- a/crates/waxwing_records/tests/records.rs
+++ b/crates/waxwing_records/tests/records.rs
@@ -2,7 +2,7 @@
 
 use proptest::prelude::*;
 use serde_json::{Value, json};
-use waxwing_records::{Document, Kind, Record, RecordName};
+use waxwing_records::{Document, Kind, Record, RecordName, check_references, split_records};
 
 fn record(kind: &str, schema: u32, spec: &Value) -> Value {
     json!({"schema": schema, "kind": kind, "name": "n", "spec": spec})
@@ -327,3 +327,61 @@
         let _ = Document::parse(record(kind, schema, &spec).to_string().as_bytes());
     }
 }
+
+/// Guards against a file whose later records are dropped, or whose double fields are hidden.
+#[test]
+fn files_split_into_records() {
+    let count = |json: &str| split_records(json.as_bytes()).map(|r| r.len()).ok();
+    assert_eq!(count(""), Some(0));
+    assert_eq!(count("{}\n{}\n"), Some(2));
+    assert_eq!(count("[{}, {}] {} [{}]"), Some(4));
+    assert_eq!(count("{} {\"a\": 1, \"a\": 2}"), None);
+    assert_eq!(count("{} {"), None);
+}
+
+/// Guards against a record that refers to something that is not there, or that is withdrawn.
+#[test]
+fn references_are_checked_against_the_whole_deployment() {
+    let mut all: Vec<Document> = valid()
+        .iter()
+        .map(|(kind, schema, spec)| {
+            Document::parse(record(kind, *schema, spec).to_string().as_bytes()).unwrap()
+        })
+        .collect();
+    let faults = check_references(&all, &[]).unwrap_err().to_string();
+    let expected = [
+        "key/n: spec.workspace: no workspace \"w\"",
+        "region/n: spec.links[0].to: no region \"r\"",
+        "region/n: spec.links[0].to: no region \"r\"",
+        "shift/n: spec.service: no service \"s\"",
+        "shift/n: spec.from: no region \"a\"",
+        "shift/n: spec.to: no region \"b\"",
+    ];
+    assert_eq!(faults.lines().collect::<Vec<_>>(), expected);
+    let service = all.remove(3);
+    assert_eq!(
+        check_references(std::slice::from_ref(&service), &all),
+        Ok(())
+    );
+    for document in &mut all {
+        document.record = None;
+    }
+    assert!(check_references(&[service], &all).is_err());
+}
+
+/// Guards against a failure domain in two regions, whose shares would be counted twice.
+#[test]
+fn failure_domain_of_two_regions_is_a_fault() {
+    let region = |name: &str| {
+        let mut json = record("region", 1, &valid()[4].2);
+        json["name"] = json!(name);
+        json["spec"]["links"] = json!([]);
+        Document::parse(json.to_string().as_bytes()).unwrap()
+    };
+    let faults = check_references(&[region("b")], &[region("a")]).unwrap_err();
+    assert!(
+        faults
+            .to_string()
+            .contains("region/b: spec.domains[0].name: \"d\" also stands")
+    );
+}
--- a/crates/waxwing_store/src/lib.rs
+++ b/crates/waxwing_store/src/lib.rs
@@ -2,9 +2,11 @@
 
 mod http;
 mod outcome;
+mod status;
 mod store;
 pub mod wire;
 
 pub use http::HttpStore;
 pub use outcome::{ChangesOutcome, Object, ReadOutcome, Vm, VmState, VmsOutcome, WriteOutcome};
+pub use status::DomainStatus;
 pub use store::{Condition, MAX_VALUE_BYTES, Pending, Store};
