--- a/crates/waxwing_core/src/lib.rs
+++ b/crates/waxwing_core/src/lib.rs
@@ -3,14 +3,24 @@
 //! Nothing here opens a socket, reads a clock, starts a thread or draws from an ambient random
 //! source: time and seeds come in as arguments.
 
+mod block;
+mod config;
 mod limit;
+mod member;
 mod message;
+mod pull;
+mod steer;
 
+pub use block::{BlockParts, BlockTable};
+pub use config::{ActiveShift, Adoption, Candidate, Config, ConfigCounts, Delta, Page};
 pub use limit::{
     LeaseMode, Ledger, LedgerAction, LedgerSettings, LimitSpec, OwnersTable, SHARDS, ShardEntry,
     WriteOutcome,
 };
+pub use member::{Members, PULL_PERIOD, SILENCE, Vm, WATCHERS, rank};
 pub use message::{
     Ask, BorrowReply, BorrowRequest, Fingerprint, Grant, LimitKey, PullReply, PullRequest,
     RenewReply, RenewRequest, ShardEpoch, ShardId, VersionedRecord,
 };
+pub use pull::{Clocks, PAGE_BYTES, PullAction, PullSettings, Puller, STALE_AGE, WATCH_WAIT};
+pub use steer::{Answer, LIFETIME, Steering};
--- a/crates/waxwing_records/src/lib.rs
+++ b/crates/waxwing_records/src/lib.rs
@@ -2,12 +2,15 @@
 //! client blocks: their types, their schema versions and their checks.
 
 mod blocks;
+mod check;
 mod document;
 mod finding;
 mod key;
+mod reference;
 mod region;
 mod service;
 mod shift;
+mod split;
 mod wire;
 mod workspace;
 
@@ -15,7 +18,9 @@
 pub use document::{Document, Kind, MAX_RECORD_BYTES, Record, RecordName};
 pub use finding::{Finding, Findings};
 pub use key::{Key, KeyHash};
+pub use reference::check_references;
 pub use region::{Domain, Link, Region};
 pub use service::{Route, Service, Target};
 pub use shift::Shift;
+pub use split::split_records;
 pub use workspace::Workspace;
