waxwing_core: public types of the request path

Cause: the daemon needs the interface of the request path before its logic is ready. Change: Arrival, FlowEvent, FlowAction, Refusal, FlowId, Tables; trait borders to configuration, limits and steering until their modules land. Conclusion: the daemon can build against these types.

--- /dev/null
+++ b/crates/waxwing_core/src/flow/event.rs
@@ -0,0 +1,124 @@
+//! What a flow is told and what it asks for.
+
+use std::net::SocketAddr;
+
+use waxwing_types::{
+    Millis, RegionId, RetryReason, Revision, TargetId, WorkspaceId, common_derives,
+};
+
+use super::{FlowId, Refusal};
+
+common_derives! {
+    /// The result of a store call on the idempotency record.
+    pub enum StoreOutcome {
+        /// The record was created with this version.
+        Created(Revision),
+        /// The record could not be created because it exists.
+        Exists(Revision, Vec<u8>),
+        /// The record was read.
+        Read(Revision, Vec<u8>),
+        /// There is no record.
+        Absent,
+        /// The record was updated and has this version now.
+        Updated(Revision),
+        /// The record has another version than the one expected.
+        Conflict,
+        /// No answer; a write may have taken effect or may still do so.
+        Unreachable,
+    }
+}
+
+common_derives! {
+    /// What happened to a request.
+    pub enum FlowEvent {
+        /// The head of the request arrived.
+        Start,
+        /// The time of the last `SetTimer` was reached.
+        Timer,
+        /// Its turn in the fair queue came, or the queue dropped it.
+        Released,
+        /// A store call ended.
+        Store(StoreOutcome),
+        /// The connection to the target or region could not be opened; no byte was sent.
+        ConnectFailed,
+        /// The head of the answer arrived.
+        Head {
+            /// HTTP status.
+            status: u16,
+            /// Whether the answer says that the request was not run.
+            not_run: bool,
+        },
+        /// The answer is complete.
+        Finished {
+            /// Bytes sent to the target or region.
+            bytes_out: u64,
+            /// Bytes received from it.
+            bytes_in: u64,
+        },
+        /// The connection broke after a byte of the request may have been sent.
+        Broken,
+        /// The caller closed its connection.
+        CallerGone,
+        /// The region that was asked refused the request without running it.
+        RegionRefused,
+    }
+}
+
+common_derives! {
+    /// What the daemon is to do for a request, in this order.
+    pub enum FlowAction {
+        /// Creates a record in the store if absent.
+        Create {
+            /// Path of the record.
+            path: String,
+            /// Its value.
+            value: Vec<u8>,
+        },
+        /// Reads a record from the store.
+        Read {
+            /// Path of the record.
+            path: String,
+        },
+        /// Updates a record in the store if it has the version.
+        Update {
+            /// Path of the record.
+            path: String,
+            /// Version expected.
+            version: Revision,
+            /// Its new value.
+            value: Vec<u8>,
+        },
+        /// The request waits in the fair queue for `Released`.
+        Queue,
+        /// Deliver `Timer` at this time. Replaces the timer set before.
+        SetTimer(Millis),
+        /// Sends the request to a target.
+        Send {
+            /// The target.
+            target: TargetId,
+            /// Its address.
+            address: SocketAddr,
+            /// Value of `X-Workspace`.
+            workspace: Option<WorkspaceId>,
+            /// Time until which the head of the answer is awaited.
+            deadline: Millis,
+        },
+        /// Passes the request on to an entry VM of another region.
+        Forward {
+            /// The region.
+            region: RegionId,
+            /// Time until which the head of the answer is awaited.
+            deadline: Millis,
+        },
+        /// Passes the head and the body of the answer on to the caller.
+        Relay,
+        /// Closes the connection to the target or region.
+        Cancel,
+        /// Answers the caller with a problem body.
+        Refuse(Refusal),
+        /// Another flow is to be given `Released`.
+        Wake(FlowId),
+        /// The request is sent again, for this reason.
+        Retry(RetryReason),
+    }
+}
--- a/crates/waxwing_core/src/lib.rs
+++ b/crates/waxwing_core/src/lib.rs
@@ -3,9 +3,22 @@
 //! Nothing here opens a socket, reads a clock, starts a thread or draws from an ambient random
 //! source: time and seeds come in as arguments.
 
+mod flow;
 mod message;
+mod quarantine;
+mod queue;
+mod retry;
+mod target;
 
+pub use flow::{
+    Admission, Arrival, Directory, Flow, FlowAction, FlowEvent, FlowId, Forwarded, Place,
+    PresentedKey, Refusal, Regions, StoreOutcome, Tables,
+};
 pub use message::{
     Ask, BorrowReply, BorrowRequest, Fingerprint, Grant, LimitKey, PullReply, PullRequest,
     RenewReply, RenewRequest, ShardEpoch, ShardId, VersionedRecord,
 };
+pub use quarantine::Quarantine;
+pub use queue::FairQueue;
+pub use retry::RetryBudget;
+pub use target::TargetTable;
--- /dev/null
+++ b/crates/waxwing_core/src/queue.rs
@@ -0,0 +1,5 @@
+//! The queues of waiting requests.
+
+/// The queues of waiting requests.
+#[derive(Debug, Default)]
+pub struct FairQueue {}
--- /dev/null
+++ b/crates/waxwing_core/src/retry.rs
@@ -0,0 +1,5 @@
+//! The budget of retries.
+
+/// The budget of retries.
+#[derive(Debug, Default)]
+pub struct RetryBudget {}
--- /dev/null
+++ b/crates/waxwing_core/src/target.rs
@@ -0,0 +1,5 @@
+//! The observations of targets.
+
+/// The observations of targets.
+#[derive(Debug, Default)]
+pub struct TargetTable {}
