--- a/crates/waxwing_core/src/flow/mod.rs
+++ b/crates/waxwing_core/src/flow/mod.rs
@@ -12,7 +12,7 @@
 pub use arrival::{Arrival, FlowId, Forwarded, PresentedKey};
 pub use event::{FlowAction, FlowEvent, StoreOutcome};
 pub use refusal::Refusal;
-pub use tables::{Admission, Directory, Place, Regions, Tables};
+pub use tables::{Admission, Tables};
 
 use waxwing_types::Millis;
 
--- a/crates/waxwing_core/src/lib.rs
+++ b/crates/waxwing_core/src/lib.rs
@@ -3,19 +3,31 @@
 //! Nothing here opens a socket, reads a clock, starts a thread or draws from an ambient random
 //! source: time and seeds come in as arguments.
 
+mod block;
 mod claim;
+mod config;
 mod flow;
+mod limit;
+mod member;
 mod message;
 mod quarantine;
 mod queue;
 mod retry;
+mod steer;
 mod target;
 
+pub use block::{BlockParts, BlockTable};
 pub use claim::{Claim, ClaimRecord, ClaimState, ClaimStep, StoreCall};
+pub use config::{ActiveShift, Adoption, Candidate, Config, ConfigCounts, Delta, Page};
 pub use flow::{
-    Admission, Arrival, Directory, Flow, FlowAction, FlowEvent, FlowId, Forwarded, Place,
-    PresentedKey, Refusal, Regions, StoreOutcome, Tables,
+    Admission, Arrival, Flow, FlowAction, FlowEvent, FlowId, Forwarded, PresentedKey, Refusal,
+    StoreOutcome, Tables,
 };
+pub use limit::{
+    LeaseMode, Ledger, LedgerAction, LedgerSettings, LimitSpec, OwnersTable, SHARDS, ShardEntry,
+    WriteOutcome,
+};
+pub use member::{Members, PULL_PERIOD, SILENCE, Vm, WATCHERS, rank};
 pub use message::{
     Ask, BorrowReply, BorrowRequest, Fingerprint, Grant, LimitKey, PullReply, PullRequest,
     RenewReply, RenewRequest, ShardEpoch, ShardId, VersionedRecord,
@@ -23,4 +35,5 @@
 pub use quarantine::Quarantine;
 pub use queue::{FairQueue, Ticket};
 pub use retry::RetryBudget;
+pub use steer::{Answer, LIFETIME, Steering};
 pub use target::TargetTable;
