--- a/crates/waxwing_core/src/flow/event.rs
+++ b/crates/waxwing_core/src/flow/event.rs
@@ -30,6 +30,10 @@
 
 common_derives! {
     /// What happened to a request.
+    ///
+    /// The daemon delivers no event of an attempt after `Cancel`, after the next `Send` or
+    /// `Forward`, or after `ConnectFailed`, `Broken`, `Finished`, `RegionRefused` or a `Head` with
+    /// `not_run`, and it delivers one outcome for each store call.
     pub enum FlowEvent {
         /// The head of the request arrived.
         Start,
@@ -57,6 +61,9 @@
         },
         /// The connection broke after a byte of the request may have been sent.
         Broken,
+        /// The start of the body was sent and is no longer kept, so that the request cannot be sent
+        /// again. Comes before the end of the attempt.
+        BodyConsumed,
         /// The caller closed its connection.
         CallerGone,
         /// The region that was asked refused the request without running it.
--- /dev/null
+++ b/crates/waxwing_core/src/flow/start.rs
@@ -0,0 +1,175 @@
+//! From the head of the request to its admission.
+
+use waxwing_types::{Micros, Millis, Ran, RefusalReason, RegionId};
+
+use super::{Flow, FlowAction, Phase, Refusal, Step, access};
+use crate::{Claim, Fingerprint, LimitKey};
+
+/// Bytes that a forwarded request takes on a link besides its body.
+const HEAD_BYTES: u64 = 1024;
+
+impl Flow {
+    pub(super) fn on_start(&mut self, ctx: &mut Step<'_, '_>) {
+        let result = self
+            .identify(ctx)
+            .and_then(|()| self.check_wait(ctx))
+            .and_then(|()| self.admit(ctx));
+        if let Err(refusal) = result {
+            self.refuse_with(ctx, refusal);
+            return;
+        }
+        ctx.t.retries.on_request(ctx.now, &self.arrival.service);
+        ctx.out.push(FlowAction::SetTimer(self.deadline));
+        match self.new_claim(ctx) {
+            Some(mut claim) => {
+                let call = claim.open();
+                ctx.call(claim.path(), call);
+                self.claim = Some(claim);
+                self.phase = Phase::Claiming;
+            }
+            None => self.proceed(ctx),
+        }
+    }
+
+    /// Checks path, key, service, route and quarantine, and fixes the deadline.
+    fn identify(&mut self, ctx: &mut Step<'_, '_>) -> Result<(), Refusal> {
+        if !access::is_plain(&self.arrival.path) {
+            return Err(not_run(RefusalReason::BadRequest));
+        }
+        let access = access::check(ctx.now, ctx.t.config, &self.arrival).map_err(not_run)?;
+        let asked = self.arrival.timeout.unwrap_or(Millis::MAX);
+        self.deadline = ctx.now + access.route.timeout.min(asked);
+        self.workspace = access.workspace;
+        self.weight = access.weight;
+        let keyless = self.arrival.idempotency.is_none();
+        if access.route.key_required && keyless {
+            return Err(not_run(RefusalReason::IdempotencyKeyMissing));
+        }
+        self.route = Some(access.route);
+        if self.is_quarantined(ctx) {
+            return Err(not_run(RefusalReason::Quarantined));
+        }
+        Ok(())
+    }
+
+    /// Refuses a request that the queue cannot serve in time, before it spends tokens.
+    fn check_wait(&mut self, ctx: &mut Step<'_, '_>) -> Result<(), Refusal> {
+        let service = &self.arrival.service;
+        ctx.t.targets.sync(ctx.now, ctx.t.config, service);
+        let slots = ctx.t.targets.capacity(ctx.now, service).limit;
+        let wait = ctx.t.queue.wait(service, &self.lane(), self.weight, slots);
+        if ctx.now + wait > self.deadline {
+            return Err(not_run(RefusalReason::QueueFull).after(wait));
+        }
+        Ok(())
+    }
+
+    fn admit(&mut self, ctx: &mut Step<'_, '_>) -> Result<(), Refusal> {
+        if self.arrival.forwarded.is_some() {
+            return admit_from_region(ctx);
+        }
+        let mut wants = Vec::new();
+        if let Some(workspace) = &self.workspace {
+            let key = LimitKey::Workspace(workspace.clone());
+            wants.push((key, Micros::from_units(self.cost().into())));
+        }
+        if self.admit_shift(ctx, &wants)? || wants.is_empty() {
+            return Ok(());
+        }
+        let admitted = ctx.t.ledger.admit(ctx.now, &wants);
+        admitted.map_err(|_| self.rate_limited(ctx))
+    }
+
+    /// Admits a request that a planned shift moves, against the workspace's limit, the shift's cap
+    /// and the link together. `false`: the request stays in this region and nothing was taken.
+    fn admit_shift(
+        &mut self,
+        ctx: &mut Step<'_, '_>,
+        own: &[(LimitKey, Micros)],
+    ) -> Result<bool, Refusal> {
+        // A request that may be sent only once could not come back if the region refuses it.
+        if !self.may_repeat() {
+            return Ok(false);
+        }
+        let service = &self.arrival.service;
+        let shift = ctx
+            .t
+            .steering
+            .shift(ctx.now, ctx.t.config, service, ctx.t.rng);
+        let Some((name, region)) = shift else {
+            return Ok(false);
+        };
+        let Some(link) = ctx.link_to(&region) else {
+            return Ok(false);
+        };
+        let mut wants = own.to_vec();
+        wants.push((LimitKey::Shift(name), Micros::from_units(1)));
+        wants.push((link, Micros::from_units(self.link_bytes())));
+        match ctx.t.ledger.admit(ctx.now, &wants) {
+            Ok(()) => {
+                self.planned = Some(region);
+                Ok(true)
+            }
+            Err(LimitKey::Workspace(_)) => Err(self.rate_limited(ctx)),
+            Err(LimitKey::Shift(_) | LimitKey::Link { .. } | LimitKey::Region(_)) => Ok(false),
+        }
+    }
+
+    /// A claim, if the request may run at most once and can be recognised.
+    fn new_claim(&self, ctx: &mut Step<'_, '_>) -> Option<Claim> {
+        if self.is_idempotent() || self.arrival.forwarded.is_some() {
+            // The VM that passed a request on holds its claim.
+            return None;
+        }
+        let key = self.arrival.idempotency.as_deref()?;
+        let token = ctx.t.rng.u128(..);
+        let service = &self.arrival.service;
+        Some(Claim::new(self.workspace.as_ref(), service, key, token))
+    }
+}
+
+impl Flow {
+    pub(super) fn fingerprint(&self) -> Fingerprint {
+        Fingerprint::of(self.lane().as_str(), &self.arrival)
+    }
+
+    /// Whether the request crashed targets before.
+    pub(super) fn is_quarantined(&self, ctx: &Step<'_, '_>) -> bool {
+        let quarantine = &ctx.t.quarantine;
+        !quarantine.is_empty() && quarantine.holds(ctx.now, self.fingerprint())
+    }
+
+    /// Bytes taken from a link before the request is forwarded.
+    pub(super) fn link_bytes(&self) -> u64 {
+        self.arrival.length.unwrap_or(0) + HEAD_BYTES
+    }
+
+    fn rate_limited(&self, ctx: &Step<'_, '_>) -> Refusal {
+        let workspace = self.workspace.as_ref();
+        let rate = workspace.and_then(|w| ctx.t.config.workspace(w));
+        let rate = rate.map_or(1, |w| w.rate.max(1));
+        let pause = Millis(u64::from(self.cost()) * 1000 / rate);
+        not_run(RefusalReason::RateLimited).after(pause)
+    }
+}
+
+impl Step<'_, '_> {
+    pub(super) fn link_to(&self, region: &RegionId) -> Option<LimitKey> {
+        Some(LimitKey::Link {
+            from: self.t.steering.region(self.t.config)?.clone(),
+            to: region.clone(),
+        })
+    }
+}
+
+fn admit_from_region(ctx: &mut Step<'_, '_>) -> Result<(), Refusal> {
+    let full = not_run(RefusalReason::RegionFull);
+    let region = ctx.t.steering.region(ctx.t.config).ok_or(full)?;
+    let wants = [(LimitKey::Region(region.clone()), Micros::from_units(1))];
+    let admitted = ctx.t.ledger.admit(ctx.now, &wants);
+    admitted.map_err(|_| full)
+}
+
+fn not_run(reason: RefusalReason) -> Refusal {
+    Refusal::new(reason, Ran::No)
+}
--- /dev/null
+++ b/crates/waxwing_core/src/flow/waiting.rs
@@ -0,0 +1,160 @@
+//! The request in the fair queue.
+
+use waxwing_types::{Millis, Ran, RefusalReason, ServiceId, WorkspaceId};
+
+use super::{Flow, FlowAction, FlowId, Phase, Refusal, Step, Tables, access};
+use crate::Ticket;
+
+impl Flow {
+    /// Goes on with a request that is admitted and holds its claim, if it needs one.
+    pub(super) fn proceed(&mut self, ctx: &mut Step<'_, '_>) {
+        if let Err(reason) = self.recheck(ctx) {
+            self.refuse(ctx, reason);
+            return;
+        }
+        match self.planned.take() {
+            Some(region) if ctx.is_reachable(&region) => self.forward(ctx, region),
+            Some(_) | None => self.join(ctx),
+        }
+    }
+
+    /// Enters the fair queue.
+    pub(super) fn join(&mut self, ctx: &mut Step<'_, '_>) {
+        let service = &self.arrival.service;
+        ctx.t.targets.sync(ctx.now, ctx.t.config, service);
+        let capacity = ctx.t.targets.capacity(ctx.now, service);
+        if capacity.usable == 0 {
+            self.leave_region(ctx);
+            return;
+        }
+        let ticket = self.ticket();
+        if let Err(wait) = ctx.t.queue.join(ctx.now, ticket, capacity.limit) {
+            let refusal = Refusal::new(RefusalReason::QueueFull, self.ran());
+            self.refuse_with(ctx, refusal.after(wait));
+            return;
+        }
+        self.phase = Phase::Waiting;
+        ctx.dispatch = true;
+    }
+
+    /// Takes a slot at once, or else the first place of its workspace's queue.
+    pub(super) fn try_again(&mut self, ctx: &mut Step<'_, '_>) {
+        if let Err(reason) = self.recheck(ctx) {
+            self.refuse(ctx, reason);
+            return;
+        }
+        self.take_slot(ctx);
+    }
+
+    pub(super) fn on_released(&mut self, ctx: &mut Step<'_, '_>) {
+        let has_turn = ctx.t.queue.take_turn(self.id);
+        if !matches!(self.phase, Phase::Waiting) {
+            ctx.dispatch = has_turn;
+            return;
+        }
+        if let Err(reason) = self.recheck(ctx) {
+            self.refuse(ctx, reason);
+            return;
+        }
+        if has_turn {
+            self.take_slot(ctx);
+            return;
+        }
+        // The queue dropped it because its key changed, or its turn came long ago.
+        ctx.t.queue.rejoin(self.ticket());
+        ctx.dispatch = true;
+    }
+
+    fn take_slot(&mut self, ctx: &mut Step<'_, '_>) {
+        let service = &self.arrival.service;
+        ctx.t.targets.sync(ctx.now, ctx.t.config, service);
+        let slot = ctx.t.targets.take(ctx.now, service, &self.tried, ctx.t.rng);
+        if let Some(slot) = slot {
+            self.send(ctx, slot);
+        } else if ctx.t.targets.capacity(ctx.now, service).usable == 0 {
+            self.leave_region(ctx);
+        } else {
+            ctx.t.queue.rejoin(self.ticket());
+            self.phase = Phase::Waiting;
+        }
+    }
+
+    /// Wakes the requests whose turn has come, which may include this one.
+    pub(super) fn dispatch(&mut self, ctx: &mut Step<'_, '_>) {
+        for flow in ctx.t.release(ctx.now, &self.arrival.service) {
+            if flow == self.id {
+                self.on_released(ctx);
+            } else {
+                ctx.out.push(FlowAction::Wake(flow));
+            }
+        }
+    }
+}
+
+impl Flow {
+    /// The queue in which the request waits.
+    pub(super) fn lane(&self) -> WorkspaceId {
+        self.workspace.clone().unwrap_or_else(|| "".into())
+    }
+
+    /// Whether the request may still be sent: the deadline has not passed, and the key is still
+    /// valid for the same workspace, and no other copy of it crashed targets meanwhile.
+    pub(super) fn recheck(&self, ctx: &Step<'_, '_>) -> Result<(), RefusalReason> {
+        if ctx.now >= self.deadline {
+            return Err(RefusalReason::DeadlineExceeded);
+        }
+        let access = access::check(ctx.now, ctx.t.config, &self.arrival)?;
+        if access.workspace != self.workspace {
+            return Err(RefusalReason::KeyInvalid);
+        }
+        if self.is_quarantined(ctx) {
+            return Err(RefusalReason::Quarantined);
+        }
+        Ok(())
+    }
+
+    fn ticket(&self) -> Ticket {
+        Ticket {
+            flow: self.id,
+            service: self.arrival.service.clone(),
+            workspace: self.lane(),
+            weight: self.weight,
+            cost: self.cost(),
+            deadline: self.deadline,
+            key: self.arrival.key.as_ref().map(|k| k.id.clone()),
+        }
+    }
+
+    pub(super) fn ran(&self) -> Ran {
+        if self.maybe_ran {
+            Ran::Unknown
+        } else {
+            Ran::No
+        }
+    }
+}
+
+impl Tables<'_> {
+    /// Requests that get their turn because time passed or the configuration changed. The daemon
+    /// calls it at least every 20 ms and gives each of them `Released`.
+    pub fn tick(&mut self, now: Millis) -> Vec<FlowId> {
+        let services = self.queue.services();
+        let woken = services.iter().map(|service| self.release(now, service));
+        woken.collect::<Vec<_>>().concat()
+    }
+
+    /// Requests of a service that get their turn. Without a usable target all of them do, to go to
+    /// another region or to be refused.
+    pub(super) fn release(&mut self, now: Millis, service: &ServiceId) -> Vec<FlowId> {
+        if self.queue.waiting(service) == 0 {
+            return Vec::new();
+        }
+        self.targets.sync(now, self.config, service);
+        let capacity = self.targets.capacity(now, service);
+        let free = match capacity.usable {
+            0 => u32::MAX,
+            _ => capacity.free,
+        };
+        self.queue.release(now, service, free)
+    }
+}
--- a/crates/waxwing_core/src/lib.rs
+++ b/crates/waxwing_core/src/lib.rs
@@ -36,4 +36,4 @@
 pub use queue::{FairQueue, Ticket};
 pub use retry::RetryBudget;
 pub use steer::{Answer, LIFETIME, Steering};
-pub use target::TargetTable;
+pub use target::{Capacity, LoadReport, Observation, Slot, TargetTable};
