waxwing_core: fuzz test of the request path (draft)

Cause: the promises of the request path need an oracle outside of it. Change: several model VMs, store and targets in simulated time, driven by proptest-state-machine. Mutations are not tried yet.

--- /dev/null
+++ b/crates/waxwing_core/tests/flow_fuzz/vm.rs
@@ -0,0 +1,125 @@
+//! One model daemon: the tables, and the flows that it drives.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use fastrand::Rng;
+use waxwing_core::{
+    Admission, Config, FairQueue, Flow, FlowAction, FlowEvent, FlowId, LimitKey, Members,
+    Quarantine, RetryBudget, Steering, Tables, TargetTable,
+};
+use waxwing_types::{Micros, Millis};
+
+use crate::records::{VM_DOMAINS, vm_list};
+use crate::world::Request;
+
+/// Limits that reject now and then.
+struct Limits(Rng);
+
+impl Admission for Limits {
+    fn admit(&mut self, _: Millis, wants: &[(LimitKey, Micros)]) -> Result<(), LimitKey> {
+        match wants.last() {
+            Some((key, _)) if self.0.u8(..40) == 0 => Err(key.clone()),
+            Some(_) | None => Ok(()),
+        }
+    }
+
+    fn charge(&mut self, _: Millis, _: &LimitKey, _: Micros) {}
+}
+
+/// Where a forwarded request came from or went to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Link {
+    pub(crate) vm: usize,
+    pub(crate) process: u64,
+    pub(crate) flow: u64,
+    pub(crate) attempt: u64,
+}
+
+pub(crate) struct Live {
+    pub(crate) flow: Flow,
+    pub(crate) root: usize,
+    /// Attempt that runs; events of other attempts are late.
+    pub(crate) attempt: u64,
+    pub(crate) is_sending: bool,
+    pub(crate) call: u64,
+    pub(crate) timer: u64,
+    pub(crate) parent: Option<Link>,
+    pub(crate) child: Option<Link>,
+    pub(crate) answered: bool,
+    /// Status of the head that arrived last.
+    pub(crate) status: u16,
+}
+
+pub(crate) struct Daemon {
+    pub(crate) process: u64,
+    pub(crate) config: Config,
+    members: Members,
+    steering: Steering,
+    ledger: Limits,
+    pub(crate) queue: FairQueue,
+    targets: TargetTable,
+    pub(crate) quarantine: Quarantine,
+    retries: RetryBudget,
+    rng: Rng,
+    pub(crate) flows: BTreeMap<u64, Live>,
+    /// Keys whose withdrawal was adopted.
+    pub(crate) withdrawn: BTreeSet<usize>,
+    /// Targets that leave, as far as this daemon knows.
+    pub(crate) leaving: Vec<bool>,
+    /// Connections that broke under a poison request, with or without a workspace, and the time of
+    /// the last.
+    pub(crate) crashes: BTreeMap<(Request, bool), (u32, u64)>,
+}
+
+impl Daemon {
+    pub(crate) fn new(vm: usize, process: u64, now: u64, seed: u64) -> Self {
+        let domain = VM_DOMAINS[vm];
+        let mut members = Members::new(format!("vm{vm}").as_str().into(), domain.into());
+        members.on_list(Millis(now), vm_list());
+        Self {
+            process,
+            config: Config::new(),
+            members,
+            steering: Steering::new(domain.into()),
+            ledger: Limits(Rng::with_seed(seed)),
+            queue: FairQueue::default(),
+            targets: TargetTable::new(domain.into()),
+            quarantine: Quarantine::default(),
+            retries: RetryBudget::default(),
+            rng: Rng::with_seed(seed.wrapping_add(1)),
+            flows: BTreeMap::new(),
+            withdrawn: BTreeSet::new(),
+            leaving: vec![false; crate::records::TARGETS],
+            crashes: BTreeMap::new(),
+        }
+    }
+
+    pub(crate) fn step(&mut self, now: u64, flow: u64, event: FlowEvent) -> Vec<FlowAction> {
+        let Some(mut live) = self.flows.remove(&flow) else {
+            return Vec::new();
+        };
+        let actions = live.flow.step(Millis(now), event, &mut self.tables());
+        self.flows.insert(flow, live);
+        self.queue.check_invariants();
+        self.targets.check_invariants();
+        actions
+    }
+
+    pub(crate) fn tick(&mut self, now: u64) -> Vec<FlowId> {
+        self.tables().tick(Millis(now))
+    }
+
+    fn tables(&mut self) -> Tables<'_> {
+        Tables {
+            config: &self.config,
+            members: &self.members,
+            steering: &self.steering,
+            ledger: &mut self.ledger,
+            queue: &mut self.queue,
+            targets: &mut self.targets,
+            quarantine: &mut self.quarantine,
+            retries: &mut self.retries,
+            rng: &mut self.rng,
+        }
+    }
+}
