waxwing_core: fairness and rule tests, queue estimate by pace

Cause: under overload by one workspace its own requests were sent with too little time left and given up while they held slots. Ruled out: estimate by weight alone (workspaces that are served before they wait long are not seen as competitors). Change: the estimated wait is at least the pace at which the queue was served lately; time for the answer is kept; a load report decides only between targets that were observed; copies broken by one crash count once in quarantine.

--- a/crates/waxwing_core/src/flow/sending.rs
+++ b/crates/waxwing_core/src/flow/sending.rs
@@ -91,8 +91,11 @@
         };
         self.maybe_ran = true;
         self.breaks += 1;
-        if let Receiver::Target(_) = attempt.to {
-            ctx.t.quarantine.on_crash(ctx.now, self.fingerprint());
+        if let Receiver::Target(slot) = &attempt.to {
+            let (print, sent) = (self.fingerprint(), attempt.since);
+            ctx.t
+                .quarantine
+                .on_crash(ctx.now, print, &slot.target, sent);
         }
         self.release(ctx, &attempt, Some(Observation::Failed));
         if relaying {
--- a/crates/waxwing_core/src/flow/start.rs
+++ b/crates/waxwing_core/src/flow/start.rs
@@ -3,6 +3,7 @@
 use waxwing_types::{Micros, Millis, Ran, RefusalReason, RegionId};
 
 use super::{Flow, FlowAction, Phase, Refusal, Step, access};
+use crate::queue::fits;
 use crate::{Claim, Fingerprint, LimitKey};
 
 /// Bytes that a forwarded request takes on a link besides its body.
@@ -56,9 +57,10 @@
     fn check_wait(&mut self, ctx: &mut Step<'_, '_>) -> Result<(), Refusal> {
         let service = &self.arrival.service;
         ctx.t.targets.sync(ctx.now, ctx.t.config, service);
-        let slots = ctx.t.targets.capacity(ctx.now, service).limit;
-        let wait = ctx.t.queue.wait(service, &self.lane(), self.weight, slots);
-        if ctx.now + wait > self.deadline {
+        let room = ctx.t.targets.capacity(ctx.now, service);
+        let queue = &ctx.t.queue;
+        let wait = queue.wait(service, &self.lane(), self.weight, room.limit);
+        if !fits(ctx.now, wait, self.deadline, room) {
             return Err(not_run(RefusalReason::QueueFull).after(wait));
         }
         Ok(())
--- a/crates/waxwing_core/src/flow/waiting.rs
+++ b/crates/waxwing_core/src/flow/waiting.rs
@@ -28,7 +28,7 @@
             return;
         }
         let ticket = self.ticket();
-        if let Err(wait) = ctx.t.queue.join(ctx.now, ticket, capacity.limit) {
+        if let Err(wait) = ctx.t.queue.join(ctx.now, ticket, capacity) {
             let refusal = Refusal::new(RefusalReason::QueueFull, self.ran());
             self.refuse_with(ctx, refusal.after(wait));
             return;
@@ -61,7 +61,7 @@
             return;
         }
         // The queue dropped it because its key changed, or its turn came long ago.
-        ctx.t.queue.rejoin(self.ticket());
+        ctx.t.queue.rejoin(ctx.now, self.ticket());
         ctx.dispatch = true;
     }
 
@@ -74,7 +74,7 @@
         } else if ctx.t.targets.capacity(ctx.now, service).usable == 0 {
             self.leave_region(ctx);
         } else {
-            ctx.t.queue.rejoin(self.ticket());
+            ctx.t.queue.rejoin(ctx.now, self.ticket());
             self.phase = Phase::Waiting;
         }
     }
--- a/crates/waxwing_core/src/quarantine.rs
+++ b/crates/waxwing_core/src/quarantine.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use sha2::{Digest, Sha256};
-use waxwing_types::Millis;
+use waxwing_types::{Millis, TargetId};
 
 use crate::{Arrival, Fingerprint};
 
@@ -17,13 +17,15 @@
 /// Greatest number of fingerprints held. The oldest give way.
 const CAPACITY: usize = 10_000;
 
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct Entry {
     /// Time of the quarantine, or of the last crash before it.
     since: Millis,
     crashes: u32,
     /// Whether the crashes were seen here.
     own: bool,
+    /// Target that crashed last.
+    target: Option<TargetId>,
 }
 
 /// The quarantined fingerprints of one daemon.
@@ -33,20 +35,35 @@
 }
 
 impl Quarantine {
-    /// Counts a crash. Returns whether the fingerprint is quarantined now.
-    pub fn on_crash(&mut self, now: Millis, print: Fingerprint) -> bool {
+    /// Counts a crash of a target under an attempt that was sent at `sent`. Returns whether the
+    /// fingerprint is quarantined now.
+    ///
+    /// One crash breaks all copies of a popular request that the target runs, so that attempts
+    /// that were sent to the same target before its last crash count once.
+    pub fn on_crash(
+        &mut self,
+        now: Millis,
+        print: Fingerprint,
+        target: &TargetId,
+        sent: Millis,
+    ) -> bool {
         self.expire(now);
         let entry = self.entries.entry(print).or_insert(Entry {
             since: now,
             crashes: 0,
             own: true,
+            target: None,
         });
         if now.since(entry.since) >= LIFETIME {
             entry.crashes = 0;
         }
-        entry.own = true;
-        entry.crashes += 1;
-        entry.since = now;
+        let same = entry.target.as_ref() == Some(target) && sent < entry.since;
+        if !same || entry.crashes == 0 {
+            entry.own = true;
+            entry.crashes += 1;
+            entry.since = now;
+            entry.target = Some(target.clone());
+        }
         entry.crashes >= CRASHES
     }
 
@@ -59,6 +76,7 @@
                 since: now,
                 crashes: CRASHES,
                 own: false,
+                target: None,
             });
             if entry.crashes < CRASHES {
                 entry.crashes = CRASHES;
--- a/crates/waxwing_core/src/queue/lanes.rs
+++ b/crates/waxwing_core/src/queue/lanes.rs
@@ -8,9 +8,12 @@
 
 use waxwing_types::{Millis, WorkspaceId};
 
-use super::Ticket;
+use super::{Ticket, units};
 use crate::FlowId;
 
+/// Part of a new sample in the average time between turns.
+const PACE_GAIN: f64 = 0.05;
+
 /// The queue of one workspace.
 #[derive(Debug, Default)]
 struct Lane {
@@ -18,6 +21,10 @@
     deficit: u64,
     weight: u64,
     cost: u64,
+    /// Time of the last turn, or of the first request if there was none.
+    last: Millis,
+    /// Average time in ms between turns, per unit of cost. 0: not known.
+    pace: f64,
 }
 
 /// The queues of one service.
@@ -31,20 +38,20 @@
 }
 
 impl Lanes {
-    pub(super) fn push_back(&mut self, ticket: Ticket) {
-        self.enter(&ticket).tickets.push_back(ticket);
+    pub(super) fn push_back(&mut self, now: Millis, ticket: Ticket) {
+        self.enter(now, &ticket).tickets.push_back(ticket);
     }
 
-    pub(super) fn push_front(&mut self, ticket: Ticket) {
+    pub(super) fn push_front(&mut self, now: Millis, ticket: Ticket) {
         // The request paid for its turn already.
         let cost = u64::from(ticket.cost);
-        let lane = self.enter(&ticket);
+        let lane = self.enter(now, &ticket);
         lane.deficit += cost;
         lane.tickets.push_front(ticket);
     }
 
     /// Takes out the request whose turn it is.
-    pub(super) fn pop(&mut self) -> Option<(FlowId, Millis)> {
+    pub(super) fn pop(&mut self, now: Millis) -> Option<(FlowId, Millis)> {
         if self.ring.is_empty() {
             return None;
         }
@@ -57,6 +64,9 @@
         let lane = self.table.get_mut(&workspace)?;
         let ticket = lane.tickets.pop_front()?;
         lane.deficit = lane.deficit.saturating_sub(u64::from(ticket.cost));
+        if ticket.deadline > now {
+            lane.on_turn(now, ticket.cost);
+        }
         self.left(&workspace, u64::from(ticket.cost));
         Some((ticket.flow, ticket.deadline))
     }
@@ -89,12 +99,13 @@
     }
 
     /// The lane for a ticket that is about to be added.
-    fn enter(&mut self, ticket: &Ticket) -> &mut Lane {
+    fn enter(&mut self, now: Millis, ticket: &Ticket) -> &mut Lane {
         self.len += 1;
         self.cost += u64::from(ticket.cost);
         let lane = self.table.entry(ticket.workspace.clone()).or_default();
         if lane.tickets.is_empty() {
             self.ring.push_back(ticket.workspace.clone());
+            lane.last = now;
         }
         lane.weight = u64::from(ticket.weight.max(1));
         lane.cost += u64::from(ticket.cost);
@@ -155,6 +166,11 @@
         self.lane(workspace).map_or(0, |lane| lane.cost)
     }
 
+    /// Time in ms that the workspace's queue took lately to serve a unit of cost. 0: not known.
+    pub(super) fn pace_of(&self, workspace: &WorkspaceId) -> f64 {
+        self.lane(workspace).map_or(0.0, |lane| lane.pace)
+    }
+
     /// Weights of all other workspaces with waiting requests.
     pub(super) fn weight_without(&self, workspace: &WorkspaceId) -> u64 {
         let own = self.lane(workspace).map_or(0, |lane| lane.weight);
@@ -181,6 +197,12 @@
 }
 
 impl Lane {
+    fn on_turn(&mut self, now: Millis, cost: u32) {
+        let sample = units(now.since(self.last).0) / f64::from(cost.max(1));
+        self.pace += PACE_GAIN * (sample - self.pace);
+        self.last = now;
+    }
+
     /// Deficit that the queue lacks for its first request.
     fn missing(&self) -> u64 {
         self.tickets
--- a/crates/waxwing_core/src/queue/mod.rs
+++ b/crates/waxwing_core/src/queue/mod.rs
@@ -7,7 +7,7 @@
 use smol_str::SmolStr;
 use waxwing_types::{Millis, ServiceId, WorkspaceId, common_derives};
 
-use crate::FlowId;
+use crate::{Capacity, FlowId};
 use lanes::Lanes;
 
 /// Greatest number of requests of one workspace that wait for one service.
@@ -63,15 +63,14 @@
 }
 
 impl FairQueue {
-    /// Adds a request at the end of its workspace's queue. `slots` is the concurrency of the usable
-    /// targets.
+    /// Adds a request at the end of its workspace's queue.
     ///
     /// # Errors
     /// The estimated wait, if it exceeds the deadline or the queue is full.
-    pub fn join(&mut self, now: Millis, ticket: Ticket, slots: u32) -> Result<(), Millis> {
+    pub fn join(&mut self, now: Millis, ticket: Ticket, room: Capacity) -> Result<(), Millis> {
         let service = &ticket.service;
-        let wait = self.wait(service, &ticket.workspace, ticket.weight, slots);
-        if now + wait > ticket.deadline {
+        let wait = self.wait(service, &ticket.workspace, ticket.weight, room.limit);
+        if !fits(now, wait, ticket.deadline, room) {
             return Err(wait);
         }
         let line = self.lines.entry(service.clone()).or_default();
@@ -80,16 +79,16 @@
         }
         let place = (service.clone(), ticket.workspace.clone());
         self.places.insert(ticket.flow, place);
-        line.lanes.push_back(ticket);
+        line.lanes.push_back(now, ticket);
         Ok(())
     }
 
     /// Puts a request whose turn came but which found no free target back in front.
-    pub fn rejoin(&mut self, ticket: Ticket) {
+    pub fn rejoin(&mut self, now: Millis, ticket: Ticket) {
         let place = (ticket.service.clone(), ticket.workspace.clone());
         self.places.insert(ticket.flow, place);
         let line = self.lines.entry(ticket.service.clone()).or_default();
-        line.lanes.push_front(ticket);
+        line.lanes.push_front(now, ticket);
     }
 
     /// Removes a request that no longer waits, or whose turn it no longer takes.
@@ -124,7 +123,7 @@
             .retain(|(_, since)| now.since(*since) < RELEASE_TERM);
         let mut woken = Vec::new();
         while line.released.len() < free as usize {
-            let Some((flow, deadline)) = line.lanes.pop() else {
+            let Some((flow, deadline)) = line.lanes.pop(now) else {
                 break;
             };
             if deadline > now {
@@ -162,7 +161,9 @@
 
 impl FairQueue {
     /// Estimated wait of a request that joins now: the smaller of the time for everything ahead,
-    /// and the time for its own workspace's queue at the workspace's share.
+    /// and the time for its own workspace's queue at the workspace's share; but at least the time
+    /// at the pace at which this queue was served lately, because workspaces that are served
+    /// before they have to wait long are not seen as competitors.
     pub fn wait(
         &self,
         service: &ServiceId,
@@ -177,7 +178,13 @@
         let others = units(line.lanes.weight_without(workspace));
         let share = f64::from(weight) / (f64::from(weight) + others);
         let ahead = (own / share).min(units(line.lanes.cost()));
-        to_millis(ahead * line.hold / f64::from(slots.max(1)))
+        let by_share = ahead * line.hold / f64::from(slots.max(1));
+        to_millis(by_share.max(own * line.lanes.pace_of(workspace)))
+    }
+
+    /// Whether the request waits, or was released and has not come forward.
+    pub fn contains(&self, flow: FlowId) -> bool {
+        self.places.contains_key(&flow)
     }
 
     /// Services for which requests wait.
@@ -212,6 +219,14 @@
     }
 }
 
+/// Whether a request that waits can be answered before its deadline. A quarter of the estimated
+/// wait is added for its error, and twice the average latency for the answer: a request that is
+/// sent with less left is likely to be given up while it holds a slot.
+pub(crate) fn fits(now: Millis, wait: Millis, deadline: Millis, room: Capacity) -> bool {
+    wait == Millis::ZERO
+        || now + wait + Millis(wait.0 / 4) + room.latency + room.latency <= deadline
+}
+
 #[allow(clippy::cast_precision_loss)] // spans, costs and weights are far below 2^52
 fn units(count: u64) -> f64 {
     count as f64
--- a/crates/waxwing_core/src/target/mod.rs
+++ b/crates/waxwing_core/src/target/mod.rs
@@ -46,6 +46,8 @@
         pub limit: u32,
         /// Requests that may be sent now.
         pub free: u32,
+        /// Average time to the head of an answer. Zero while nothing is known.
+        pub latency: Millis,
     }
 }
 
@@ -165,8 +167,14 @@
 impl TargetTable {
     /// What the service's targets in this region can take.
     pub fn capacity(&self, now: Millis, service: &ServiceId) -> Capacity {
-        let mut sum = Capacity::default();
-        for state in self.pools.get(service).iter().flat_map(|p| &p.states) {
+        let Some(pool) = self.pools.get(service) else {
+            return Capacity::default();
+        };
+        let mut sum = Capacity {
+            latency: state::span(pool.known_latency().unwrap_or(0.0)),
+            ..Capacity::default()
+        };
+        for state in &pool.states {
             if state.is_usable(now) {
                 sum.usable += 1;
                 sum.limit += state.limit(now);
@@ -258,11 +266,15 @@
     }
 
     fn better(&self, now: Millis, a: usize, b: usize) -> usize {
-        let usual = self.usual_latency();
+        let usual = self.known_latency().unwrap_or(1.0);
         let score = |at: usize| self.states[at].score(now, usual);
         let (score_a, score_b) = (score(a), score(b));
         let near = score_a.max(score_b) <= score_a.min(score_b) * NEAR_TIE;
+        // A target that nothing is known of could be kept unknown by another's report.
+        let known = |at: usize| self.states[at].known_latency().is_some();
         if near
+            && known(a)
+            && known(b)
             && let (Some(load_a), Some(load_b)) =
                 (self.states[a].reported(now), self.states[b].reported(now))
             && load_a != load_b
@@ -273,14 +285,10 @@
     }
 
     /// Mean latency of the targets on which something is known.
-    fn usual_latency(&self) -> f64 {
-        let known: Vec<f64> = self
-            .states
-            .iter()
-            .filter_map(State::known_latency)
-            .collect();
-        let count = u32::try_from(known.len()).unwrap_or(u32::MAX);
-        known.iter().sum::<f64>().max(1.0) / f64::from(count.max(1))
+    fn known_latency(&self) -> Option<f64> {
+        let known = self.states.iter().filter_map(State::known_latency);
+        let (count, sum) = known.fold((0.0, 0.0), |(n, sum), l| (n + 1.0, sum + l));
+        (count > 0.0).then_some(sum / count)
     }
 
     /// Whether the target may be ejected: never more than half of those of its failure domain.
--- a/crates/waxwing_core/src/target/state.rs
+++ b/crates/waxwing_core/src/target/state.rs
@@ -283,6 +283,11 @@
     span.0 as f64
 }
 
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // saturates, never negative
+pub(super) fn span(millis: f64) -> Millis {
+    Millis(millis.ceil() as u64)
+}
+
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // 1 to MAX_SLOTS
 fn whole(limit: f64) -> u32 {
     limit as u32
--- a/crates/waxwing_core/tests/flow_fuzz.rs
+++ b/crates/waxwing_core/tests/flow_fuzz.rs
@@ -21,10 +21,10 @@
 use proptest::test_runner::{Config, RngSeed};
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 
-use records::{TARGETS, VMS, WORKSPACES};
+use records::{Kind, Request, TARGETS, VMS, WORKSPACES};
 use store::StoreMode;
 use target::{MODES, Mode};
-use world::{Kind, Request, World};
+use world::World;
 
 /// Seed of the cases that always run.
 const SEED: u64 = 20_260_704;
--- a/crates/waxwing_core/tests/flow_fuzz/drive.rs
+++ b/crates/waxwing_core/tests/flow_fuzz/drive.rs
@@ -1,6 +1,6 @@
 //! Carries out what the flows ask for, and what the targets do.
 
-use waxwing_core::{FlowAction, FlowEvent, Refusal, StoreOutcome};
+use waxwing_core::{FlowAction, FlowEvent, FlowId, Refusal, StoreOutcome};
 use waxwing_types::{Millis, Ran};
 
 use crate::records::{VMS, region_of_vm};
@@ -9,6 +9,8 @@
 use crate::vm::Link;
 use crate::world::{Event, World, forwarded};
 
+/// Time that the routes allow until the answer begins.
+const TIMEOUT: u64 = 400;
 /// Time for which the oracle expects a poison request to stay quarantined.
 const QUARANTINE: u64 = 600_000;
 
@@ -41,6 +43,8 @@
         let done = |l: &mut crate::vm::Live| l.flow.is_finished();
         if self.live(at).is_some_and(done) {
             self.vms[at.vm].flows.remove(&at.flow);
+            let queued = self.vms[at.vm].queue.contains(FlowId(at.flow));
+            assert!(!queued, "a finished request stays in the queue");
         }
     }
 
@@ -63,6 +67,10 @@
                 let index = target.as_str()[1..].parse().expect("target name");
                 self.check_send(at, index, workspace.is_some());
                 let (sender, root) = self.begin(at);
+                let now = self.now;
+                if let Some(live) = self.live(at) {
+                    live.sent = (index, now);
+                }
                 let delay = self.rng.u64(1..3);
                 self.schedule(
                     delay,
@@ -164,6 +172,8 @@
             return;
         }
         let request = self.roots[root].request;
+        let span = self.now - self.roots[root].since;
+        assert!(span <= TIMEOUT, "{request:?}: answered after {span} ms");
         self.roots[root].answers += 1;
         self.roots[root].refusal = refusal;
         if refusal.is_some_and(|r| r.ran == Ran::Yes) {
@@ -203,7 +213,7 @@
             "{request:?}: sent with a withdrawn key"
         );
         if request.poison
-            && let Some((crashes, last)) = daemon.crashes.get(&(request, for_workspace))
+            && let Some((crashes, last, _)) = daemon.crashes.get(&(request, for_workspace))
         {
             let quarantined = *crashes >= 2 && now - last < QUARANTINE;
             assert!(!quarantined, "{request:?}: sent after {crashes} crashes");
@@ -215,11 +225,15 @@
             return;
         };
         let (root, owned) = (live.root, live.flow.workspace().is_some());
+        let (target, sent) = live.sent;
         let (request, now) = (self.roots[root].request, self.now);
         if request.poison {
             let crashes = &mut self.vms[at.vm].crashes;
             let entry = crashes.entry((request, owned)).or_default();
-            *entry = (entry.0 + 1, now);
+            // Copies that the same crash broke count once.
+            if entry.0 == 0 || entry.2 != target || sent >= entry.1 {
+                *entry = (entry.0 + 1, now, target);
+            }
         }
     }
 
@@ -229,6 +243,7 @@
         let full = model.running.len() >= model.slots;
         let closed = now < model.down_until || model.mode == Mode::Closed;
         let at = link(sender);
+        self.roots[root].sends += u32::from(!closed);
         if !closed && self.rng.u8(..20) == 0 {
             self.later(0, at, true, FlowEvent::BodyConsumed);
         }
--- a/crates/waxwing_core/tests/flow_fuzz/records.rs
+++ b/crates/waxwing_core/tests/flow_fuzz/records.rs
@@ -1,7 +1,7 @@
 //! Configuration records of the model deployment: two regions, three VMs, six targets.
 
 use serde_json::{Value, json};
-use waxwing_core::{Candidate, Config, VersionedRecord, Vm};
+use waxwing_core::{Arrival, Candidate, Config, PresentedKey, VersionedRecord, Vm};
 use waxwing_records::KeyHash;
 use waxwing_types::{Millis, Revision};
 
@@ -13,6 +13,25 @@
 /// Failure domain of each target.
 const TARGET_DOMAINS: [&str; TARGETS] = ["d0", "d0", "d1", "d1", "d2", "d2"];
 
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Kind {
+    /// Not idempotent, with a key.
+    Confirm,
+    /// Not idempotent, without a key.
+    Approve,
+    Check,
+    Public,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Request {
+    pub(crate) workspace: usize,
+    pub(crate) kind: Kind,
+    pub(crate) number: u64,
+    /// Crashes each target that runs it.
+    pub(crate) poison: bool,
+}
+
 pub(crate) fn region_of_vm(vm: usize) -> &'static str {
     if vm == 2 { "r1" } else { "r0" }
 }
@@ -97,3 +116,32 @@
         })
         .collect()
 }
+
+pub(crate) fn arrival(request: Request) -> Arrival {
+    let (method, path) = match request.kind {
+        Kind::Confirm => ("POST", "/confirm"),
+        Kind::Approve => ("POST", "/approve"),
+        Kind::Check => ("GET", "/check"),
+        Kind::Public => ("GET", "/public"),
+    };
+    let workspace = request.workspace;
+    Arrival {
+        service: "s".into(),
+        method: method.into(),
+        path: format!("{path}/{}", request.number).as_str().into(),
+        key: Some(PresentedKey {
+            id: format!("k{workspace}").as_str().into(),
+            hash: key_hash(workspace),
+        }),
+        idempotency: (request.kind == Kind::Confirm).then(|| {
+            format!("i{}{}", request.number, request.poison)
+                .as_str()
+                .into()
+        }),
+        timeout: None,
+        length: Some(100),
+        client: [127, 0, 0, 1].into(),
+        body_hash: request.number + u64::from(request.poison) * 1000,
+        forwarded: None,
+    }
+}
--- a/crates/waxwing_core/tests/flow_fuzz/vm.rs
+++ b/crates/waxwing_core/tests/flow_fuzz/vm.rs
@@ -9,16 +9,15 @@
 };
 use waxwing_types::{Micros, Millis};
 
-use crate::records::{VM_DOMAINS, vm_list};
-use crate::world::Request;
+use crate::records::{Request, VM_DOMAINS, vm_list};
 
-/// Limits that reject now and then.
-struct Limits(Rng);
+/// Limits that reject one request in this many. 0: none.
+struct Limits(Rng, u8);
 
 impl Admission for Limits {
     fn admit(&mut self, _: Millis, wants: &[(LimitKey, Micros)]) -> Result<(), LimitKey> {
         match wants.last() {
-            Some((key, _)) if self.0.u8(..40) == 0 => Err(key.clone()),
+            Some((key, _)) if self.1 > 0 && self.0.u8(..self.1) == 0 => Err(key.clone()),
             Some(_) | None => Ok(()),
         }
     }
@@ -46,18 +45,40 @@
     pub(crate) parent: Option<Link>,
     pub(crate) child: Option<Link>,
     pub(crate) answered: bool,
+    /// Target and time of the last attempt.
+    pub(crate) sent: (usize, u64),
     /// Status of the head that arrived last.
     pub(crate) status: u16,
 }
 
+impl Live {
+    pub(crate) fn new(flow: Flow, root: usize, parent: Option<Link>) -> Self {
+        Self {
+            flow,
+            root,
+            attempt: 0,
+            is_sending: false,
+            call: 0,
+            timer: 0,
+            parent,
+            child: None,
+            answered: false,
+            sent: (0, 0),
+            status: 0,
+        }
+    }
+}
+
 pub(crate) struct Daemon {
     pub(crate) process: u64,
     pub(crate) config: Config,
+    /// Whether invariants are checked after each step.
+    pub(crate) checks: bool,
     members: Members,
     steering: Steering,
     ledger: Limits,
     pub(crate) queue: FairQueue,
-    targets: TargetTable,
+    pub(crate) targets: TargetTable,
     pub(crate) quarantine: Quarantine,
     retries: RetryBudget,
     rng: Rng,
@@ -66,22 +87,23 @@
     pub(crate) withdrawn: BTreeSet<usize>,
     /// Targets that leave, as far as this daemon knows.
     pub(crate) leaving: Vec<bool>,
-    /// Connections that broke under a poison request, with or without a workspace, and the time of
-    /// the last.
-    pub(crate) crashes: BTreeMap<(Request, bool), (u32, u64)>,
+    /// Crashes under a poison request, with or without a workspace: their number, and time and
+    /// target of the last.
+    pub(crate) crashes: BTreeMap<(Request, bool), (u32, u64, usize)>,
 }
 
 impl Daemon {
-    pub(crate) fn new(vm: usize, process: u64, now: u64, seed: u64) -> Self {
+    pub(crate) fn new(vm: usize, process: u64, now: u64, seed: u64, reject: u8) -> Self {
         let domain = VM_DOMAINS[vm];
         let mut members = Members::new(format!("vm{vm}").as_str().into(), domain.into());
         members.on_list(Millis(now), vm_list());
         Self {
             process,
             config: Config::new(),
+            checks: true,
             members,
             steering: Steering::new(domain.into()),
-            ledger: Limits(Rng::with_seed(seed)),
+            ledger: Limits(Rng::with_seed(seed), reject),
             queue: FairQueue::default(),
             targets: TargetTable::new(domain.into()),
             quarantine: Quarantine::default(),
@@ -94,14 +116,17 @@
         }
     }
 
+    /// Delivers an event to a flow.
     pub(crate) fn step(&mut self, now: u64, flow: u64, event: FlowEvent) -> Vec<FlowAction> {
         let Some(mut live) = self.flows.remove(&flow) else {
             return Vec::new();
         };
         let actions = live.flow.step(Millis(now), event, &mut self.tables());
         self.flows.insert(flow, live);
-        self.queue.check_invariants();
-        self.targets.check_invariants();
+        if self.checks {
+            self.queue.check_invariants();
+            self.targets.check_invariants();
+        }
         actions
     }
 
@@ -109,7 +134,7 @@
         self.tables().tick(Millis(now))
     }
 
-    fn tables(&mut self) -> Tables<'_> {
+    pub(crate) fn tables(&mut self) -> Tables<'_> {
         Tables {
             config: &self.config,
             members: &self.members,
--- a/crates/waxwing_core/tests/flow_fuzz/world.rs
+++ b/crates/waxwing_core/tests/flow_fuzz/world.rs
@@ -4,44 +4,26 @@
 
 use fastrand::Rng;
 use serde_json::Value;
-use waxwing_core::{
-    Arrival, Flow, FlowAction, FlowEvent, FlowId, Forwarded, PresentedKey, Refusal,
-};
+use waxwing_core::{Arrival, Flow, FlowAction, FlowEvent, FlowId, Forwarded, Refusal};
 use waxwing_types::{Millis, Ran};
 
-use crate::records::{self, TARGETS, VMS, WORKSPACES};
+use crate::records::{self, Kind, Request, TARGETS, VMS, WORKSPACES, arrival};
 use crate::store::Store;
 use crate::target::{Mode, Sender, Target};
 use crate::vm::{Daemon, Link, Live};
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum Kind {
-    /// Not idempotent, with a key.
-    Confirm,
-    /// Not idempotent, without a key.
-    Approve,
-    Check,
-    Public,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) struct Request {
-    pub(crate) workspace: usize,
-    pub(crate) kind: Kind,
-    pub(crate) number: u64,
-    /// Crashes each target that runs it.
-    pub(crate) poison: bool,
-}
-
 /// A request as a caller sent it to one VM.
 pub(crate) struct Root {
     pub(crate) request: Request,
     pub(crate) vm: usize,
     pub(crate) flow: u64,
+    pub(crate) since: u64,
     pub(crate) answers: u32,
     pub(crate) refusal: Option<Refusal>,
     /// Runs that this sending caused.
     pub(crate) runs: u32,
+    /// Requests that reached a target because of it.
+    pub(crate) sends: u32,
     /// Whether the VM died or the caller left, so that there may be no answer.
     pub(crate) lost: bool,
 }
@@ -160,9 +142,11 @@
             request,
             vm,
             flow,
+            since: self.now,
             answers: 0,
             refusal: None,
             runs: 0,
+            sends: 0,
             lost: false,
         });
         self.deliver(self.link(vm, flow), FlowEvent::Start);
@@ -310,7 +294,7 @@
 
     fn boot(&mut self, vm: usize, process: u64) -> Daemon {
         let seed = self.rng.u64(..);
-        let mut daemon = Daemon::new(vm, process, self.now, seed);
+        let mut daemon = Daemon::new(vm, process, self.now, seed, 40);
         for (version, record) in (1..).zip(records::fixed()) {
             records::adopt(&mut daemon.config, self.now, version, &record);
         }
@@ -336,18 +320,7 @@
         parent: Option<Link>,
     ) -> u64 {
         self.flows += 1;
-        let live = Live {
-            flow: Flow::new(FlowId(self.flows), arrival),
-            root,
-            parent,
-            attempt: 0,
-            is_sending: false,
-            call: 0,
-            timer: 0,
-            child: None,
-            answered: false,
-            status: 0,
-        };
+        let live = Live::new(Flow::new(FlowId(self.flows), arrival), root, parent);
         self.vms[vm].flows.insert(self.flows, live);
         self.flows
     }
@@ -401,7 +374,7 @@
             let name = format!("{:?} at vm{}, {:?}", root.request, root.vm, root.refusal);
             assert!(root.answers <= 1, "{name}: {} answers", root.answers);
             if root.request.kind == Kind::Approve {
-                assert!(root.runs <= 1, "{name}: ran {} times", root.runs);
+                assert!(root.sends <= 1, "{name}: sent {} times", root.sends);
             }
             if root.refusal.is_some_and(|r| r.ran == Ran::No) {
                 assert_eq!(root.runs, 0, "{name}: said not run, but ran");
@@ -421,6 +394,10 @@
             let open: Vec<_> = daemon.flows.values().map(|l| &l.flow).collect();
             assert!(open.is_empty(), "not finished: {open:?}");
             assert!(daemon.queue.is_empty(), "requests left in the queue");
+            for target in (0..TARGETS).map(|t| format!("t{t}").as_str().into()) {
+                let held = daemon.targets.in_flight(&"s".into(), &target);
+                assert_eq!(held, 0, "slots of {target} not given back");
+            }
         }
         for root in self.roots.iter().filter(|r| !r.lost) {
             assert_eq!(root.answers, 1, "{:?} at vm{}", root.request, root.vm);
@@ -428,35 +405,6 @@
     }
 }
 
-pub(crate) fn arrival(request: Request) -> Arrival {
-    let (method, path) = match request.kind {
-        Kind::Confirm => ("POST", "/confirm"),
-        Kind::Approve => ("POST", "/approve"),
-        Kind::Check => ("GET", "/check"),
-        Kind::Public => ("GET", "/public"),
-    };
-    let workspace = request.workspace;
-    Arrival {
-        service: "s".into(),
-        method: method.into(),
-        path: format!("{path}/{}", request.number).as_str().into(),
-        key: Some(PresentedKey {
-            id: format!("k{workspace}").as_str().into(),
-            hash: records::key_hash(workspace),
-        }),
-        idempotency: (request.kind == Kind::Confirm).then(|| {
-            format!("i{}{}", request.number, request.poison)
-                .as_str()
-                .into()
-        }),
-        timeout: None,
-        length: Some(100),
-        client: [127, 0, 0, 1].into(),
-        body_hash: request.number + u64::from(request.poison) * 1000,
-        forwarded: None,
-    }
-}
-
 pub(crate) fn forwarded(arrival: &Arrival, flow: &Flow, region: &str, left: u64) -> Arrival {
     Arrival {
         timeout: Some(Millis(left)),
