--- /dev/null
+++ b/crates/waxwing_core/src/flow/tables.rs
@@ -0,0 +1,51 @@
+//! The shared tables that a step of a flow works on.
+
+use waxwing_types::{Micros, Millis};
+
+use crate::{
+    Config, FairQueue, Ledger, LimitKey, Members, Quarantine, RetryBudget, Steering, TargetTable,
+};
+
+/// What the request path asks of the limits.
+pub trait Admission {
+    /// Takes all amounts or none.
+    ///
+    /// # Errors
+    /// The first limit that has too little.
+    fn admit(&mut self, now: Millis, wants: &[(LimitKey, Micros)]) -> Result<(), LimitKey>;
+
+    /// Takes an amount that was spent already.
+    fn charge(&mut self, now: Millis, key: &LimitKey, amount: Micros);
+}
+
+impl Admission for Ledger {
+    fn admit(&mut self, now: Millis, wants: &[(LimitKey, Micros)]) -> Result<(), LimitKey> {
+        self.admit(now, wants)
+    }
+
+    fn charge(&mut self, now: Millis, key: &LimitKey, amount: Micros) {
+        self.charge(now, key, amount);
+    }
+}
+
+/// The tables of one daemon, borrowed for one step.
+pub struct Tables<'a> {
+    /// Records in force.
+    pub config: &'a Config,
+    /// Which VMs respond.
+    pub members: &'a Members,
+    /// Regions and planned shifts.
+    pub steering: &'a Steering,
+    /// Limits.
+    pub ledger: &'a mut dyn Admission,
+    /// Queues of waiting requests.
+    pub queue: &'a mut FairQueue,
+    /// Observations of targets.
+    pub targets: &'a mut TargetTable,
+    /// Fingerprints of poison requests.
+    pub quarantine: &'a mut Quarantine,
+    /// Budget of retries.
+    pub retries: &'a mut RetryBudget,
+    /// Random generator.
+    pub rng: &'a mut fastrand::Rng,
+}
--- a/crates/waxwing_core/src/lib.rs
+++ b/crates/waxwing_core/src/lib.rs
@@ -4,15 +4,26 @@
 //! source: time and seeds come in as arguments.
 
 mod block;
+mod claim;
 mod config;
+mod flow;
 mod limit;
 mod member;
 mod message;
 mod pull;
+mod quarantine;
+mod queue;
+mod retry;
 mod steer;
+mod target;
 
 pub use block::{BlockParts, BlockTable};
+pub use claim::{Claim, ClaimRecord, ClaimState, ClaimStep, StoreCall};
 pub use config::{ActiveShift, Adoption, Candidate, Config, ConfigCounts, Delta, Page};
+pub use flow::{
+    Admission, Arrival, Flow, FlowAction, FlowEvent, FlowId, Forwarded, PresentedKey, Refusal,
+    StoreOutcome, Tables,
+};
 pub use limit::{
     LeaseMode, Ledger, LedgerAction, LedgerSettings, LimitSpec, OwnersTable, SHARDS, ShardEntry,
     WriteOutcome,
@@ -23,4 +34,8 @@
     RenewReply, RenewRequest, ShardEpoch, ShardId, VersionedRecord,
 };
 pub use pull::{Clocks, PAGE_BYTES, PullAction, PullSettings, Puller, STALE_AGE, WATCH_WAIT};
+pub use quarantine::Quarantine;
+pub use queue::{FairQueue, Ticket};
+pub use retry::RetryBudget;
 pub use steer::{Answer, LIFETIME, Steering};
+pub use target::{Capacity, LoadReport, Observation, Slot, TargetTable};
