--- a/crates/waxwing_http/src/server.rs
+++ b/crates/waxwing_http/src/server.rs
@@ -62,6 +62,9 @@
 
     /// Called for each rejection that the server makes without the handler.
     fn rejected(&self, _reason: RefusalReason) {}
+
+    /// Called for each connection that is closed because too many are open.
+    fn overloaded(&self) {}
 }
 
 struct State {
@@ -175,7 +178,7 @@
     fn admit(&self, stream: TcpStream, peer: SocketAddr) {
         if self.state.connections.load(Ordering::Relaxed) >= self.state.limits.connections {
             log::debug!(peer = peer.to_string().as_str(); "connection limit reached");
-            self.handler.rejected(RefusalReason::TooLarge);
+            self.handler.overloaded();
             return;
         }
         let open = Open::new(Arc::clone(&self.state), self.alive.clone());
