--- a/crates/waxwing_core/src/lib.rs
+++ b/crates/waxwing_core/src/lib.rs
@@ -3,22 +3,37 @@
 //! Nothing here opens a socket, reads a clock, starts a thread or draws from an ambient random
 //! source: time and seeds come in as arguments.
 
-mod limit;
 mod block;
 mod config;
+mod limit;
 mod member;
 mod message;
 mod steer;
 
+pub use block::{BlockParts, BlockTable};
+pub use config::{ActiveShift, Adoption, Candidate, Config, ConfigCounts, Delta, Page};
 pub use limit::{
     LeaseMode, Ledger, LedgerAction, LedgerSettings, LimitSpec, OwnersTable, SHARDS, ShardEntry,
     WriteOutcome,
 };
-pub use block::{BlockParts, BlockTable};
-pub use config::{ActiveShift, Adoption, Candidate, Config, ConfigCounts, Delta, Page};
 pub use member::{Members, PULL_PERIOD, SILENCE, Vm, WATCHERS, rank};
+mod flow;
+mod message;
+mod quarantine;
+mod queue;
+mod retry;
+mod target;
+
+pub use flow::{
+    Admission, Arrival, Directory, Flow, FlowAction, FlowEvent, FlowId, Forwarded, Place,
+    PresentedKey, Refusal, Regions, StoreOutcome, Tables,
+};
 pub use message::{
     Ask, BorrowReply, BorrowRequest, Fingerprint, Grant, LimitKey, PullReply, PullRequest,
     RenewReply, RenewRequest, ShardEpoch, ShardId, VersionedRecord,
 };
+pub use quarantine::Quarantine;
+pub use queue::FairQueue;
+pub use retry::RetryBudget;
 pub use steer::{Answer, Course, LIFETIME, Steering};
+pub use target::TargetTable;
