Unite the interfaces of the core modules

Change: one list of modules and exports in waxwing_core. Conclusion: the wiring can be written against one core.

--- a/crates/waxwing_core/src/lib.rs
+++ b/crates/waxwing_core/src/lib.rs
@@ -5,29 +5,27 @@
 
 mod block;
 mod config;
+mod flow;
 mod limit;
 mod member;
 mod message;
-mod steer;
-
-pub use block::{BlockParts, BlockTable};
-pub use config::{ActiveShift, Adoption, Candidate, Config, ConfigCounts, Delta, Page};
-pub use limit::{
-    LeaseMode, Ledger, LedgerAction, LedgerSettings, LimitSpec, OwnersTable, SHARDS, ShardEntry,
-    WriteOutcome,
-};
-pub use member::{Members, PULL_PERIOD, SILENCE, Vm, WATCHERS, rank};
-mod flow;
-mod message;
 mod quarantine;
 mod queue;
 mod retry;
+mod steer;
 mod target;
 
+pub use block::{BlockParts, BlockTable};
+pub use config::{ActiveShift, Adoption, Candidate, Config, ConfigCounts, Delta, Page};
 pub use flow::{
     Admission, Arrival, Directory, Flow, FlowAction, FlowEvent, FlowId, Forwarded, Place,
     PresentedKey, Refusal, Regions, StoreOutcome, Tables,
 };
+pub use limit::{
+    LeaseMode, Ledger, LedgerAction, LedgerSettings, LimitSpec, OwnersTable, SHARDS, ShardEntry,
+    WriteOutcome,
+};
+pub use member::{Members, PULL_PERIOD, SILENCE, Vm, WATCHERS, rank};
 pub use message::{
     Ask, BorrowReply, BorrowRequest, Fingerprint, Grant, LimitKey, PullReply, PullRequest,
     RenewReply, RenewRequest, ShardEpoch, ShardId, VersionedRecord,
