--- a/crates/waxwing_core/src/config.rs
+++ b/crates/waxwing_core/src/config.rs
@@ -3,13 +3,14 @@
 mod entry;
 mod facts;
 mod index;
+mod limits;
 mod page;
 mod query;
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use smol_str::SmolStr;
-use waxwing_records::{Findings, Record};
+use waxwing_records::{Findings, Kind, Record};
 use waxwing_types::{Millis, Revision, common_derives};
 
 use crate::block::BlockParts;
@@ -66,8 +67,12 @@
     by_version: BTreeSet<(Revision, SmolStr)>,
     index: Index,
     blocks: BlockParts,
+    /// Version of the newest region record put in force or withdrawn.
+    regions_version: Revision,
     revision: Revision,
     transfer: Option<Transfer>,
+    /// End of the last page of an answer of the store that goes on.
+    store_cursor: Option<Revision>,
     /// Latest moment of this clock at which the store is known to have held no more than the
     /// records in force. Negative if the word is older than the process.
     heard: Option<i64>,
@@ -80,25 +85,23 @@
         Self::default()
     }
 
-    /// Adopts an answer of the store: everything that changed after `after`, up to `reached`.
+    /// Adopts a page of an answer of the store.
     ///
     /// `as_of` is a moment at which the store had not answered yet: when the call was sent, or, if
     /// a long poll ended without news, that moment plus the time it was asked to wait.
-    pub fn on_store(
-        &mut self,
-        now: Millis,
-        as_of: Millis,
-        after: Revision,
-        reached: Revision,
-        records: Vec<Candidate>,
-    ) -> Vec<Adoption> {
-        let adoptions = self.adopt_all(now, records);
-        if after <= self.revision {
-            self.raise(reached);
+    pub fn on_store(&mut self, now: Millis, as_of: Millis, page: Page) -> Vec<Adoption> {
+        let adoptions = self.adopt_all(now, page.records);
+        if page.after > self.store_position() {
+            return adoptions;
         }
-        if self.revision >= reached {
-            self.hear(signed(as_of));
+        if page.more {
+            // Not in force yet: a record replaced by one of a later page is missing.
+            self.store_cursor = self.store_cursor.max(Some(page.revision));
+            return adoptions;
         }
+        self.store_cursor = None;
+        self.raise(page.revision);
+        self.hear(signed(as_of));
         adoptions
     }
 
@@ -163,6 +166,7 @@
     }
 
     fn enforce(&mut self, now: Millis, candidate: Candidate) -> (Value, Adoption) {
+        let version = candidate.record.version;
         let raw = candidate.record.value;
         let document = match candidate.parsed {
             Ok(document) => document,
@@ -177,11 +181,13 @@
                 (Value::Blocks, Adoption::Adopted)
             }
             Some(record) => {
+                self.note_region(document.id.kind, version);
                 self.index.set(now, &document.id.name, record);
                 self.counts.adopted += 1;
                 (Value::Raw(raw), Adoption::Adopted)
             }
             None => {
+                self.note_region(document.id.kind, version);
                 self.blocks.remove(&document.id);
                 self.index.remove(&document.id);
                 self.counts.adopted += 1;
@@ -195,6 +201,12 @@
         (Value::Raw(raw), Adoption::Rejected(findings))
     }
 
+    fn note_region(&mut self, kind: Kind, version: Revision) {
+        if kind == Kind::Region {
+            self.regions_version = self.regions_version.max(version);
+        }
+    }
+
     fn advance(&mut self, last: Revision, goal: Revision) {
         let transfer = self.transfer.unwrap_or(Transfer {
             cursor: self.revision,
@@ -208,6 +220,7 @@
 
     fn raise(&mut self, revision: Revision) {
         self.revision = self.revision.max(revision);
+        self.store_cursor = self.store_cursor.filter(|c| *c > self.revision);
         let open = self.transfer.filter(|t| t.goal > self.revision);
         self.transfer = open.map(|t| Transfer {
             cursor: t.cursor.max(self.revision),
--- a/crates/waxwing_core/src/config/page.rs
+++ b/crates/waxwing_core/src/config/page.rs
@@ -19,14 +19,14 @@
     }
 }
 
-/// A peer's answer to a pull, read and checked.
+/// An answer of a peer or of the store, read and checked.
 #[derive(Clone, Debug)]
 pub struct Page {
-    /// The revision after which the pull asked.
+    /// The revision after which the call asked.
     pub after: Revision,
-    /// Revision that the sender holds in full.
+    /// Revision that a peer holds in full, or up to which the store has reported everything.
     pub revision: Revision,
-    /// Age of the sender's newest word from the store.
+    /// Age of a peer's newest word from the store.
     pub age: Millis,
     /// Whether further records follow.
     pub more: bool,
@@ -35,6 +35,22 @@
 }
 
 impl Page {
+    /// Reads the objects of an answer of the store.
+    pub fn from_store(
+        after: Revision,
+        revision: Revision,
+        more: bool,
+        records: Vec<VersionedRecord>,
+    ) -> Self {
+        Self {
+            after,
+            revision,
+            age: Millis::ZERO,
+            more,
+            records: records.into_iter().map(Candidate::read).collect(),
+        }
+    }
+
     /// Reads the records of a reply, which leaves the reply without them.
     pub fn read(after: Revision, reply: &mut PullReply) -> Self {
         let records = std::mem::take(&mut reply.records);
@@ -49,8 +65,13 @@
 }
 
 impl Config {
-    /// Where the next pull or store call starts: the revision in force, or the end of the last page
-    /// of a transfer under way. A transfer goes on fastest with the peer that began it.
+    /// Where the next call to the store starts: the revision in force, or the end of the last page.
+    pub fn store_position(&self) -> Revision {
+        self.store_cursor.unwrap_or(self.revision)
+    }
+
+    /// Where the next pull starts: the revision in force, or the end of the last page of a transfer
+    /// under way. A transfer goes on fastest with the peer that began it.
     pub fn position(&self) -> Revision {
         self.transfer.map_or(self.revision, |t| t.cursor)
     }
--- a/crates/waxwing_core/src/config/query.rs
+++ b/crates/waxwing_core/src/config/query.rs
@@ -19,7 +19,7 @@
 
     /// Whether a transfer of several pages is under way.
     pub fn is_transferring(&self) -> bool {
-        self.transfer.is_some()
+        self.transfer.is_some() || self.store_cursor.is_some()
     }
 
     /// Counts for the metrics.
@@ -27,30 +27,35 @@
         self.counts
     }
 
-    /// The workspace of a key, given the key's public id and hash.
+    /// The workspace of a key, given the key's public id and hash. `None` if the key or its
+    /// workspace is unknown or withdrawn.
+    pub fn workspace_of(&self, id: &str, hash: &KeyHash) -> Option<&WorkspaceId> {
+        let key = self.index.keys.get(id);
+        // An unknown id takes the same comparison, so that the time does not tell which ids exist.
+        let known = key.map_or(KeyHash([0; 32]), |k| k.hash);
+        let matches = known.matches(hash);
+        let workspace = &key.filter(|_| matches)?.workspace;
+        let exists = self.index.workspaces.contains_key(workspace);
+        exists.then_some(workspace)
+    }
+
+    /// The workspace of a key whose configuration is fresh enough.
     ///
     /// # Errors
-    /// [`RefusalReason::KeyInvalid`] if the key or its workspace is unknown or withdrawn,
+    /// [`RefusalReason::KeyInvalid`] if [`Config::workspace_of`] finds none,
     /// [`RefusalReason::ConfigStale`] if the configuration is older than the workspace accepts.
-    pub fn workspace_of(
+    pub fn check_key(
         &self,
         now: Millis,
         id: &str,
         hash: &KeyHash,
     ) -> Result<&WorkspaceId, RefusalReason> {
-        let key = self.index.keys.get(id);
-        // An unknown id takes the same comparison, so that the time does not tell which ids exist.
-        let known = key.map_or(KeyHash([0; 32]), |k| k.hash);
-        let matches = known.matches(hash);
-        let key = key.filter(|_| matches).ok_or(RefusalReason::KeyInvalid)?;
-        let workspace = self
-            .index
-            .workspaces
-            .get(&key.workspace)
-            .ok_or(RefusalReason::KeyInvalid)?;
-        match workspace.key_staleness {
+        let id = self.workspace_of(id, hash);
+        let id = id.ok_or(RefusalReason::KeyInvalid)?;
+        let bound = self.workspace(id).and_then(|w| w.key_staleness);
+        match bound {
             Some(bound) if self.age(now) > bound => Err(RefusalReason::ConfigStale),
-            Some(_) | None => Ok(&key.workspace),
+            Some(_) | None => Ok(id),
         }
     }
 
--- a/crates/waxwing_core/src/lib.rs
+++ b/crates/waxwing_core/src/lib.rs
@@ -33,5 +33,5 @@
 pub use quarantine::Quarantine;
 pub use queue::FairQueue;
 pub use retry::RetryBudget;
-pub use steer::{Answer, Course, LIFETIME, Steering};
+pub use steer::{Answer, LIFETIME, Steering};
 pub use target::TargetTable;
