--- a/crates/waxwing_core/src/lib.rs
+++ b/crates/waxwing_core/src/lib.rs
@@ -4,6 +4,7 @@
 //! source: time and seeds come in as arguments.
 
 mod block;
+mod claim;
 mod config;
 mod flow;
 mod limit;
@@ -16,10 +17,11 @@
 mod target;
 
 pub use block::{BlockParts, BlockTable};
+pub use claim::{Claim, ClaimRecord, ClaimState, ClaimStep, StoreCall};
 pub use config::{ActiveShift, Adoption, Candidate, Config, ConfigCounts, Delta, Page};
 pub use flow::{
-    Admission, Arrival, Directory, Flow, FlowAction, FlowEvent, FlowId, Forwarded, Place,
-    PresentedKey, Refusal, Regions, StoreOutcome, Tables,
+    Admission, Arrival, Flow, FlowAction, FlowEvent, FlowId, Forwarded, PresentedKey, Refusal,
+    StoreOutcome, Tables,
 };
 pub use limit::{
     LeaseMode, Ledger, LedgerAction, LedgerSettings, LimitSpec, OwnersTable, SHARDS, ShardEntry,
@@ -31,7 +33,7 @@
     RenewReply, RenewRequest, ShardEpoch, ShardId, VersionedRecord,
 };
 pub use quarantine::Quarantine;
-pub use queue::FairQueue;
+pub use queue::{FairQueue, Ticket};
 pub use retry::RetryBudget;
 pub use steer::{Answer, LIFETIME, Steering};
 pub use target::TargetTable;
