--- /dev/null
+++ b/crates/waxwingrail/src/request/query.rs
@@ -0,0 +1,44 @@
+//! Paths and query strings of requests.
+
+/// The value of a parameter of a query string, percent-decoded.
+pub(crate) fn parameter(query: Option<&str>, name: &str) -> Option<String> {
+    let pairs = query?.split('&');
+    let mut pairs = pairs.filter_map(|pair| pair.split_once('='));
+    let (_, value) = pairs.find(|(key, _)| *key == name)?;
+    decode(&value.replace('+', " "))
+}
+
+/// Whether a path has a `.` or `..` segment, also in percent-encoded form.
+///
+/// A target may resolve such segments, so that the request would reach another route than the one
+/// by which it was admitted.
+pub(crate) fn has_dot_segment(path: &str) -> bool {
+    // Decoded twice, since a target may decode again what was encoded twice.
+    let Some(once) = decode(path) else {
+        return true;
+    };
+    let twice = decode(&once).unwrap_or(once);
+    twice.split(['/', '\\']).any(|s| s == "." || s == "..")
+}
+
+/// Decodes `%XX`. `None` if an escape is malformed or the result is not UTF-8.
+fn decode(text: &str) -> Option<String> {
+    if !text.contains('%') {
+        return Some(text.to_owned());
+    }
+    let mut bytes = Vec::with_capacity(text.len());
+    let mut rest = text.as_bytes();
+    while let [first, tail @ ..] = rest {
+        rest = tail;
+        if *first != b'%' {
+            bytes.push(*first);
+            continue;
+        }
+        let (digits, tail) = tail.split_at_checked(2)?;
+        let high = char::from(digits[0]).to_digit(16)?;
+        let low = char::from(digits[1]).to_digit(16)?;
+        bytes.push(u8::try_from(high * 16 + low).ok()?);
+        rest = tail;
+    }
+    String::from_utf8(bytes).ok()
+}
