--- a/crates/waxwing_core/src/lib.rs
+++ b/crates/waxwing_core/src/lib.rs
@@ -10,6 +10,7 @@
 mod limit;
 mod member;
 mod message;
+mod pull;
 mod quarantine;
 mod queue;
 mod retry;
@@ -32,6 +33,7 @@
     Ask, BorrowReply, BorrowRequest, Fingerprint, Grant, LimitKey, PullReply, PullRequest,
     RenewReply, RenewRequest, ShardEpoch, ShardId, VersionedRecord,
 };
+pub use pull::{Clocks, PAGE_BYTES, PullAction, PullSettings, Puller, STALE_AGE, WATCH_WAIT};
 pub use quarantine::Quarantine;
 pub use queue::{FairQueue, Ticket};
 pub use retry::RetryBudget;
