--- a/crates/waxwingrail/src/metric.rs
+++ b/crates/waxwingrail/src/metric.rs
@@ -70,7 +70,8 @@
     }
 
     fn register(handle: PrometheusHandle) -> Self {
-        let refusal = |r: &RefusalReason| counter!("waxwing_refusals_total", "reason" => r.as_str());
+        let refusal =
+            |r: &RefusalReason| counter!("waxwing_refusals_total", "reason" => r.as_str());
         let retry = |r: &RetryReason| counter!("waxwing_retries_total", "reason" => r.as_str());
         Self {
             handle,
--- a/crates/waxwingrail/src/request/arrive.rs
+++ b/crates/waxwingrail/src/request/arrive.rs
@@ -198,5 +198,7 @@
     if values.next().is_some() {
         return Err(bad(detail));
     }
-    first.map(|v| v.to_str().map_err(|_| bad(detail))).transpose()
+    first
+        .map(|v| v.to_str().map_err(|_| bad(detail)))
+        .transpose()
 }
--- /dev/null
+++ b/crates/waxwingrail/src/request/driver.rs
@@ -0,0 +1,345 @@
+//! The task that drives one request through its flow.
+
+use std::collections::VecDeque;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Instant;
+
+use async_channel::{Receiver, Sender};
+use async_io::Timer;
+use futures_lite::Stream;
+use hyper::Response;
+use hyper::http::request::Parts;
+use waxwing_core::{Arrival, Flow, FlowAction, FlowEvent, Refusal, StoreOutcome};
+use waxwing_http::{Body, SendError, remove_hop_headers, remove_proxy_headers, streamed};
+use waxwing_types::{Millis, Ran, RefusalReason, RegionId};
+
+use super::outbound::{Outbound, says_not_run};
+use super::relay::Relay;
+use super::upload::{Upload, UploadFault};
+use super::{Note, claim, refuse, refuse_early};
+use crate::state::Shared;
+
+type Pending<T> = Pin<Box<dyn Future<Output = T> + Send>>;
+
+/// Runs a request and returns the response.
+pub(crate) async fn drive(
+    shared: &Arc<Shared>,
+    arrival: Arrival,
+    head: Parts,
+    upload: Upload,
+) -> Response<Body> {
+    let Some(outbound) = Outbound::new(head, &arrival) else {
+        return refuse_early(shared, RefusalReason::BadRequest, "the path is malformed");
+    };
+    let (notes, inbox) = async_channel::unbounded();
+    let (reply, answer) = async_channel::bounded(1);
+    let mut caller = CallerGuard(Some(notes.clone()));
+    let id = shared.enter(notes.clone());
+    let driver = Driver {
+        shared: Arc::clone(shared),
+        flow: Flow::new(id, arrival),
+        outbound,
+        upload,
+        notes,
+        inbox: Box::pin(inbox),
+        reply: Some(reply),
+        store: None,
+        call: None,
+        to_region: false,
+        head: None,
+        timer: None,
+        failure: Refusal::new(RefusalReason::NoTarget, Ran::No),
+        arrived: Instant::now(),
+        sent: false,
+    };
+    shared.executor.spawn(driver.run()).detach();
+    let response = answer.recv().await;
+    caller.0 = None;
+    // The driver answers before it ends, unless it panicked.
+    response.unwrap_or_else(|_| {
+        let refusal = Refusal::new(RefusalReason::TargetFailed, Ran::Unknown);
+        refuse(shared, &refusal, "the daemon failed")
+    })
+}
+
+/// Reports that the caller went away if the response was not taken.
+struct CallerGuard(Option<Sender<Note>>);
+
+impl Drop for CallerGuard {
+    fn drop(&mut self) {
+        if let Some(notes) = self.0.take() {
+            // Fails only if the driver has ended.
+            let _ = notes.try_send(Note::CallerGone);
+        }
+    }
+}
+
+struct Driver {
+    shared: Arc<Shared>,
+    flow: Flow,
+    outbound: Outbound,
+    upload: Upload,
+    notes: Sender<Note>,
+    inbox: Pin<Box<Receiver<Note>>>,
+    /// Taken when the caller is answered.
+    reply: Option<Sender<Response<Body>>>,
+    store: Option<Pending<StoreOutcome>>,
+    call: Option<Pending<Result<Response<Body>, SendError>>>,
+    /// Whether the present call goes to another region.
+    to_region: bool,
+    /// The answer whose head arrived, until it is relayed or given up.
+    head: Option<Response<Body>>,
+    timer: Option<Timer>,
+    /// What the caller is told if the body cannot be sent again.
+    failure: Refusal,
+    arrived: Instant,
+    /// Whether the time until the first attempt was recorded.
+    sent: bool,
+}
+
+impl Driver {
+    async fn run(mut self) {
+        let mut events = VecDeque::from([FlowEvent::Start]);
+        loop {
+            let event = match events.pop_front() {
+                Some(event) => event,
+                None if self.flow.is_finished() => break,
+                None => self.wait().await,
+            };
+            let actions = self.shared.step(&mut self.flow, event);
+            for action in actions {
+                events.extend(self.perform(action));
+            }
+        }
+    }
+
+    /// Waits for whatever happens first.
+    async fn wait(&mut self) -> FlowEvent {
+        std::future::poll_fn(|cx| self.poll_event(cx)).await
+    }
+
+    fn poll_event(&mut self, cx: &mut Context<'_>) -> Poll<FlowEvent> {
+        if let Poll::Ready(Some(note)) = self.inbox.as_mut().poll_next(cx) {
+            return Poll::Ready(self.noted(note));
+        }
+        if let Some(Poll::Ready(outcome)) = self.store.as_mut().map(|f| f.as_mut().poll(cx)) {
+            self.store = None;
+            return Poll::Ready(FlowEvent::Store(outcome));
+        }
+        if let Some(Poll::Ready(result)) = self.call.as_mut().map(|f| f.as_mut().poll(cx)) {
+            self.call = None;
+            return Poll::Ready(self.answered(result));
+        }
+        if let Some(Poll::Ready(_)) = self.timer.as_mut().map(|t| Pin::new(t).poll(cx)) {
+            self.timer = None;
+            return Poll::Ready(FlowEvent::Timer);
+        }
+        Poll::Pending
+    }
+
+    fn noted(&mut self, note: Note) -> FlowEvent {
+        match note {
+            Note::Released => FlowEvent::Released,
+            Note::Finished(bytes_in) => FlowEvent::Finished {
+                bytes_out: self.upload.sent(),
+                bytes_in,
+            },
+            Note::Broken => FlowEvent::Broken,
+            Note::CallerGone => {
+                self.shared.metrics.abandoned.increment(1);
+                self.reply = None;
+                FlowEvent::CallerGone
+            }
+        }
+    }
+
+    fn answered(&mut self, result: Result<Response<Body>, SendError>) -> FlowEvent {
+        match result {
+            Ok(response) => {
+                let status = response.status().as_u16();
+                let not_run = says_not_run(response.headers());
+                if not_run {
+                    self.failure = Refusal::new(RefusalReason::TargetsShedding, Ran::No);
+                }
+                self.head = Some(response);
+                if not_run && self.to_region {
+                    return FlowEvent::RegionRefused;
+                }
+                FlowEvent::Head { status, not_run }
+            }
+            Err(error) => {
+                log::debug!(
+                    flow = self.flow.id().0, error = error.to_string().as_str();
+                    "attempt failed"
+                );
+                if let Some(fault) = self.upload.fault() {
+                    return self.upload_failed(fault, error.may_have_run());
+                }
+                if error.may_have_run() {
+                    self.failure = Refusal::new(RefusalReason::TargetFailed, Ran::Unknown);
+                    return FlowEvent::Broken;
+                }
+                FlowEvent::ConnectFailed
+            }
+        }
+    }
+
+    /// The attempt failed because of the caller's body. The flow treats it as a caller that left, so
+    /// that it counts against neither the target nor the request.
+    fn upload_failed(&mut self, fault: UploadFault, may_have_run: bool) -> FlowEvent {
+        let ran = if may_have_run { Ran::Unknown } else { Ran::No };
+        let (reason, detail) = match fault {
+            UploadFault::TooLarge => (RefusalReason::TooLarge, "the body exceeds the limit"),
+            UploadFault::CallerBroke => (RefusalReason::BadRequest, "the body broke off"),
+        };
+        self.refuse(&Refusal::new(reason, ran), detail);
+        FlowEvent::CallerGone
+    }
+
+    /// Carries out an action. Returns an event if the outcome is known at once.
+    fn perform(&mut self, action: FlowAction) -> Option<FlowEvent> {
+        let shared = &self.shared;
+        match action {
+            FlowAction::Create { path, value } => {
+                self.store = Some(claim::create(Arc::clone(shared), path, value));
+            }
+            FlowAction::Read { path } => {
+                self.store = Some(claim::read(Arc::clone(shared), path));
+            }
+            FlowAction::Update {
+                path,
+                version,
+                value,
+            } => {
+                self.store = Some(claim::update(Arc::clone(shared), path, version, value));
+            }
+            FlowAction::Queue => {}
+            FlowAction::SetTimer(at) => {
+                let left = at.since(shared.now());
+                self.timer = Some(Timer::after(left.duration()));
+            }
+            FlowAction::Send {
+                address,
+                workspace,
+                deadline,
+                ..
+            } => {
+                let Some(body) = self.upload.attempt() else {
+                    return Some(self.cannot_repeat());
+                };
+                let left = deadline.since(shared.now());
+                let request = self.outbound.to_target(workspace.as_ref(), left, body);
+                self.send(address, request, false);
+            }
+            FlowAction::Forward { region, deadline } => return self.forward(&region, deadline),
+            FlowAction::Relay => self.relay(),
+            FlowAction::Cancel => {
+                self.call = None;
+                self.head = None;
+            }
+            FlowAction::Refuse(refusal) => self.refuse(&refusal, ""),
+            FlowAction::Wake(id) => shared.wake(id),
+            FlowAction::Retry(reason) => shared.metrics.retried(reason),
+        }
+        None
+    }
+
+    fn send(
+        &mut self,
+        address: std::net::SocketAddr,
+        request: hyper::Request<Body>,
+        to_region: bool,
+    ) {
+        if !self.sent {
+            self.sent = true;
+            self.shared.metrics.added.record(self.arrived.elapsed());
+        }
+        self.to_region = to_region;
+        // The former answer holds its connection until here.
+        self.head = None;
+        let client = self.shared.client.clone();
+        self.call = Some(Box::pin(async move { client.send(address, request).await }));
+    }
+
+    fn forward(&mut self, region: &RegionId, deadline: Millis) -> Option<FlowEvent> {
+        let shared = Arc::clone(&self.shared);
+        let Some(address) = entry_address(&shared, region) else {
+            return Some(FlowEvent::ConnectFailed);
+        };
+        let Some(body) = self.upload.attempt() else {
+            return Some(self.cannot_repeat());
+        };
+        let arrival = self.flow.arrival();
+        let workspace = workspace(&shared, arrival);
+        let left = deadline.since(shared.now());
+        let home = &shared.settings.region;
+        let request = self
+            .outbound
+            .to_region(home, arrival, workspace.as_ref(), left, body);
+        shared.metrics.forwards.increment(1);
+        self.send(address, request, true);
+        None
+    }
+
+    /// The body was sent once and is no longer held, so that the flow's next attempt is impossible.
+    fn cannot_repeat(&mut self) -> FlowEvent {
+        let failure = self.failure;
+        self.refuse(&failure, "the body is too long to be sent again");
+        FlowEvent::CallerGone
+    }
+
+    fn refuse(&mut self, refusal: &Refusal, detail: &str) {
+        let Some(reply) = self.reply.take() else {
+            return;
+        };
+        let response = refuse(&self.shared, refusal, detail);
+        self.shared.metrics.latency.record(self.arrived.elapsed());
+        // Fails only if the caller is gone, which its guard reports.
+        let _ = reply.try_send(response);
+    }
+
+    fn relay(&mut self) {
+        let (Some(reply), Some(response)) = (self.reply.take(), self.head.take()) else {
+            return;
+        };
+        let (mut head, body) = response.into_parts();
+        remove_hop_headers(&mut head.headers);
+        remove_proxy_headers(&mut head.headers);
+        let body = streamed(Relay::new(body, self.notes.clone()));
+        self.shared.metrics.latency.record(self.arrived.elapsed());
+        log::debug!(
+            flow = self.flow.id().0, service = self.flow.arrival().service.as_str(),
+            status = head.status.as_u16();
+            "response relayed"
+        );
+        // A response that nobody takes is dropped, which reports that the caller is gone.
+        let _ = reply.try_send(Response::from_parts(head, body));
+    }
+}
+
+impl Drop for Driver {
+    fn drop(&mut self) {
+        self.shared.leave(self.flow.id());
+    }
+}
+
+/// Address of an entry VM of a region for requests from other regions.
+fn entry_address(shared: &Shared, region: &RegionId) -> Option<std::net::SocketAddr> {
+    let config = shared.config();
+    let fleet = shared.fleet();
+    let mut tail = shared.tail();
+    let now = shared.now();
+    let steering = &shared.steering;
+    let vm = steering.entry_vm(now, &config, &fleet.members, region, &mut tail.rng)?;
+    Some(vm.peer_http)
+}
+
+/// The workspace of the key with which a request came.
+fn workspace(shared: &Shared, arrival: &Arrival) -> Option<waxwing_types::WorkspaceId> {
+    let key = arrival.key.as_ref()?;
+    let config = shared.config();
+    let workspace = config.workspace_of(&key.id, &key.hash);
+    workspace.cloned()
+}
--- a/crates/waxwingrail/src/settings/mod.rs
+++ b/crates/waxwingrail/src/settings/mod.rs
@@ -186,7 +186,10 @@
             }
         }
         if self.store.port() == 0 || self.store.ip().is_unspecified() {
-            findings.add("--store", "expected the address of one store, with its port");
+            findings.add(
+                "--store",
+                "expected the address of one store, with its port",
+            );
         }
         if self.drain_notice > self.drain_timeout {
             findings.add(
--- a/crates/waxwingrail/src/settings/table.rs
+++ b/crates/waxwingrail/src/settings/table.rs
@@ -70,7 +70,10 @@
 
 /// The environment variable of a setting.
 pub(crate) fn variable(name: &str) -> String {
-    format!("WAXWINGRAIL_{}", name.to_ascii_uppercase().replace('-', "_"))
+    format!(
+        "WAXWINGRAIL_{}",
+        name.to_ascii_uppercase().replace('-', "_")
+    )
 }
 
 /// The text of `--help`.
@@ -87,7 +90,11 @@
         };
         let flag = format!("--{} <{}>", setting.name, setting.unit);
         let variable = variable(setting.name);
-        let _ = writeln!(out, "  {flag:<30} {variable}\n      {}; {fallback}", setting.help);
+        let _ = writeln!(
+            out,
+            "  {flag:<30} {variable}\n      {}; {fallback}",
+            setting.help
+        );
     }
     out.push_str(
         "\n  --check      read and check the settings, then exit\n  \
--- /dev/null
+++ b/crates/waxwingrail/src/state.rs
@@ -0,0 +1,235 @@
+//! The shared tables of the daemon and the order in which they are locked.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+
+use async_channel::{Receiver, Sender};
+use async_executor::Executor;
+use waxwing_core::{
+    BlockTable, Config, FairQueue, Flow, FlowAction, FlowEvent, FlowId, Ledger, LedgerSettings,
+    Members, PullSettings, Puller, Quarantine, RetryBudget, Steering, Tables, TargetTable,
+};
+use waxwing_http::Client;
+use waxwing_store::Store;
+use waxwing_types::{Clock, Incarnation, Millis};
+
+use crate::metric::Metrics;
+use crate::request::Note;
+use crate::settings::Settings;
+
+/// Parts into which the table of requests is divided, so that threads rarely meet at one lock.
+const FLOW_PARTS: u64 = 16;
+
+/// What is known of the other VMs. Behind one lock, because pulls change all of it.
+pub(crate) struct Fleet {
+    pub(crate) members: Members,
+    pub(crate) puller: Puller,
+}
+
+/// What is behind the last lock.
+pub(crate) struct Tail {
+    pub(crate) quarantine: Quarantine,
+    pub(crate) retries: RetryBudget,
+    pub(crate) rng: fastrand::Rng,
+}
+
+type FlowPart = Mutex<HashMap<FlowId, Sender<Note>>>;
+
+/// Everything that the tasks of a daemon share.
+///
+/// The tables are locked in the order of their declaration and never held across an await.
+pub(crate) struct Shared {
+    pub(crate) settings: Settings,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) store: Arc<dyn Store>,
+    pub(crate) executor: Arc<Executor<'static>>,
+    pub(crate) client: Client,
+    pub(crate) metrics: Metrics,
+    pub(crate) steering: Steering,
+
+    config: Mutex<Config>,
+    fleet: Mutex<Fleet>,
+    ledger: Mutex<Ledger>,
+    queue: Mutex<FairQueue>,
+    targets: Mutex<TargetTable>,
+    tail: Mutex<Tail>,
+
+    pub(crate) blocks: RwLock<Arc<BlockTable>>,
+    flows: Vec<FlowPart>,
+    last_flow: AtomicU64,
+    running: AtomicUsize,
+    stopping: AtomicBool,
+    /// Asks for a tick of the ledger before it is due.
+    pub(crate) nudge: (Sender<()>, Receiver<()>),
+}
+
+/// What a daemon is built from besides its settings.
+#[derive(Clone)]
+pub struct Parts {
+    /// Source of the time.
+    pub clock: Arc<dyn Clock>,
+    /// The platform's object store.
+    pub store: Arc<dyn Store>,
+    /// Executor that the worker threads run.
+    pub executor: Arc<Executor<'static>>,
+    /// Connections to targets and other regions.
+    pub client: Client,
+    /// Number of this process, higher than that of every earlier process of this VM.
+    pub incarnation: Incarnation,
+}
+
+impl Shared {
+    pub(crate) fn new(settings: Settings, parts: Parts) -> Self {
+        let now = parts.clock.now();
+        let ledger = LedgerSettings::new(
+            settings.vm.clone(),
+            parts.incarnation,
+            settings.domain.clone(),
+        );
+        let fleet = Fleet {
+            members: Members::new(settings.vm.clone(), settings.domain.clone()),
+            puller: Puller::new(now, parts.incarnation, PullSettings::default()),
+        };
+        let tail = Tail {
+            quarantine: Quarantine::default(),
+            retries: RetryBudget::default(),
+            rng: fastrand::Rng::new(),
+        };
+        Self {
+            incarnation: parts.incarnation,
+            clock: parts.clock,
+            store: parts.store,
+            executor: parts.executor,
+            client: parts.client,
+            metrics: Metrics::new(),
+            steering: Steering::new(settings.domain.clone()),
+            config: Mutex::new(Config::new()),
+            fleet: Mutex::new(fleet),
+            ledger: Mutex::new(Ledger::new(ledger, now)),
+            queue: Mutex::new(FairQueue::default()),
+            targets: Mutex::new(TargetTable::default()),
+            tail: Mutex::new(tail),
+            blocks: RwLock::default(),
+            flows: (0..FLOW_PARTS).map(|_| Mutex::default()).collect(),
+            last_flow: AtomicU64::new(0),
+            running: AtomicUsize::new(0),
+            stopping: AtomicBool::new(false),
+            nudge: async_channel::bounded(1),
+            settings,
+        }
+    }
+
+    pub(crate) fn now(&self) -> Millis {
+        self.clock.now()
+    }
+
+    pub(crate) fn config(&self) -> MutexGuard<'_, Config> {
+        lock(&self.config)
+    }
+
+    pub(crate) fn fleet(&self) -> MutexGuard<'_, Fleet> {
+        lock(&self.fleet)
+    }
+
+    pub(crate) fn ledger(&self) -> MutexGuard<'_, Ledger> {
+        lock(&self.ledger)
+    }
+
+    pub(crate) fn queue(&self) -> MutexGuard<'_, FairQueue> {
+        lock(&self.queue)
+    }
+
+    pub(crate) fn targets(&self) -> MutexGuard<'_, TargetTable> {
+        lock(&self.targets)
+    }
+
+    pub(crate) fn tail(&self) -> MutexGuard<'_, Tail> {
+        lock(&self.tail)
+    }
+
+    /// Delivers an event to a request with all tables locked.
+    pub(crate) fn step(&self, flow: &mut Flow, event: FlowEvent) -> Vec<FlowAction> {
+        let config = self.config();
+        let fleet = self.fleet();
+        let mut ledger = self.ledger();
+        let mut queue = self.queue();
+        let mut targets = self.targets();
+        let mut tail = self.tail();
+        let tail = &mut *tail;
+        // Read under the locks, so that no table sees time go back.
+        let now = self.now();
+        let mut tables = Tables {
+            config: &config,
+            members: &fleet.members,
+            steering: &self.steering,
+            ledger: &mut *ledger,
+            queue: &mut queue,
+            targets: &mut targets,
+            quarantine: &mut tail.quarantine,
+            retries: &mut tail.retries,
+            rng: &mut tail.rng,
+        };
+        let actions = flow.step(now, event, &mut tables);
+        if ledger.wants_tick() {
+            self.nudge_ledger();
+        }
+        actions
+    }
+
+    /// Asks for a tick of the ledger now.
+    pub(crate) fn nudge_ledger(&self) {
+        // Full means that a tick is due already.
+        let _ = self.nudge.0.try_send(());
+    }
+
+    /// Numbers a request and notes where its messages go.
+    pub(crate) fn enter(&self, driver: Sender<Note>) -> FlowId {
+        let id = FlowId(self.last_flow.fetch_add(1, Ordering::Relaxed) + 1);
+        self.running.fetch_add(1, Ordering::Relaxed);
+        lock(self.part(id)).insert(id, driver);
+        id
+    }
+
+    /// Forgets a request.
+    pub(crate) fn leave(&self, id: FlowId) {
+        lock(self.part(id)).remove(&id);
+        self.running.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    /// Tells a request that its turn in the fair queue came.
+    pub(crate) fn wake(&self, id: FlowId) {
+        if let Some(driver) = lock(self.part(id)).get(&id) {
+            // Fails only if the driver has ended.
+            let _ = driver.try_send(Note::Released);
+        }
+    }
+
+    fn part(&self, id: FlowId) -> &FlowPart {
+        let at = usize::try_from(id.0 % FLOW_PARTS).unwrap_or(0);
+        &self.flows[at]
+    }
+
+    /// Marks the daemon as stopping.
+    pub(crate) fn begin_stop(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+}
+
+impl Shared {
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Requests that are not finished.
+    pub(crate) fn running(&self) -> usize {
+        self.running.load(Ordering::Relaxed)
+    }
+}
+
+/// Locks a table. A panic in another thread leaves the tables usable, because a core call either
+/// completes or breaks an invariant that its checks report.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
