--- a/crates/waxwingrail/src/lib.rs
+++ b/crates/waxwingrail/src/lib.rs
@@ -1,12 +1,19 @@
 //! The daemon on an entry VM, as a library.
 
+mod admin;
+mod daemon;
 mod logging;
 mod lookup;
 mod metric;
+mod peers;
 mod request;
+mod run;
 mod settings;
 mod state;
+mod task;
 
+pub use daemon::{Addresses, Daemon};
 pub use logging::start as start_logging;
+pub use run::{Workers, run};
 pub use settings::{Command, LogFormat, Settings, read as read_settings};
 pub use state::Parts;
--- a/crates/waxwingrail/src/lookup.rs
+++ b/crates/waxwingrail/src/lookup.rs
@@ -1,7 +1,6 @@
 //! Look-ups of entry VMs.
 
 use std::net::IpAddr;
-use std::sync::{Arc, PoisonError};
 
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
@@ -47,7 +46,7 @@
 }
 
 fn find(shared: &Shared, client: IpAddr) -> String {
-    let blocks = Arc::clone(&shared.blocks.read().unwrap_or_else(PoisonError::into_inner));
+    let blocks = shared.block_table();
     let config = shared.config();
     let fleet = shared.fleet();
     let now = shared.now();
--- a/crates/waxwingrail/src/request/arrive.rs
+++ b/crates/waxwingrail/src/request/arrive.rs
@@ -10,8 +10,6 @@
 use waxwing_records::KeyHash;
 use waxwing_types::{Millis, RefusalReason, RegionId, ServiceId, WorkspaceId};
 
-use super::query::has_dot_segment;
-
 /// Carries the workspace instead of the key.
 pub(crate) const X_WORKSPACE: HeaderName = HeaderName::from_static("x-workspace");
 /// Set to `1` on an answer that says that the request was not run.
@@ -125,9 +123,6 @@
     if service.is_empty() {
         return Err(unknown);
     }
-    if has_dot_segment(head.uri.path()) {
-        return Err(bad("the path has a dot segment or a malformed escape"));
-    }
     let path = match path {
         "" => SmolStr::new_static("/"),
         query if query.starts_with('?') => SmolStr::new(format!("/{query}")),
--- a/crates/waxwingrail/src/request/driver.rs
+++ b/crates/waxwingrail/src/request/driver.rs
@@ -1,6 +1,7 @@
 //! The task that drives one request through its flow.
 
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
@@ -9,8 +10,8 @@
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use futures_lite::Stream;
-use hyper::Response;
 use hyper::http::request::Parts;
+use hyper::{Request, Response};
 use waxwing_core::{Arrival, Flow, FlowAction, FlowEvent, Refusal, StoreOutcome};
 use waxwing_http::{Body, SendError, remove_hop_headers, remove_proxy_headers, streamed};
 use waxwing_types::{Millis, Ran, RefusalReason, RegionId};
@@ -50,7 +51,7 @@
         to_region: false,
         head: None,
         timer: None,
-        failure: Refusal::new(RefusalReason::NoTarget, Ran::No),
+        events: VecDeque::from([FlowEvent::Start]),
         arrived: Instant::now(),
         sent: false,
     };
@@ -92,8 +93,8 @@
     /// The answer whose head arrived, until it is relayed or given up.
     head: Option<Response<Body>>,
     timer: Option<Timer>,
-    /// What the caller is told if the body cannot be sent again.
-    failure: Refusal,
+    /// Events that wait to be delivered.
+    events: VecDeque<FlowEvent>,
     arrived: Instant,
     /// Whether the time until the first attempt was recorded.
     sent: bool,
@@ -101,20 +102,22 @@
 
 impl Driver {
     async fn run(mut self) {
-        let mut events = VecDeque::from([FlowEvent::Start]);
-        loop {
-            let event = match events.pop_front() {
-                Some(event) => event,
-                None if self.flow.is_finished() => break,
-                None => self.wait().await,
-            };
+        while let Some(event) = self.next().await {
             let actions = self.shared.step(&mut self.flow, event);
             for action in actions {
-                events.extend(self.perform(action));
+                self.perform(action);
             }
         }
     }
 
+    async fn next(&mut self) -> Option<FlowEvent> {
+        if self.events.is_empty() && !self.flow.is_finished() {
+            let event = self.wait().await;
+            self.events.push_back(event);
+        }
+        self.events.pop_front()
+    }
+
     /// Waits for whatever happens first.
     async fn wait(&mut self) -> FlowEvent {
         std::future::poll_fn(|cx| self.poll_event(cx)).await
@@ -160,14 +163,11 @@
             Ok(response) => {
                 let status = response.status().as_u16();
                 let not_run = says_not_run(response.headers());
-                if not_run {
-                    self.failure = Refusal::new(RefusalReason::TargetsShedding, Ran::No);
-                }
                 self.head = Some(response);
                 if not_run && self.to_region {
-                    return FlowEvent::RegionRefused;
+                    return self.ended(FlowEvent::RegionRefused);
                 }
-                FlowEvent::Head { status, not_run }
+                self.ended(FlowEvent::Head { status, not_run })
             }
             Err(error) => {
                 log::debug!(
@@ -178,14 +178,22 @@
                     return self.upload_failed(fault, error.may_have_run());
                 }
                 if error.may_have_run() {
-                    self.failure = Refusal::new(RefusalReason::TargetFailed, Ran::Unknown);
-                    return FlowEvent::Broken;
+                    return self.ended(FlowEvent::Broken);
                 }
-                FlowEvent::ConnectFailed
+                self.ended(FlowEvent::ConnectFailed)
             }
         }
     }
 
+    /// The end of an attempt, preceded by the news that the body cannot be sent again.
+    fn ended(&mut self, event: FlowEvent) -> FlowEvent {
+        if !self.upload.is_spent() {
+            return event;
+        }
+        self.events.push_back(event);
+        FlowEvent::BodyConsumed
+    }
+
     /// The attempt failed because of the caller's body. The flow treats it as a caller that left, so
     /// that it counts against neither the target nor the request.
     fn upload_failed(&mut self, fault: UploadFault, may_have_run: bool) -> FlowEvent {
@@ -198,22 +206,21 @@
         FlowEvent::CallerGone
     }
 
-    /// Carries out an action. Returns an event if the outcome is known at once.
-    fn perform(&mut self, action: FlowAction) -> Option<FlowEvent> {
-        let shared = &self.shared;
+    fn perform(&mut self, action: FlowAction) {
+        let shared = Arc::clone(&self.shared);
         match action {
             FlowAction::Create { path, value } => {
-                self.store = Some(claim::create(Arc::clone(shared), path, value));
+                self.store = Some(claim::create(shared, path, value));
             }
             FlowAction::Read { path } => {
-                self.store = Some(claim::read(Arc::clone(shared), path));
+                self.store = Some(claim::read(shared, path));
             }
             FlowAction::Update {
                 path,
                 version,
                 value,
             } => {
-                self.store = Some(claim::update(Arc::clone(shared), path, version, value));
+                self.store = Some(claim::update(shared, path, version, value));
             }
             FlowAction::Queue => {}
             FlowAction::SetTimer(at) => {
@@ -226,14 +233,13 @@
                 deadline,
                 ..
             } => {
-                let Some(body) = self.upload.attempt() else {
-                    return Some(self.cannot_repeat());
-                };
-                let left = deadline.since(shared.now());
-                let request = self.outbound.to_target(workspace.as_ref(), left, body);
-                self.send(address, request, false);
+                if let Some(body) = self.body() {
+                    let left = deadline.since(shared.now());
+                    let request = self.outbound.to_target(workspace.as_ref(), left, body);
+                    self.send(address, request, false);
+                }
             }
-            FlowAction::Forward { region, deadline } => return self.forward(&region, deadline),
+            FlowAction::Forward { region, deadline } => self.forward(&region, deadline),
             FlowAction::Relay => self.relay(),
             FlowAction::Cancel => {
                 self.call = None;
@@ -243,15 +249,20 @@
             FlowAction::Wake(id) => shared.wake(id),
             FlowAction::Retry(reason) => shared.metrics.retried(reason),
         }
-        None
     }
 
-    fn send(
-        &mut self,
-        address: std::net::SocketAddr,
-        request: hyper::Request<Body>,
-        to_region: bool,
-    ) {
+    /// The body for another attempt. If its beginning is no longer held, the attempt fails before
+    /// it begins.
+    fn body(&mut self) -> Option<Body> {
+        let body = self.upload.attempt();
+        if body.is_none() {
+            self.events.push_back(FlowEvent::BodyConsumed);
+            self.events.push_back(FlowEvent::ConnectFailed);
+        }
+        body
+    }
+
+    fn send(&mut self, address: SocketAddr, request: Request<Body>, to_region: bool) {
         if !self.sent {
             self.sent = true;
             self.shared.metrics.added.record(self.arrived.elapsed());
@@ -263,31 +274,20 @@
         self.call = Some(Box::pin(async move { client.send(address, request).await }));
     }
 
-    fn forward(&mut self, region: &RegionId, deadline: Millis) -> Option<FlowEvent> {
+    fn forward(&mut self, region: &RegionId, deadline: Millis) {
         let shared = Arc::clone(&self.shared);
         let Some(address) = entry_address(&shared, region) else {
-            return Some(FlowEvent::ConnectFailed);
+            self.events.push_back(FlowEvent::ConnectFailed);
+            return;
         };
-        let Some(body) = self.upload.attempt() else {
-            return Some(self.cannot_repeat());
+        let Some(body) = self.body() else {
+            return;
         };
-        let arrival = self.flow.arrival();
-        let workspace = workspace(&shared, arrival);
         let left = deadline.since(shared.now());
         let home = &shared.settings.region;
-        let request = self
-            .outbound
-            .to_region(home, arrival, workspace.as_ref(), left, body);
+        let request = self.outbound.to_region(home, &self.flow, left, body);
         shared.metrics.forwards.increment(1);
         self.send(address, request, true);
-        None
-    }
-
-    /// The body was sent once and is no longer held, so that the flow's next attempt is impossible.
-    fn cannot_repeat(&mut self) -> FlowEvent {
-        let failure = self.failure;
-        self.refuse(&failure, "the body is too long to be sent again");
-        FlowEvent::CallerGone
     }
 
     fn refuse(&mut self, refusal: &Refusal, detail: &str) {
@@ -326,7 +326,7 @@
 }
 
 /// Address of an entry VM of a region for requests from other regions.
-fn entry_address(shared: &Shared, region: &RegionId) -> Option<std::net::SocketAddr> {
+fn entry_address(shared: &Shared, region: &RegionId) -> Option<SocketAddr> {
     let config = shared.config();
     let fleet = shared.fleet();
     let mut tail = shared.tail();
@@ -335,11 +335,3 @@
     let vm = steering.entry_vm(now, &config, &fleet.members, region, &mut tail.rng)?;
     Some(vm.peer_http)
 }
-
-/// The workspace of the key with which a request came.
-fn workspace(shared: &Shared, arrival: &Arrival) -> Option<waxwing_types::WorkspaceId> {
-    let key = arrival.key.as_ref()?;
-    let config = shared.config();
-    let workspace = config.workspace_of(&key.id, &key.hash);
-    workspace.cloned()
-}
--- a/crates/waxwingrail/src/request/outbound.rs
+++ b/crates/waxwingrail/src/request/outbound.rs
@@ -3,7 +3,7 @@
 use hyper::header::{AUTHORIZATION, EXPECT, HOST, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, Request, Uri};
-use waxwing_core::{Arrival, PresentedKey};
+use waxwing_core::{Arrival, Flow, PresentedKey};
 use waxwing_http::{Body, remove_hop_headers, remove_proxy_headers};
 use waxwing_types::{Millis, RegionId, WorkspaceId};
 
@@ -61,14 +61,18 @@
     pub(crate) fn to_region(
         &self,
         home: &RegionId,
-        arrival: &Arrival,
-        workspace: Option<&WorkspaceId>,
+        flow: &Flow,
         left: Millis,
         body: Body,
     ) -> Request<Body> {
+        let arrival = flow.arrival();
         let mut request = self.request(&self.whole, left, body);
         let headers = request.headers_mut();
-        set(headers, X_WORKSPACE, workspace.map(WorkspaceId::as_str));
+        set(
+            headers,
+            X_WORKSPACE,
+            flow.workspace().map(WorkspaceId::as_str),
+        );
         set(headers, X_FROM_REGION, Some(home.as_str()));
         set(headers, X_CLIENT, Some(&arrival.client.to_string()));
         if let Some(PresentedKey { id, hash }) = &arrival.key {
--- a/crates/waxwingrail/src/request/query.rs
+++ b/crates/waxwingrail/src/request/query.rs
@@ -1,4 +1,4 @@
-//! Paths and query strings of requests.
+//! Query strings of requests.
 
 /// The value of a parameter of a query string, percent-decoded.
 pub(crate) fn parameter(query: Option<&str>, name: &str) -> Option<String> {
@@ -8,19 +8,6 @@
     decode(&value.replace('+', " "))
 }
 
-/// Whether a path has a `.` or `..` segment, also in percent-encoded form.
-///
-/// A target may resolve such segments, so that the request would reach another route than the one
-/// by which it was admitted.
-pub(crate) fn has_dot_segment(path: &str) -> bool {
-    // Decoded twice, since a target may decode again what was encoded twice.
-    let Some(once) = decode(path) else {
-        return true;
-    };
-    let twice = decode(&once).unwrap_or(once);
-    twice.split(['/', '\\']).any(|s| s == "." || s == "..")
-}
-
 /// Decodes `%XX`. `None` if an escape is malformed or the result is not UTF-8.
 fn decode(text: &str) -> Option<String> {
     if !text.contains('%') {
--- a/crates/waxwingrail/src/request/upload.rs
+++ b/crates/waxwingrail/src/request/upload.rs
@@ -106,6 +106,11 @@
         self.lock().fault
     }
 
+    /// Whether the beginning is no longer held, so that the body cannot be sent again.
+    pub(crate) fn is_spent(&self) -> bool {
+        self.lock().spent
+    }
+
     /// Bytes handed to the present attempt.
     pub(crate) fn sent(&self) -> u64 {
         self.lock().sent
--- a/crates/waxwingrail/src/state.rs
+++ b/crates/waxwingrail/src/state.rs
@@ -1,8 +1,9 @@
 //! The shared tables of the daemon and the order in which they are locked.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock};
 
 use async_channel::{Receiver, Sender};
 use async_executor::Executor;
@@ -10,9 +11,9 @@
     BlockTable, Config, FairQueue, Flow, FlowAction, FlowEvent, FlowId, Ledger, LedgerSettings,
     Members, PullSettings, Puller, Quarantine, RetryBudget, Steering, Tables, TargetTable,
 };
-use waxwing_http::Client;
+use waxwing_http::{Client, Server};
 use waxwing_store::Store;
-use waxwing_types::{Clock, Incarnation, Millis};
+use waxwing_types::{Clock, Incarnation, Millis, VmId};
 
 use crate::metric::Metrics;
 use crate::request::Note;
@@ -56,11 +57,17 @@
     targets: Mutex<TargetTable>,
     tail: Mutex<Tail>,
 
-    pub(crate) blocks: RwLock<Arc<BlockTable>>,
+    /// The table of client blocks, with the generation of the records from which it was built.
+    pub(crate) blocks: RwLock<(u64, Arc<BlockTable>)>,
+    /// Highest generation for which a table was or is being built.
+    blocks_begun: AtomicU64,
     flows: Vec<FlowPart>,
     last_flow: AtomicU64,
     running: AtomicUsize,
     stopping: AtomicBool,
+    panics: Arc<AtomicU64>,
+    /// The server of callers, once it runs.
+    pub(crate) connections: OnceLock<Server>,
     /// Asks for a tick of the ledger before it is due.
     pub(crate) nudge: (Sender<()>, Receiver<()>),
 }
@@ -78,6 +85,8 @@
     pub client: Client,
     /// Number of this process, higher than that of every earlier process of this VM.
     pub incarnation: Incarnation,
+    /// Panics that the worker threads caught.
+    pub panics: Arc<AtomicU64>,
 }
 
 impl Shared {
@@ -109,9 +118,12 @@
             fleet: Mutex::new(fleet),
             ledger: Mutex::new(Ledger::new(ledger, now)),
             queue: Mutex::new(FairQueue::default()),
-            targets: Mutex::new(TargetTable::default()),
+            targets: Mutex::new(TargetTable::new(settings.domain.clone())),
             tail: Mutex::new(tail),
             blocks: RwLock::default(),
+            blocks_begun: AtomicU64::new(0),
+            panics: parts.panics,
+            connections: OnceLock::new(),
             flows: (0..FLOW_PARTS).map(|_| Mutex::default()).collect(),
             last_flow: AtomicU64::new(0),
             running: AtomicUsize::new(0),
@@ -211,9 +223,23 @@
         &self.flows[at]
     }
 
-    /// Marks the daemon as stopping.
+    /// Notes that a table of client blocks is being built. `false`: one at least as new was begun.
+    pub(crate) fn take_blocks_generation(&self, generation: u64) -> bool {
+        self.blocks_begun.fetch_max(generation, Ordering::Relaxed) < generation
+    }
+
+    /// Marks the daemon as stopping: it is no longer ready, peers learn of it by pulls, and look-ups
+    /// no longer name this VM.
     pub(crate) fn begin_stop(&self) {
         self.stopping.store(true, Ordering::Relaxed);
+        let mut fleet = self.fleet();
+        let mut tail = self.tail();
+        let fleet = &mut *fleet;
+        let now = self.now();
+        fleet.puller.stop(&fleet.members, &mut tail.rng);
+        fleet
+            .members
+            .on_heard(now, &self.settings.vm, self.incarnation, true);
     }
 }
 
@@ -222,6 +248,42 @@
         self.stopping.load(Ordering::Relaxed)
     }
 
+    /// Whether the daemon takes work: it has held the newest configuration in reach and is not
+    /// stopping.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.is_stopping() && self.fleet().puller.is_ready()
+    }
+
+    /// The table of client blocks.
+    pub(crate) fn block_table(&self) -> Arc<BlockTable> {
+        let held = self.blocks.read().unwrap_or_else(PoisonError::into_inner);
+        Arc::clone(&held.1)
+    }
+
+    /// The address of a VM for the protocol between daemons, if it is on the list.
+    pub(crate) fn peer_address(&self, id: &VmId) -> Option<SocketAddr> {
+        self.fleet().members.vm(id).map(|vm| vm.peer)
+    }
+
+    /// Brings the gauges up to date.
+    pub(crate) fn refresh_gauges(&self) {
+        let metrics = &self.metrics;
+        let now = self.now();
+        let (revision, age) = {
+            let config = self.config();
+            (config.revision(), config.age(now))
+        };
+        metrics.revision.set(number(revision.0));
+        metrics.age.set(number(age.0) / 1000.0);
+        metrics.queued.set(number(self.queue().len() as u64));
+        metrics.running.set(number(self.running() as u64));
+        let connections = self.connections.get().map_or(0, Server::connections);
+        metrics.connections.set(number(connections as u64));
+        metrics.idle.set(number(self.client.idle() as u64));
+        metrics.ready.set(f64::from(u8::from(self.is_ready())));
+        metrics.panics.absolute(self.panics.load(Ordering::Relaxed));
+    }
+
     /// Requests that are not finished.
     pub(crate) fn running(&self) -> usize {
         self.running.load(Ordering::Relaxed)
@@ -233,3 +295,12 @@
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
+
+/// A number as a gauge takes it. What exceeds 52 bits loses precision, which no gauge shows.
+#[allow(
+    clippy::cast_precision_loss,
+    reason = "gauges are floating-point numbers"
+)]
+fn number(value: u64) -> f64 {
+    value as f64
+}
--- /dev/null
+++ b/crates/waxwingrail/src/task/quota.rs
@@ -0,0 +1,143 @@
+//! The calls of the ledger to peers and to the store.
+
+use std::sync::Arc;
+
+use futures_lite::future;
+use waxwing_core::{BorrowRequest, LedgerAction, OwnersTable, RenewRequest, WriteOutcome};
+use waxwing_store::{Condition, ReadOutcome};
+use waxwing_types::{DomainId, Millis, Revision, VmId};
+
+use super::{Context, pause, peer_failed};
+
+/// Time between ticks that nothing hastens.
+const TICK: Millis = Millis(100);
+/// Least time between two ticks.
+const LEAST_TICK: Millis = Millis(5);
+
+pub(super) async fn run(ctx: Context) {
+    let shared = Arc::clone(&ctx.shared);
+    loop {
+        let now = shared.now();
+        let actions = shared.ledger().tick(now);
+        for action in actions {
+            shared
+                .executor
+                .spawn(perform(ctx.clone(), now, action))
+                .detach();
+        }
+        pause(LEAST_TICK).await;
+        let nudged = async {
+            let _ = shared.nudge.1.recv().await;
+        };
+        future::or(nudged, pause(TICK)).await;
+    }
+}
+
+async fn perform(ctx: Context, sent: Millis, action: LedgerAction) {
+    match action {
+        LedgerAction::Borrow { to, request } => borrow(&ctx, sent, to, request).await,
+        LedgerAction::Renew { to, request } => renew(&ctx, sent, to, request).await,
+        LedgerAction::WriteOwners {
+            path,
+            value,
+            expected,
+        } => write(&ctx, sent, &path, value, expected).await,
+        LedgerAction::ReadOwners { path } => read(&ctx, &path).await,
+    }
+}
+
+async fn borrow(ctx: &Context, sent: Millis, to: VmId, request: BorrowRequest) {
+    let shared = &ctx.shared;
+    let Some(address) = shared.peer_address(&to) else {
+        return;
+    };
+    match ctx.peers.borrow(address, request).await {
+        Ok(reply) => {
+            let mut ledger = shared.ledger();
+            ledger.on_grants(shared.now(), sent, &to, &reply);
+        }
+        Err(error) => peer_failed(shared, &to, "borrow", &error.to_string()),
+    }
+}
+
+async fn renew(ctx: &Context, sent: Millis, to: VmId, request: RenewRequest) {
+    let shared = &ctx.shared;
+    let Some(address) = shared.peer_address(&to) else {
+        return;
+    };
+    match ctx.peers.renew(address, request).await {
+        Ok(reply) => {
+            let mut ledger = shared.ledger();
+            ledger.on_renewed(shared.now(), sent, &to, &reply);
+        }
+        Err(error) => peer_failed(shared, &to, "renew", &error.to_string()),
+    }
+}
+
+async fn write(
+    ctx: &Context,
+    sent: Millis,
+    path: &str,
+    value: Vec<u8>,
+    expected: Option<Revision>,
+) {
+    let shared = &ctx.shared;
+    let condition = expected.map_or(Condition::Absent, Condition::Version);
+    let timeout = shared.settings.store_timeout;
+    let outcome = shared.store.put(path, value, condition, timeout).await;
+    let outcome = match outcome {
+        waxwing_store::WriteOutcome::Created(version)
+        | waxwing_store::WriteOutcome::Updated(version) => {
+            log::info!(path = path, version = version.0; "owners of shards written");
+            WriteOutcome::Written(version)
+        }
+        waxwing_store::WriteOutcome::Conflict(_) | waxwing_store::WriteOutcome::Absent => {
+            WriteOutcome::Conflict
+        }
+        waxwing_store::WriteOutcome::Rejected { status, message } => {
+            log::warn!(path = path, status = status, message = message.as_str(); "store rejects the owners");
+            WriteOutcome::Unknown
+        }
+        waxwing_store::WriteOutcome::Unreachable(reason)
+        | waxwing_store::WriteOutcome::Unknown(reason) => {
+            shared.metrics.store_failures.increment(1);
+            log::debug!(path = path, reason = reason.as_str(); "owners cannot be written");
+            WriteOutcome::Unknown
+        }
+    };
+    let mut ledger = shared.ledger();
+    ledger.on_owners_written(shared.now(), sent, outcome);
+    drop(ledger);
+    shared.nudge_ledger();
+}
+
+async fn read(ctx: &Context, path: &str) {
+    let shared = &ctx.shared;
+    let outcome = shared.store.get(path, shared.settings.store_timeout).await;
+    match outcome {
+        ReadOutcome::Found(object) => {
+            let Some(domain) = path.strip_prefix("owners/").map(DomainId::from) else {
+                return;
+            };
+            match OwnersTable::parse(&object.value) {
+                Ok(table) => {
+                    let mut ledger = shared.ledger();
+                    ledger.on_owners(shared.now(), &domain, object.version, &table);
+                }
+                Err(error) => {
+                    let error = error.to_string();
+                    log::warn!(path = path, error = error.as_str(); "table of owners is invalid");
+                }
+            }
+        }
+        ReadOutcome::Absent => {
+            let mut ledger = shared.ledger();
+            ledger.on_owners_absent(shared.now());
+        }
+        ReadOutcome::Unreachable(reason) => {
+            shared.metrics.store_failures.increment(1);
+            log::debug!(path = path, reason = reason.as_str(); "owners cannot be read");
+        }
+    }
+    shared.nudge_ledger();
+}
