--- a/crates/waxwing_core/src/limit/ledger.rs
+++ b/crates/waxwing_core/src/limit/ledger.rs
@@ -268,6 +268,12 @@
         self.shards.list.iter().all(|s| s.owned.is_none())
     }
 
+    /// Number of shards that this VM owns.
+    pub fn owned(&self) -> usize {
+        let owned = self.shards.list.iter().filter(|s| s.owned.is_some());
+        owned.count()
+    }
+
     /// What `admit` could take at `now`.
     pub fn available(&mut self, now: Millis, key: &LimitKey) -> Micros {
         self.accounts.get_mut(key).map_or(Micros::ZERO, |account| {
--- a/crates/waxwing_http/src/body.rs
+++ b/crates/waxwing_http/src/body.rs
@@ -3,7 +3,7 @@
 use std::error::Error;
 
 use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Empty, Full, Limited};
+use http_body_util::{BodyExt, Empty, Full};
 use hyper::body::Bytes;
 
 /// Why a body ended early.
@@ -42,5 +42,17 @@
     B: hyper::body::Body<Data = Bytes>,
     B::Error: Into<BodyError>,
 {
-    Ok(Limited::new(body, max).collect().await?.to_bytes())
+    // Not `http_body_util::Limited`, whose error type keeps futures from being `Send`.
+    let mut body = std::pin::pin!(body);
+    let mut whole = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(Into::into)?.into_data() else {
+            continue;
+        };
+        if whole.len() + data.len() > max {
+            return Err(format!("the body exceeds {max} bytes").into());
+        }
+        whole.extend_from_slice(&data);
+    }
+    Ok(whole.into())
 }
--- a/crates/waxwingrail/src/admin/status.rs
+++ b/crates/waxwingrail/src/admin/status.rs
@@ -55,7 +55,7 @@
     let ready = shared.is_ready();
     let config = shared.config();
     let fleet = shared.fleet();
-    let shards = 0;
+    let shards = shared.ledger().owned();
     let queued = shared.queue().len();
     let now = shared.now();
     let ejected = ejected(shared, now);
--- a/crates/waxwingrail/src/state.rs
+++ b/crates/waxwingrail/src/state.rs
@@ -275,6 +275,7 @@
         };
         metrics.revision.set(number(revision.0));
         metrics.age.set(number(age.0) / 1000.0);
+        metrics.shards.set(number(self.ledger().owned() as u64));
         metrics.queued.set(number(self.queue().len() as u64));
         metrics.running.set(number(self.running() as u64));
         let connections = self.connections.get().map_or(0, Server::connections);
--- a/crates/waxwingrail/src/task/load.rs
+++ b/crates/waxwingrail/src/task/load.rs
@@ -18,6 +18,9 @@
 /// Greatest size of a report in bytes.
 const MAX_REPORT_BYTES: usize = 4096;
 
+/// Use of the slots that stands for a target that drains, in thousandths.
+const DRAINING: u32 = 2000;
+
 #[derive(Deserialize)]
 struct Report {
     running: u32,
@@ -26,6 +29,20 @@
     draining: bool,
 }
 
+impl Report {
+    /// Slots in use in thousandths. A target that drains reports itself as full, so that it gets as
+    /// little as a hint can bring about until the configuration names it as leaving.
+    fn used(&self) -> u32 {
+        let used = u64::from(self.running) * 1000 / u64::from(self.slots.max(1));
+        let used = u32::try_from(used).unwrap_or(u32::MAX);
+        if self.draining {
+            used.max(DRAINING)
+        } else {
+            used
+        }
+    }
+}
+
 struct Source {
     service: ServiceId,
     target: TargetId,
@@ -78,9 +95,7 @@
         return;
     };
     let report = LoadReport {
-        running: report.running,
-        slots: report.slots,
-        draining: report.draining,
+        used: report.used(),
     };
     let mut targets = shared.targets();
     targets.on_report(shared.now(), &source.service, &source.target, report);
--- a/crates/waxwingrail/src/task/quota.rs
+++ b/crates/waxwingrail/src/task/quota.rs
@@ -114,25 +114,23 @@
 async fn read(ctx: &Context, path: &str) {
     let shared = &ctx.shared;
     let outcome = shared.store.get(path, shared.settings.store_timeout).await;
+    let Some(domain) = path.strip_prefix("owners/").map(DomainId::from) else {
+        return;
+    };
     match outcome {
-        ReadOutcome::Found(object) => {
-            let Some(domain) = path.strip_prefix("owners/").map(DomainId::from) else {
-                return;
-            };
-            match OwnersTable::parse(&object.value) {
-                Ok(table) => {
-                    let mut ledger = shared.ledger();
-                    ledger.on_owners(shared.now(), &domain, object.version, &table);
-                }
-                Err(error) => {
-                    let error = error.to_string();
-                    log::warn!(path = path, error = error.as_str(); "table of owners is invalid");
-                }
+        ReadOutcome::Found(object) => match OwnersTable::parse(&object.value) {
+            Ok(table) => {
+                let mut ledger = shared.ledger();
+                ledger.on_owners(shared.now(), &domain, object.version, &table);
             }
-        }
+            Err(error) => {
+                let error = error.to_string();
+                log::warn!(path = path, error = error.as_str(); "table of owners is invalid");
+            }
+        },
         ReadOutcome::Absent => {
             let mut ledger = shared.ledger();
-            ledger.on_owners_absent(shared.now());
+            ledger.on_owners_absent(shared.now(), &domain);
         }
         ReadOutcome::Unreachable(reason) => {
             shared.metrics.store_failures.increment(1);
--- /dev/null
+++ b/crates/waxwingrail/tests/common/mod.rs
@@ -0,0 +1,296 @@
+//! Fixtures: daemons in this process, with doubles of store and targets over loopback.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use async_executor::Executor;
+use futures_lite::future;
+use hyper::{Request, Response, StatusCode};
+use serde_json::{Value, json};
+use waxwing_http::{Body, Client, ClientLimits, SendError, collect, empty, full};
+use waxwing_records::KeyHash;
+use waxwing_store::{Condition, ReadOutcome, Store, Vm, VmState, WriteOutcome};
+use waxwing_testkit::{Control, MemoryStore, Target, TargetSettings};
+use waxwing_types::{Incarnation, Millis, MonotonicClock};
+use waxwingrail::{Command, Daemon, Parts, Settings, Workers, read_settings};
+
+/// Bound on any wait of a test.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(40);
+/// Time for a call to the store double.
+const STORE_TIME: Millis = Millis::from_secs(2);
+/// Greatest body that a test reads.
+const MAX_BODY: usize = 1 << 20;
+/// The key of workspace `acme`.
+pub(crate) const KEY: &str = "acme1.secret";
+
+/// Store, targets, client and worker threads of one test.
+pub(crate) struct Rig {
+    pub(crate) executor: Arc<Executor<'static>>,
+    pub(crate) store: MemoryStore,
+    pub(crate) client: Client,
+    workers: Option<Workers>,
+    vms: Vec<Vm>,
+}
+
+/// Runs a test, bounded in time.
+pub(crate) fn run<F: Future<Output = ()>>(test: impl FnOnce(Rig) -> F) {
+    let executor = Arc::new(Executor::new());
+    let workers = Workers::start(&executor, 2).unwrap();
+    let rig = Rig {
+        client: Client::new(Arc::clone(&executor), ClientLimits::default()),
+        store: MemoryStore::new(),
+        workers: Some(workers),
+        vms: Vec::new(),
+        executor,
+    };
+    let timer = async {
+        async_io::Timer::after(PATIENCE).await;
+        panic!("the test exceeded {PATIENCE:?}");
+    };
+    async_io::block_on(future::or(test(rig), timer));
+}
+
+impl Drop for Rig {
+    fn drop(&mut self) {
+        if let Some(workers) = self.workers.take() {
+            workers.stop();
+        }
+    }
+}
+
+impl Rig {
+    /// A target of domain `d1` with default behaviour.
+    pub(crate) async fn target(&self, settings: TargetSettings) -> Target {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        Target::start(&self.executor, any, settings).await.unwrap()
+    }
+
+    /// Writes a record, whether or not it exists.
+    pub(crate) async fn put(&self, kind: &str, name: &str, schema: u32, spec: Value) {
+        let record = json!({"schema": schema, "kind": kind, "name": name, "spec": spec});
+        self.write(&format!("config/{kind}/{name}"), &record).await;
+    }
+
+    pub(crate) async fn withdraw(&self, kind: &str, name: &str) {
+        let record = json!({"schema": 1, "kind": kind, "name": name, "withdrawn": true});
+        self.write(&format!("config/{kind}/{name}"), &record).await;
+    }
+
+    async fn write(&self, path: &str, record: &Value) {
+        let condition = match self.store.get(path, STORE_TIME).await {
+            ReadOutcome::Found(object) => Condition::Version(object.version),
+            ReadOutcome::Absent => Condition::Absent,
+            ReadOutcome::Unreachable(reason) => panic!("{reason}"),
+        };
+        let value = record.to_string().into_bytes();
+        let outcome = self.store.put(path, value, condition, STORE_TIME).await;
+        assert!(
+            matches!(outcome, WriteOutcome::Created(_) | WriteOutcome::Updated(_)),
+            "{outcome:?}"
+        );
+    }
+
+    /// The records that most tests need: two regions, a workspace with a key, a service `shop`.
+    pub(crate) async fn records(&self, targets: &[(&str, &Target)]) {
+        for (region, domain, to) in [("r1", "d1", "r2"), ("r2", "d2", "r1")] {
+            let spec = json!({
+                "domains": [{"name": domain}], "spare_rate": 1000, "spare_burst": 1000,
+                "links": [{"to": to, "mbits": 100}]
+            });
+            self.put("region", region, 1, spec).await;
+        }
+        self.workspace("acme", 100_000, "acme1", KEY).await;
+        self.service("shop", &[], targets).await;
+    }
+
+    pub(crate) async fn workspace(&self, name: &str, rate: u64, key: &str, secret: &str) {
+        let limit = json!({"limit": {"rate": rate, "burst": rate}, "domains": ["d1"]});
+        self.put("workspace", name, 2, limit).await;
+        let hash = KeyHash::of(secret).to_string();
+        self.put("key", key, 1, json!({"workspace": name, "sha256": hash}))
+            .await;
+    }
+
+    pub(crate) async fn service(
+        &self,
+        name: &str,
+        workspaces: &[&str],
+        targets: &[(&str, &Target)],
+    ) {
+        let targets: Vec<_> = targets
+            .iter()
+            .enumerate()
+            .map(|(i, (domain, target))| {
+                json!({
+                    "name": format!("t{i}"), "domain": domain, "slots": 64,
+                    "address": target.address().to_string()
+                })
+            })
+            .collect();
+        let routes = json!([
+            {"method": "GET", "prefix": "/", "idempotent": true, "timeout_ms": 20_000},
+            {"method": "GET", "prefix": "/open", "idempotent": true, "public": true, "timeout_ms": 20_000},
+            {"method": "PUT", "prefix": "/", "idempotent": true, "timeout_ms": 30_000},
+            {"method": "POST", "prefix": "/", "timeout_ms": 20_000},
+            {"method": "POST", "prefix": "/once", "key_required": true, "timeout_ms": 20_000}
+        ]);
+        let spec = json!({"workspaces": workspaces, "routes": routes, "targets": targets});
+        self.put("service", name, 1, spec).await;
+    }
+
+    /// Starts a daemon and waits until it is ready and can spend quota.
+    pub(crate) async fn daemon(&mut self, vm: &str, domain: &str, more: &[&str]) -> Daemon {
+        let settings = self.settings(vm, domain, more);
+        self.announce(&settings);
+        let daemon = self.start(settings, 1).await;
+        let admin = daemon.addresses().admin;
+        self.until("ready", async || {
+            self.get(admin, "/readyz").await.status() == StatusCode::OK
+        })
+        .await;
+        daemon
+    }
+
+    pub(crate) async fn start(&self, settings: Settings, incarnation: u64) -> Daemon {
+        let parts = Parts {
+            clock: Arc::new(MonotonicClock::new()),
+            store: Arc::new(self.store.clone()),
+            executor: Arc::clone(&self.executor),
+            client: Client::new(Arc::clone(&self.executor), ClientLimits::default()),
+            incarnation: Incarnation(incarnation),
+            panics: self.workers.as_ref().unwrap().panics(),
+        };
+        Daemon::start(settings, parts).await.unwrap()
+    }
+
+    /// Settings with free ports.
+    pub(crate) fn settings(&self, vm: &str, domain: &str, more: &[&str]) -> Settings {
+        let [listen, peer, peer_http, admin] = free_addresses();
+        let region = domain.replace('d', "r");
+        let args = [
+            ("vm", vm.to_owned()),
+            ("domain", domain.to_owned()),
+            ("region", region),
+            ("store", "127.0.0.1:1".to_owned()),
+            ("listen", listen),
+            ("peer", peer),
+            ("peer-http", peer_http),
+            ("admin", admin),
+            ("drain-notice-ms", "50".to_owned()),
+            ("load-period-ms", "200".to_owned()),
+        ];
+        let args = args.iter().map(|(k, v)| format!("--{k}={v}"));
+        let args = args.chain(more.iter().map(ToString::to_string));
+        let args = args.map(Into::into).collect();
+        match read_settings(args, |_| None) {
+            Ok(Command::Run(settings)) => settings,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    /// Puts a VM on the platform's list.
+    pub(crate) fn announce(&mut self, settings: &Settings) {
+        self.vms.push(Vm {
+            id: settings.vm.clone(),
+            domain: settings.domain.clone(),
+            client: settings.listen,
+            peer: settings.peer,
+            peer_http: settings.peer_http,
+            state: VmState::Live,
+        });
+        self.store.control(Control {
+            vms: Some(self.vms.clone()),
+            ..Control::default()
+        });
+    }
+
+    /// Waits until requests of workspace `acme` are admitted.
+    pub(crate) async fn until_admitted(&self, daemon: &Daemon) {
+        let at = daemon.addresses().callers;
+        self.until("admission", async || {
+            let response = self
+                .send(at, call("GET", "/v1/svc/shop/warm", empty()))
+                .await;
+            response.status() == StatusCode::OK
+        })
+        .await;
+    }
+
+    pub(crate) async fn send(&self, at: SocketAddr, request: Request<Body>) -> Response<Body> {
+        self.try_send(at, request).await.unwrap()
+    }
+
+    pub(crate) async fn try_send(
+        &self,
+        at: SocketAddr,
+        request: Request<Body>,
+    ) -> Result<Response<Body>, SendError> {
+        self.client.send(at, request).await
+    }
+
+    pub(crate) async fn get(&self, at: SocketAddr, path: &str) -> Response<Body> {
+        self.send(at, Request::get(path).body(empty()).unwrap())
+            .await
+    }
+
+    pub(crate) async fn text(&self, at: SocketAddr, path: &str) -> String {
+        let response = self.get(at, path).await;
+        let body = collect(response.into_body(), MAX_BODY).await.unwrap();
+        String::from_utf8(body.to_vec()).unwrap()
+    }
+
+    /// The value of a metric.
+    pub(crate) async fn metric(&self, daemon: &Daemon, line: &str) -> f64 {
+        let text = self.text(daemon.addresses().admin, "/metrics").await;
+        let found = text.lines().find_map(|l| l.strip_prefix(line));
+        let found = found.unwrap_or_else(|| panic!("no {line} in {text}"));
+        found.trim().parse().unwrap()
+    }
+
+    /// Waits for a condition.
+    pub(crate) async fn until(&self, what: &str, condition: impl AsyncFn() -> bool) {
+        let begun = Instant::now();
+        while !condition().await {
+            assert!(begun.elapsed() < PATIENCE / 2, "never: {what}");
+            async_io::Timer::after(Duration::from_millis(10)).await;
+        }
+    }
+}
+
+/// A request with the key of `acme`.
+pub(crate) fn call(method: &str, path: &str, body: Body) -> Request<Body> {
+    Request::builder()
+        .method(method)
+        .uri(path)
+        .header("authorization", format!("Bearer {KEY}"))
+        .body(body)
+        .unwrap()
+}
+
+/// A request with headers.
+pub(crate) fn with(mut request: Request<Body>, headers: &[(&'static str, &str)]) -> Request<Body> {
+    for (name, value) in headers {
+        request.headers_mut().append(*name, value.parse().unwrap());
+    }
+    request
+}
+
+pub(crate) fn bytes(text: &str) -> Body {
+    full(text.to_owned())
+}
+
+/// Status and problem body of a response.
+pub(crate) async fn problem(response: Response<Body>) -> (StatusCode, Value) {
+    let status = response.status();
+    let kind = response.headers()["content-type"].clone();
+    let body = collect(response.into_body(), MAX_BODY).await.unwrap();
+    assert_eq!(kind, "application/problem+json", "{status}");
+    (status, serde_json::from_slice(&body).unwrap())
+}
+
+fn free_addresses() -> [String; 4] {
+    let held = [(); 4].map(|()| TcpListener::bind("127.0.0.1:0").unwrap());
+    held.map(|l| l.local_addr().unwrap().to_string())
+}
