--- a/crates/waxwing_core/src/limit/ledger.rs
+++ b/crates/waxwing_core/src/limit/ledger.rs
@@ -6,10 +6,10 @@
 
 use super::account::{Account, Terms};
 use super::owners::shard_of;
-use super::shard::Shards;
+use super::shard::{Shards, shard_id};
 use super::share::Division;
 use super::{LedgerAction, LedgerSettings, LimitSpec, OwnersTable, SHARDS, WriteOutcome};
-use crate::{BorrowReply, BorrowRequest, LimitKey, RenewReply, RenewRequest};
+use crate::{BorrowReply, BorrowRequest, LimitKey, RenewReply, RenewRequest, ShardId};
 
 /// All limits of one VM: shards owned, quota leases given and held, admission.
 ///
@@ -25,6 +25,8 @@
     /// Owners in other domains, by shard.
     pub(super) lenders: Vec<Vec<VmId>>,
     pub(super) revision: Revision,
+    /// All failure domains of the deployment.
+    pub(super) domains: Vec<DomainId>,
     /// A tick is due before the next regular one.
     pub(super) short: bool,
 }
@@ -39,13 +41,22 @@
             tables: BTreeMap::new(),
             lenders: vec![Vec::new(); SHARDS],
             revision: Revision(0),
+            domains: Vec::new(),
             short: false,
         }
     }
 
-    /// Takes over the limits of the configuration at `revision`, up to which it is complete.
-    pub fn configure(&mut self, now: Millis, revision: Revision, specs: Vec<LimitSpec>) {
+    /// Takes over the limits of the configuration at `revision`, up to which it is complete, and
+    /// all failure domains of the deployment.
+    pub fn configure(
+        &mut self,
+        now: Millis,
+        revision: Revision,
+        domains: Vec<DomainId>,
+        specs: Vec<LimitSpec>,
+    ) {
         let first = self.revision.0 == 0;
+        self.domains = domains;
         self.revision = self.revision.max(revision);
         let drift = self.settings.drift_permille;
         let own = self.settings.domain.clone();
@@ -124,6 +135,14 @@
         }
     }
 
+    /// What `admit` could take at `now`.
+    pub fn available(&mut self, now: Millis, key: &LimitKey) -> Micros {
+        self.accounts.get_mut(key).map_or(Micros::ZERO, |account| {
+            account.advance(now);
+            Micros(account.tokens())
+        })
+    }
+
     /// Answers a VM that borrows. What is not granted is missing in the reply.
     pub fn on_borrow(&mut self, now: Millis, request: &BorrowRequest) -> BorrowReply {
         let cross = request.domain != self.settings.domain;
@@ -268,18 +287,10 @@
         self.shards.list.iter().all(|s| s.owned.is_none())
     }
 
-    /// Number of shards that this VM owns.
-    pub fn owned(&self) -> usize {
-        let owned = self.shards.list.iter().filter(|s| s.owned.is_some());
-        owned.count()
-    }
-
-    /// What `admit` could take at `now`.
-    pub fn available(&mut self, now: Millis, key: &LimitKey) -> Micros {
-        self.accounts.get_mut(key).map_or(Micros::ZERO, |account| {
-            account.advance(now);
-            Micros(account.tokens())
-        })
+    /// The shards that this VM owns, whether or not it may spend their shares at present.
+    pub fn owned_shards(&self) -> Vec<ShardId> {
+        let owned = |index: &usize| self.shards.list[*index].owned.is_some();
+        (0..SHARDS).filter(owned).map(shard_id).collect()
     }
 
     /// Identity and durations.
--- a/crates/waxwingrail/src/task/pull.rs
+++ b/crates/waxwingrail/src/task/pull.rs
@@ -209,7 +209,9 @@
     // A revision that rises without a record still has to be confirmed by the owners of shards.
     let config = shared.config();
     let mut ledger = shared.ledger();
-    ledger.configure(shared.now(), config.revision(), config.limits());
+    let domains = config.domains().keys().cloned().collect();
+    let (revision, limits) = (config.revision(), config.limits());
+    ledger.configure(shared.now(), revision, limits, domains);
     drop((config, ledger));
     if changed {
         rebuild_blocks(shared);
