--- a/crates/waxwingrail/src/task/pull.rs
+++ b/crates/waxwingrail/src/task/pull.rs
@@ -211,7 +211,7 @@
     let mut ledger = shared.ledger();
     let domains = config.domains().keys().cloned().collect();
     let (revision, limits) = (config.revision(), config.limits());
-    ledger.configure(shared.now(), revision, limits, domains);
+    ledger.configure(shared.now(), revision, domains, limits);
     drop((config, ledger));
     if changed {
         rebuild_blocks(shared);
