waxwingrail: tell the ledger which domains have no table of owners

Cause: the ledger waits for the tables of all domains, and one that does not exist shows up in no watch, so that nothing was admitted. Change: tables that were not read yet are read one by one.

--- a/crates/waxwingrail/src/task/feed.rs
+++ b/crates/waxwingrail/src/task/feed.rs
@@ -1,20 +1,22 @@
 //! The platform's list of VMs and the tables of owners.
 
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use waxwing_core::{OwnersTable, Vm};
 use waxwing_store::{ChangesOutcome, Object, VmState, VmsOutcome};
 use waxwing_types::{DomainId, Millis, Revision, VmId};
 
-use super::{Context, pause};
+use super::{Context, pause, quota};
 use crate::state::Shared;
 
 /// Period in which the list is read: 110 calls a second at 1,100 VMs.
 const LIST_PERIOD: Millis = Millis::from_secs(10);
 /// Pause after a call that failed.
 const RETRY_PAUSE: Millis = Millis::from_secs(1);
+/// Period in which failure domains whose table was not read are looked for.
+const FIND_PERIOD: Millis = Millis(200);
 /// Prefix of the tables of owners.
-const OWNERS: &str = "owners/";
+pub(super) const OWNERS: &str = "owners/";
 /// Time for which the store holds a watch of the owners, which change seldom.
 const OWNERS_WAIT: Millis = Millis::from_secs(30);
 
@@ -76,7 +78,6 @@
 pub(super) async fn watch_owners(ctx: Context) {
     let shared = &ctx.shared;
     let mut after = Revision::default();
-    let mut seen = BTreeMap::new();
     loop {
         let timeout = shared.settings.store_timeout;
         let wait = if after == Revision::default() {
@@ -91,7 +92,10 @@
             } => {
                 let idle = objects.is_empty() && wait == Millis::ZERO;
                 for object in &objects {
-                    adopt_owners(shared, &mut seen, object);
+                    let domain = object.path.strip_prefix(OWNERS);
+                    if let Some(domain) = domain.map(DomainId::from) {
+                        adopt_owners(shared, &domain, object);
+                    }
                 }
                 after = after.max(revision);
                 if idle && after == Revision::default() {
@@ -107,25 +111,39 @@
     }
 }
 
-fn adopt_owners(shared: &Shared, seen: &mut BTreeMap<DomainId, Revision>, object: &Object) {
-    let Some(domain) = object.path.strip_prefix(OWNERS).map(DomainId::from) else {
-        return;
-    };
-    if seen
-        .get(&domain)
-        .is_some_and(|held| *held >= object.version)
-    {
-        return;
+/// Reads the tables of domains that the watch has not shown, because a domain without a table shows
+/// up in no watch, and the ledger waits until it knows of all.
+pub(super) async fn find_owners(ctx: Context) {
+    let shared = &ctx.shared;
+    let mut known = BTreeSet::new();
+    loop {
+        let mut domains: Vec<_> = shared.config().domains().keys().cloned().collect();
+        // The ledger asks for the table of its own domain, in the order of its writes.
+        domains.retain(|d| *d != shared.settings.domain);
+        known.retain(|d| domains.contains(d));
+        for domain in domains {
+            let read = async || quota::read(&ctx, &OwnersTable::path(&domain)).await;
+            if !known.contains(&domain) && read().await {
+                known.insert(domain);
+            }
+        }
+        pause(FIND_PERIOD).await;
     }
+}
+
+/// Passes a table to the ledger, which ignores one that is older than the one it has.
+pub(super) fn adopt_owners(shared: &Shared, domain: &DomainId, object: &Object) {
     match OwnersTable::parse(&object.value) {
         Ok(table) => {
             let mut ledger = shared.ledger();
-            ledger.on_owners(shared.now(), &domain, object.version, &table);
-            seen.insert(domain, object.version);
+            ledger.on_owners(shared.now(), domain, object.version, &table);
         }
         Err(error) => {
             let error = error.to_string();
-            log::warn!(path = object.path.as_str(), error = error.as_str(); "table of owners is invalid");
+            log::warn!(
+                path = object.path.as_str(), error = error.as_str();
+                "table of owners is invalid"
+            );
         }
     }
 }
--- a/crates/waxwingrail/src/task/mod.rs
+++ b/crates/waxwingrail/src/task/mod.rs
@@ -32,6 +32,7 @@
     vec![
         executor.spawn(feed::list_vms(ctx.clone())),
         executor.spawn(feed::watch_owners(ctx.clone())),
+        executor.spawn(feed::find_owners(ctx.clone())),
         executor.spawn(pull::run(ctx.clone())),
         executor.spawn(quota::run(ctx.clone())),
         executor.spawn(load::run(ctx.clone())),
--- a/crates/waxwingrail/src/task/quota.rs
+++ b/crates/waxwingrail/src/task/quota.rs
@@ -3,10 +3,11 @@
 use std::sync::Arc;
 
 use futures_lite::future;
-use waxwing_core::{BorrowRequest, LedgerAction, OwnersTable, RenewRequest, WriteOutcome};
+use waxwing_core::{BorrowRequest, LedgerAction, RenewRequest, WriteOutcome};
 use waxwing_store::{Condition, ReadOutcome};
 use waxwing_types::{DomainId, Millis, Revision, VmId};
 
+use super::feed::{self, OWNERS};
 use super::{Context, pause, peer_failed};
 
 /// Time between ticks that nothing hastens.
@@ -42,7 +43,9 @@
             value,
             expected,
         } => write(&ctx, sent, &path, value, expected).await,
-        LedgerAction::ReadOwners { path } => read(&ctx, &path).await,
+        LedgerAction::ReadOwners { path } => {
+            read(&ctx, &path).await;
+        }
     }
 }
 
@@ -111,23 +114,14 @@
     shared.nudge_ledger();
 }
 
-async fn read(ctx: &Context, path: &str) {
+/// Reads a table of owners. Returns whether the store answered.
+pub(super) async fn read(ctx: &Context, path: &str) -> bool {
     let shared = &ctx.shared;
-    let outcome = shared.store.get(path, shared.settings.store_timeout).await;
-    let Some(domain) = path.strip_prefix("owners/").map(DomainId::from) else {
-        return;
+    let Some(domain) = path.strip_prefix(OWNERS).map(DomainId::from) else {
+        return false;
     };
-    match outcome {
-        ReadOutcome::Found(object) => match OwnersTable::parse(&object.value) {
-            Ok(table) => {
-                let mut ledger = shared.ledger();
-                ledger.on_owners(shared.now(), &domain, object.version, &table);
-            }
-            Err(error) => {
-                let error = error.to_string();
-                log::warn!(path = path, error = error.as_str(); "table of owners is invalid");
-            }
-        },
+    match shared.store.get(path, shared.settings.store_timeout).await {
+        ReadOutcome::Found(object) => feed::adopt_owners(shared, &domain, &object),
         ReadOutcome::Absent => {
             let mut ledger = shared.ledger();
             ledger.on_owners_absent(shared.now(), &domain);
@@ -135,7 +129,9 @@
         ReadOutcome::Unreachable(reason) => {
             shared.metrics.store_failures.increment(1);
             log::debug!(path = path, reason = reason.as_str(); "owners cannot be read");
+            return false;
         }
     }
     shared.nudge_ledger();
+    true
 }
