--- a/crates/waxwing_http/src/lib.rs
+++ b/crates/waxwing_http/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod body;
 mod client;
+mod coarse;
 mod conn;
 mod counted;
 mod hop;
@@ -11,6 +12,7 @@
 
 pub use body::{Body, BodyError, collect, empty, full, streamed};
 pub use client::{Client, ClientLimits, SendError};
+pub use coarse::{CoarseSleep, CoarseTimer};
 pub use hop::{remove_hop_headers, remove_proxy_headers};
 pub use problem::{Problem, json};
 pub use server::{Handler, Server, ServerLimits};
--- a/crates/waxwing_http/src/server.rs
+++ b/crates/waxwing_http/src/server.rs
@@ -17,10 +17,10 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
-use smol_hyper::rt::{FuturesIo, SmolTimer};
+use smol_hyper::rt::FuturesIo;
 use waxwing_types::{Ran, RefusalReason};
 
-use crate::{Body, Problem};
+use crate::{Body, CoarseTimer, Problem};
 
 /// The protocol library's own bound on a header section, as a multiple of the configured limit.
 /// Below it the server rejects with a problem body; above it the library answers 431 alone.
@@ -30,6 +30,9 @@
 /// Pause after an accept that failed, for example because no file descriptor was free.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Precision of the header timeout.
+const HEADER_TICK: Duration = Duration::from_millis(100);
+
 /// Limits of a server.
 #[derive(Clone, Copy, Debug)]
 pub struct ServerLimits {
@@ -71,6 +74,7 @@
     limits: ServerLimits,
     address: SocketAddr,
     connections: AtomicUsize,
+    timer: CoarseTimer,
     /// Set in the first phase of shutdown: responses carry `Connection: close`.
     closing: AtomicBool,
     stop_accept: (Sender<()>, Receiver<()>),
@@ -102,6 +106,7 @@
             limits,
             address: listener.local_addr()?,
             connections: AtomicUsize::new(0),
+            timer: CoarseTimer::start(executor, HEADER_TICK),
             closing: AtomicBool::new(false),
             stop_accept: async_channel::bounded(1),
             close_idle: async_channel::bounded(1),
@@ -217,7 +222,7 @@
     let service = service_fn(|request| answer(state, &handler, request, peer));
     let hard = state.limits.header_bytes * HARD_HEADER_FACTOR;
     let conn = http1::Builder::new()
-        .timer(SmolTimer::new())
+        .timer(state.timer.clone())
         .header_read_timeout(state.limits.header_time)
         .max_header_size(hard)
         .max_buf_size(hard.max(MIN_BUFFER_BYTES))
--- a/crates/waxwingrail/src/request/driver.rs
+++ b/crates/waxwingrail/src/request/driver.rs
@@ -8,12 +8,13 @@
 use std::time::Instant;
 
 use async_channel::{Receiver, Sender};
-use async_io::Timer;
 use futures_lite::Stream;
 use hyper::http::request::Parts;
 use hyper::{Request, Response};
 use waxwing_core::{Arrival, Flow, FlowAction, FlowEvent, Refusal, StoreOutcome};
-use waxwing_http::{Body, SendError, remove_hop_headers, remove_proxy_headers, streamed};
+use waxwing_http::{
+    Body, CoarseSleep, SendError, remove_hop_headers, remove_proxy_headers, streamed,
+};
 use waxwing_types::{Millis, Ran, RefusalReason, RegionId};
 
 use super::outbound::{Outbound, says_not_run};
@@ -92,7 +93,7 @@
     to_region: bool,
     /// The answer whose head arrived, until it is relayed or given up.
     head: Option<Response<Body>>,
-    timer: Option<Timer>,
+    timer: Option<Pin<Box<CoarseSleep>>>,
     /// Events that wait to be delivered.
     events: VecDeque<FlowEvent>,
     arrived: Instant,
@@ -135,7 +136,7 @@
             self.call = None;
             return Poll::Ready(self.answered(result));
         }
-        if let Some(Poll::Ready(_)) = self.timer.as_mut().map(|t| Pin::new(t).poll(cx)) {
+        if let Some(Poll::Ready(_)) = self.timer.as_mut().map(|t| t.as_mut().poll(cx)) {
             self.timer = None;
             return Poll::Ready(FlowEvent::Timer);
         }
@@ -225,7 +226,8 @@
             FlowAction::Queue => {}
             FlowAction::SetTimer(at) => {
                 let left = at.since(shared.now());
-                self.timer = Some(Timer::after(left.duration()));
+                let end = Instant::now() + left.duration();
+                self.timer = Some(Box::pin(shared.timer.sleep_until(end)));
             }
             FlowAction::Send {
                 address,
--- a/crates/waxwingrail/src/run.rs
+++ b/crates/waxwingrail/src/run.rs
@@ -82,18 +82,21 @@
 pub fn run(settings: Settings) -> anyhow::Result<()> {
     let executor = Arc::new(Executor::new());
     let workers = Workers::start(&executor, settings.workers).context("worker threads")?;
-    let result = async_io::block_on(live(settings, &executor, workers.panics()));
+    let life = executor.spawn(live(settings, Arc::clone(&executor), workers.panics()));
+    // Not `async_io::block_on`, with which this idle thread would take the place of a worker in the
+    // reactor and wake another one for each event.
+    let result = futures_lite::future::block_on(life);
     workers.stop();
     result
 }
 
 async fn live(
     settings: Settings,
-    executor: &Arc<Executor<'static>>,
+    executor: Arc<Executor<'static>>,
     panics: Arc<AtomicU64>,
 ) -> anyhow::Result<()> {
     let mut signals = Signals::new([Signal::Term, Signal::Int]).context("signals")?;
-    let store = Client::new(Arc::clone(executor), ClientLimits::default());
+    let store = Client::new(Arc::clone(&executor), ClientLimits::default());
     let targets = ClientLimits {
         idle: settings.idle_connections,
         connect: settings.connect_timeout.duration(),
@@ -102,8 +105,8 @@
     let parts = Parts {
         clock: Arc::new(MonotonicClock::new()),
         store: Arc::new(HttpStore::new(store, settings.store)),
-        executor: Arc::clone(executor),
-        client: Client::new(Arc::clone(executor), targets),
+        executor: Arc::clone(&executor),
+        client: Client::new(Arc::clone(&executor), targets),
         incarnation: incarnation(),
         panics,
     };
--- a/crates/waxwingrail/src/state.rs
+++ b/crates/waxwingrail/src/state.rs
@@ -5,13 +5,15 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock};
 
+use std::time::Duration;
+
 use async_channel::{Receiver, Sender};
 use async_executor::Executor;
 use waxwing_core::{
     BlockTable, Config, FairQueue, Flow, FlowAction, FlowEvent, FlowId, Ledger, LedgerSettings,
     Members, PullSettings, Puller, Quarantine, RetryBudget, Steering, Tables, TargetTable,
 };
-use waxwing_http::{Client, Server};
+use waxwing_http::{Client, CoarseTimer, Server};
 use waxwing_store::Store;
 use waxwing_types::{Clock, Incarnation, Millis, VmId};
 
@@ -22,6 +24,9 @@
 /// Parts into which the table of requests is divided, so that threads rarely meet at one lock.
 const FLOW_PARTS: u64 = 16;
 
+/// Precision of the deadlines of requests.
+const DEADLINE_TICK: Duration = Duration::from_millis(10);
+
 /// What is known of the other VMs. Behind one lock, because pulls change all of it.
 pub(crate) struct Fleet {
     pub(crate) members: Members,
@@ -47,6 +52,8 @@
     pub(crate) store: Arc<dyn Store>,
     pub(crate) executor: Arc<Executor<'static>>,
     pub(crate) client: Client,
+    /// Deadlines of requests.
+    pub(crate) timer: CoarseTimer,
     pub(crate) metrics: Metrics,
     pub(crate) steering: Steering,
 
@@ -112,6 +119,7 @@
             incarnation: parts.incarnation,
             clock: parts.clock,
             store: parts.store,
+            timer: CoarseTimer::start(&parts.executor, DEADLINE_TICK),
             executor: parts.executor,
             client: parts.client,
             metrics: Metrics::new(),
