--- a/crates/waxwingctl/src/main.rs
+++ b/crates/waxwingctl/src/main.rs
@@ -1,3 +1,13 @@
 //! The operator's command line.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let code = waxwingctl::main(
+        std::env::args_os().skip(1),
+        |name| std::env::var(name).ok(),
+        &mut std::io::stdout(),
+        &mut std::io::stderr(),
+    );
+    ExitCode::from(code.number())
+}
