Release idle quota within two seconds

Cause: the demand estimate held the average of four seconds after the demand had ended; a domain that then got the whole demand was admitted 377 of 600 requests in the third and fourth second.

--- a/crates/waxwing_core/src/limit/demand.rs
+++ b/crates/waxwing_core/src/limit/demand.rs
@@ -87,9 +87,12 @@
         Quota { rate, burst }
     }
 
-    /// The greater of the recent and the longer average, with headroom.
+    /// The recent or the longer average, whichever is greater, with headroom; but no more than
+    /// twice the recent one, so that quota is free soon after the demand has ended.
     pub(crate) fn rate(&self, now: Millis) -> u64 {
-        let estimate = self.average(now, RECENT).max(self.average(now, SLOTS));
+        let recent = self.average(now, RECENT);
+        let longer = self.average(now, SLOTS).min(recent.saturating_mul(2));
+        let estimate = recent.max(longer);
         estimate.saturating_mul(HEADROOM.0) / HEADROOM.1
     }
 
--- a/crates/waxwing_core/tests/world/mod.rs
+++ b/crates/waxwing_core/tests/world/mod.rs
@@ -327,6 +327,11 @@
 }
 
 impl World {
+    /// The reading of a VM's clock.
+    pub fn clock_of(&self, vm: usize) -> Millis {
+        self.vms[vm].clock(self.now)
+    }
+
     pub fn reaches(&self, a: usize, b: usize) -> bool {
         a == b || !self.cut.contains(&(a.min(b), a.max(b)))
     }
