--- a/crates/waxwing_core/tests/world/net.rs
+++ b/crates/waxwing_core/tests/world/net.rs
@@ -52,6 +52,20 @@
     Written(Millis, WriteOutcome),
 }
 
+impl Message {
+    /// Estimate of the bytes on the wire: 60 for the frame and the ids, 56 for each limit.
+    fn size(&self) -> u64 {
+        let limits = match self {
+            Self::Borrow(_, _, request) => request.asks.len(),
+            Self::Grants(_, _, reply) => reply.grants.len(),
+            Self::Renew(_, _, request) => request.shards.len() / 3,
+            Self::Renewed(_, _, reply) => reply.acked.len() / 3,
+            Self::Owners(..) | Self::Written(..) => 0,
+        };
+        60 + 56 * limits as u64
+    }
+}
+
 impl World {
     pub(super) fn schedule(&mut self, delay: u64, event: Event) {
         self.sequence += 1;
@@ -133,10 +147,10 @@
         for action in actions {
             match action {
                 LedgerAction::Borrow { to, request } => {
-                    self.send(vm, &to, Message::Borrow(clock, process, request));
+                    self.send(vm, &to, &Message::Borrow(clock, process, request));
                 }
                 LedgerAction::Renew { to, request } => {
-                    self.send(vm, &to, Message::Renew(clock, process, request));
+                    self.send(vm, &to, &Message::Renew(clock, process, request));
                 }
                 LedgerAction::WriteOwners {
                     value, expected, ..
@@ -164,14 +178,15 @@
         self.rng.u64(0..1000) < self.setup.loss
     }
 
-    fn send(&mut self, from: usize, to: &VmId, message: Message) {
+    fn send(&mut self, from: usize, to: &VmId, message: &Message) {
         if let Some(vm) = self.vms.iter().position(|v| &v.id == to) {
             self.post(from, vm, None, message);
         }
     }
 
-    fn post(&mut self, from: usize, vm: usize, process: Option<u64>, message: Message) {
+    fn post(&mut self, from: usize, vm: usize, process: Option<u64>, message: &Message) {
         self.messages += 1;
+        self.bytes += message.size();
         let copies = if self.lost() { 2 } else { 1 };
         for _ in 0..copies {
             let connected = self.reaches(self.vms[from].domain, self.vms[vm].domain);
@@ -203,11 +218,11 @@
         match message {
             Message::Borrow(sent_at, process, request) => {
                 let reply = Message::Grants(sent_at, own, ledger.on_borrow(clock, &request));
-                self.post(vm, from, Some(process), reply);
+                self.post(vm, from, Some(process), &reply);
             }
             Message::Renew(sent_at, process, request) => {
                 let reply = Message::Renewed(sent_at, own, ledger.on_renew(clock, &request));
-                self.post(vm, from, Some(process), reply);
+                self.post(vm, from, Some(process), &reply);
             }
             Message::Grants(sent_at, owner, reply) => {
                 ledger.on_grants(clock, sent_at, &owner, &reply);
@@ -345,7 +360,8 @@
         let (revision, specs) = (self.revision, self.specs.clone());
         self.vms[vm].revision = revision;
         if let Some(ledger) = self.vms[vm].ledger.as_mut() {
-            ledger.configure(clock, Revision(revision), specs);
+            let domains = (0..self.setup.domains).map(domain_id).collect();
+            ledger.configure(clock, Revision(revision), domains, specs);
         }
     }
 }
