waxwing_core: waiting requests look at the targets themselves

Cause: a request that waits because all targets shed or are ejected got no event when they recovered; it depended on a tick that the daemon does not send. Conclusion: the flow depends on no periodic call of the daemon.

--- a/crates/waxwing_core/src/flow/claiming.rs
+++ b/crates/waxwing_core/src/flow/claiming.rs
@@ -47,7 +47,9 @@
             ctx.call(claim.path(), call);
         }
         let wait = state == ClaimState::Released && ctx.now < self.deadline;
-        if !wait {
+        if wait {
+            ctx.out.push(FlowAction::SetTimer(self.deadline));
+        } else {
             ctx.refuse(refusal);
         }
         self.phase = Phase::Closing(Closing {
--- a/crates/waxwing_core/src/flow/mod.rs
+++ b/crates/waxwing_core/src/flow/mod.rs
@@ -20,7 +20,7 @@
 pub use tables::{Admission, Tables};
 
 use waxwing_records::Route;
-use waxwing_types::{Millis, RefusalReason, RegionId, TargetId, WorkspaceId};
+use waxwing_types::{Millis, Ran, RefusalReason, RegionId, TargetId, WorkspaceId};
 
 use crate::{Claim, ClaimState, Slot};
 
@@ -131,6 +131,7 @@
             out: Vec::new(),
             dispatch: false,
         };
+        let is_timer = event == FlowEvent::Timer;
         self.handle(&mut ctx, event);
         while std::mem::take(&mut ctx.dispatch) {
             self.dispatch(&mut ctx);
@@ -139,6 +140,9 @@
         if waiting && !self.parked {
             ctx.out.push(FlowAction::Queue);
         }
+        if is_timer || (waiting && !self.parked) {
+            self.set_timer(&mut ctx);
+        }
         self.parked = waiting;
         ctx.out
     }
@@ -166,11 +170,20 @@
         }
     }
 
+    fn set_timer(&self, ctx: &mut Step<'_, '_>) {
+        let next = match self.phase {
+            Phase::Waiting => self.next_look(ctx),
+            Phase::Claiming | Phase::Sent(_) => self.deadline,
+            // A record that is being closed sets its own timer.
+            Phase::New | Phase::Relaying(..) | Phase::Closing(_) | Phase::Finished => return,
+        };
+        ctx.out.push(FlowAction::SetTimer(next));
+    }
+
     fn on_timer(&mut self, ctx: &mut Step<'_, '_>) {
         match self.phase {
-            Phase::Claiming | Phase::Waiting | Phase::Sent(_) if ctx.now < self.deadline => {
-                ctx.out.push(FlowAction::SetTimer(self.deadline));
-            }
+            Phase::Waiting if ctx.now < self.deadline => ctx.dispatch = true,
+            Phase::Claiming | Phase::Sent(_) if ctx.now < self.deadline => {}
             Phase::Claiming | Phase::Waiting => self.refuse(ctx, RefusalReason::DeadlineExceeded),
             Phase::Sent(_) => {
                 self.cancel(ctx);
@@ -246,6 +259,15 @@
         self.workspace.as_ref()
     }
 
+    /// Whether an attempt that ended ran the request. The running one, if any, is not counted.
+    pub fn ran(&self) -> Ran {
+        if self.maybe_ran {
+            Ran::Unknown
+        } else {
+            Ran::No
+        }
+    }
+
     /// Whether the flow needs no further event.
     pub fn is_finished(&self) -> bool {
         matches!(self.phase, Phase::Finished)
--- a/crates/waxwing_core/src/flow/waiting.rs
+++ b/crates/waxwing_core/src/flow/waiting.rs
@@ -1,10 +1,16 @@
 //! The request in the fair queue.
 
-use waxwing_types::{Millis, Ran, RefusalReason, ServiceId, WorkspaceId};
+use waxwing_types::{Millis, RefusalReason, ServiceId, WorkspaceId};
 
 use super::{Flow, FlowAction, FlowId, Phase, Refusal, Step, Tables, access};
 use crate::Ticket;
 
+/// Time between two looks at the targets by a waiting request.
+const LOOK_PERIOD: Millis = Millis(20);
+/// Waiting requests from which on each looks more rarely, which bounds the work for all of them to
+/// this many looks in a period.
+const LOOKERS: u64 = 8;
+
 impl Flow {
     /// Goes on with a request that is admitted and holds its claim, if it needs one.
     pub(super) fn proceed(&mut self, ctx: &mut Step<'_, '_>) {
@@ -113,6 +119,14 @@
         Ok(())
     }
 
+    /// When a waiting request looks whether requests may get their turn without another one having
+    /// ended: because a target recovered, warmed up or was added.
+    pub(super) fn next_look(&self, ctx: &Step<'_, '_>) -> Millis {
+        let waiting = ctx.t.queue.waiting(&self.arrival.service) as u64;
+        let period = Millis(LOOK_PERIOD.0 * (waiting / LOOKERS).max(1));
+        self.deadline.min(ctx.now + period)
+    }
+
     fn ticket(&self) -> Ticket {
         Ticket {
             flow: self.id,
@@ -124,25 +138,9 @@
             key: self.arrival.key.as_ref().map(|k| k.id.clone()),
         }
     }
-
-    pub(super) fn ran(&self) -> Ran {
-        if self.maybe_ran {
-            Ran::Unknown
-        } else {
-            Ran::No
-        }
-    }
 }
 
 impl Tables<'_> {
-    /// Requests that get their turn because time passed or the configuration changed. The daemon
-    /// calls it at least every 20 ms and gives each of them `Released`.
-    pub fn tick(&mut self, now: Millis) -> Vec<FlowId> {
-        let services = self.queue.services();
-        let woken = services.iter().map(|service| self.release(now, service));
-        woken.collect::<Vec<_>>().concat()
-    }
-
     /// Requests of a service that get their turn. Without a usable target all of them do, to go to
     /// another region or to be refused.
     pub(super) fn release(&mut self, now: Millis, service: &ServiceId) -> Vec<FlowId> {
--- a/crates/waxwing_core/tests/flow_fairness.rs
+++ b/crates/waxwing_core/tests/flow_fairness.rs
@@ -66,7 +66,6 @@
     Released(u64),
     Head(u64),
     Timer(u64),
-    Tick,
 }
 
 impl Bench {
@@ -130,7 +129,6 @@
         for w in 0..WORKSPACES {
             self.push(0, Step::Arrive(w));
         }
-        self.push(0, Step::Tick);
         while let Some(std::cmp::Reverse((time, _, step))) = self.events.pop() {
             if time > END {
                 break;
@@ -139,7 +137,12 @@
             match step {
                 Step::Arrive(w) => self.arrive(w),
                 Step::Released(flow) => self.deliver(flow, FlowEvent::Released),
-                Step::Timer(flow) => self.deliver(flow, FlowEvent::Timer),
+                Step::Timer(flow) => {
+                    let timer = self.daemon.flows.get(&flow).map(|l| l.timer);
+                    if timer == Some(time) {
+                        self.deliver(flow, FlowEvent::Timer);
+                    }
+                }
                 Step::Head(flow) => {
                     let head = FlowEvent::Head {
                         status: 200,
@@ -154,12 +157,6 @@
                         },
                     );
                 }
-                Step::Tick => {
-                    for flow in self.daemon.tick(self.now) {
-                        self.push(self.now, Step::Released(flow.0));
-                    }
-                    self.push(self.now + 20, Step::Tick);
-                }
             }
         }
     }
@@ -186,7 +183,12 @@
     fn deliver(&mut self, flow: u64, event: FlowEvent) {
         for action in self.daemon.step(self.now, flow, event) {
             match action {
-                FlowAction::SetTimer(time) => self.push(time.0, Step::Timer(flow)),
+                FlowAction::SetTimer(time) => {
+                    if let Some(live) = self.daemon.flows.get_mut(&flow) {
+                        live.timer = time.0;
+                    }
+                    self.push(time.0, Step::Timer(flow));
+                }
                 FlowAction::Wake(other) => self.push(self.now, Step::Released(other.0)),
                 FlowAction::Send { .. } => {
                     let (w, since) = self.arrived[&flow];
--- a/crates/waxwing_core/tests/flow_fuzz/vm.rs
+++ b/crates/waxwing_core/tests/flow_fuzz/vm.rs
@@ -4,8 +4,8 @@
 
 use fastrand::Rng;
 use waxwing_core::{
-    Admission, Config, FairQueue, Flow, FlowAction, FlowEvent, FlowId, LimitKey, Members,
-    Quarantine, RetryBudget, Steering, Tables, TargetTable,
+    Admission, Config, FairQueue, Flow, FlowAction, FlowEvent, LimitKey, Members, Quarantine,
+    RetryBudget, Steering, Tables, TargetTable,
 };
 use waxwing_types::{Micros, Millis};
 
@@ -130,10 +130,6 @@
         actions
     }
 
-    pub(crate) fn tick(&mut self, now: u64) -> Vec<FlowId> {
-        self.tables().tick(Millis(now))
-    }
-
     pub(crate) fn tables(&mut self) -> Tables<'_> {
         Tables {
             config: &self.config,
--- a/crates/waxwing_core/tests/flow_fuzz/world.rs
+++ b/crates/waxwing_core/tests/flow_fuzz/world.rs
@@ -59,7 +59,6 @@
         version: u64,
         record: Value,
     },
-    Tick,
 }
 
 pub(crate) struct World {
@@ -114,7 +113,6 @@
             let daemon = world.boot(vm, 1);
             world.vms.push(daemon);
         }
-        world.schedule(20, Event::Tick);
         world
     }
 
@@ -248,13 +246,6 @@
                 version,
                 record,
             } => self.adopt(vm, version, &record),
-            Event::Tick => {
-                for vm in 0..VMS {
-                    let woken = self.vms[vm].tick(self.now);
-                    self.wake(vm, &woken);
-                }
-                self.schedule(20, Event::Tick);
-            }
         }
     }
 
