waxwing_core: test of weights and costs in the fair queue

Cause: a trial that ignored costs passed the fairness test, whose requests all cost the same. Change: a test that compares served cost with weights.

--- a/crates/waxwing_core/tests/flow_rules.rs
+++ b/crates/waxwing_core/tests/flow_rules.rs
@@ -150,6 +150,32 @@
     assert!(queue.len() <= 1024, "length bound");
 }
 
+/// Guards against shares counted in requests, by which costly ones would get more, and against
+/// weights that have no effect.
+#[test]
+fn served_cost_follows_the_weights() {
+    let mut queue = FairQueue::default();
+    let lanes = [("a", 1, 1), ("b", 4, 1), ("c", 1, 2)];
+    for (flow, (name, cost, weight)) in (0..300).zip(lanes.into_iter().cycle()) {
+        let ticket = Ticket {
+            weight,
+            ..ticket(flow, name, cost, 9000)
+        };
+        queue.join(Millis(0), ticket, room(1)).expect("joins");
+    }
+
+    let mut served = [0, 0, 0];
+    for flow in queue.release(Millis(0), &"s".into(), 65) {
+        match flow.0 % 3 {
+            0 => served[0] += 1,
+            1 => served[1] += 4,
+            _ => served[2] += 1,
+        }
+    }
+
+    assert_eq!(served, [20, 20, 40]);
+}
+
 /// Guards against queueing what cannot be served in time, and against rejecting another workspace
 /// because of it.
 #[test]
