Let a replica that offers nothing claim no age

Cause: a fuzz case failed with 'd1-v2 claims age 3990 ms at 0, not 1': a replica in the middle of a transfer answered with revision 0 and the age of its revision in force, so the receiver took the empty configuration for fresh. Keys with a bound on the age would have been accepted for longer than the bound. Change: such an answer carries no age. A call to a peer ends 100 ms after its deadline even if a handler holds the peer thread up. An entry VM of another region is drawn without listing all usable ones.

--- a/crates/waxwing_core/src/config/page.rs
+++ b/crates/waxwing_core/src/config/page.rs
@@ -91,7 +91,9 @@
             return delta;
         }
         if self.newest() > self.revision {
+            // Its age is that of the revision in force, not of the one it names here.
             delta.revision = Revision::default();
+            delta.age = Millis::MAX;
             return delta;
         }
         let mut bytes = 0;
--- a/crates/waxwing_core/src/steer.rs
+++ b/crates/waxwing_core/src/steer.rs
@@ -63,11 +63,17 @@
         region: &RegionId,
         rng: &mut Rng,
     ) -> Option<&'a Vm> {
-        let region = config.regions().get(region)?;
-        let domains = region.domains.iter();
-        let vms = domains.flat_map(|d| members.listed(&d.name));
-        let usable: Vec<_> = vms.filter(|id| members.usable(now, id)).collect();
-        members.vm(rng.choice(usable)?)
+        let domains = &config.regions().get(region)?.domains;
+        let slots = domains.iter().flat_map(|d| members.slots(&d.name));
+        let mut slots: Vec<_> = slots.copied().collect();
+        // Most draws find a usable VM at once.
+        while !slots.is_empty() {
+            let drawn = slots.swap_remove(rng.usize(..slots.len()));
+            if let Some(vm) = members.usable_at(now, drawn) {
+                return Some(vm);
+            }
+        }
+        None
     }
 }
 
--- a/crates/waxwing_core/tests/config_table.rs
+++ b/crates/waxwing_core/tests/config_table.rs
@@ -120,6 +120,11 @@
 
     assert!(delta.records.is_empty());
     assert_eq!(delta.revision, Revision(0));
+    assert_eq!(
+        delta.age,
+        Millis::MAX,
+        "an age belongs to the revision that is named"
+    );
 }
 
 /// Fails if a page exceeds its bytes or skips a record.
--- a/crates/waxwing_peer/src/node.rs
+++ b/crates/waxwing_peer/src/node.rs
@@ -9,7 +9,7 @@
 use anyhow::Context;
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
-use async_io::Async;
+use async_io::{Async, Timer};
 use futures_lite::FutureExt;
 use waxwing_core::{BorrowReply, BorrowRequest, PullReply, PullRequest, RenewReply, RenewRequest};
 use waxwing_types::{Millis, common_derives};
@@ -20,6 +20,9 @@
 use crate::task::{LocalTask, Spawner};
 use crate::{PeerError, PeerHandler, Peers, Pending, WireCounts};
 
+/// Time after a deadline in which the thread reports it, and closes a dead connection.
+const SLACK: Duration = Duration::from_millis(100);
+
 /// Calls that wait for the thread; beyond that, callers wait.
 const QUEUE: usize = 1024;
 
@@ -119,16 +122,23 @@
         call: impl FnOnce(Sender<Result<T, PeerError>>) -> Call,
     ) -> Pending<'_, T> {
         let (result, reply) = async_channel::bounded(1);
+        let deadline = Instant::now() + timeout.duration();
         let command = Command {
             to,
-            deadline: Instant::now() + timeout.duration(),
+            deadline,
             call: call(result),
         };
-        Box::pin(async move {
+        let work = async move {
             let sent = self.commands.send(command).await;
             sent.map_err(|_| PeerError::Stopped)?;
             reply.recv().await.unwrap_or(Err(PeerError::Stopped))
-        })
+        };
+        // The thread keeps the deadline unless a handler holds it up.
+        let late = async move {
+            Timer::at(deadline + SLACK).await;
+            Err(PeerError::TimedOut)
+        };
+        Box::pin(work.or(late))
     }
 }
 
