Test readiness, promptness, stray pages and withdrawn blocks

Cause: on scratch copies a new VM that was ready at once, a VM that did not pull back, a page beyond the position that counted and withdrawn blocks that stayed made no test fail. Change: a test for each.

--- a/crates/waxwing_core/tests/config_table.rs
+++ b/crates/waxwing_core/tests/config_table.rs
@@ -106,6 +106,39 @@
     assert_eq!(new.revision(), Revision(100));
 }
 
+/// Fails if the answer to a pull of a transfer that was given up counts as complete.
+#[test]
+fn a_page_beyond_the_position_does_not_raise_the_revision() {
+    let mut config = config(vec![workspace("a", 10, 1)]);
+
+    config.on_page(
+        NOW,
+        NOW,
+        page(40, 100, Millis(0), false, vec![workspace("b", 90, 2)]),
+    );
+
+    assert_eq!(config.revision(), Revision(10));
+    assert_eq!(rate(&config, "b"), Some(2));
+}
+
+/// Fails if blocks stay in force after their withdrawal, or if the table is not known to be old.
+#[test]
+fn withdrawn_blocks_are_gone() {
+    let mut config = config(vec![record(
+        "blocks/b",
+        1,
+        r#"{"blocks":["10.0.0.0/8 s"]}"#,
+    )]);
+    let before = config.block_parts().generation();
+
+    let mut withdrawn = record("blocks/b", 2, "{}");
+    withdrawn.value = br#"{"schema":1,"kind":"blocks","name":"b","withdrawn":true}"#.to_vec();
+    config.adopt(NOW, Candidate::read(withdrawn));
+
+    assert!(config.block_parts().is_empty());
+    assert!(config.block_parts().generation() > before);
+}
+
 /// Fails if a replica in the middle of a transfer offers what it cannot vouch for.
 #[test]
 fn a_replica_with_records_above_its_revision_offers_nothing() {
--- a/crates/waxwing_core/tests/propagation.rs
+++ b/crates/waxwing_core/tests/propagation.rs
@@ -39,8 +39,35 @@
 
     let times = spread(&mut cluster, "w");
 
+    // Periodic pulls alone take 5 to 6 s, which leaves little for a fault on the way.
     let last = times.into_iter().max().expect("there are VMs");
-    assert!(Millis(last) <= BOUND, "the last VM took {last} ms");
+    assert!(last <= 3_000, "the last VM took {last} ms");
+}
+
+/// Fails if a new VM takes work on an older configuration than it can reach.
+#[test]
+fn a_new_vm_is_ready_with_the_highest_revision() {
+    for (seed, down) in [(1, false), (2, true), (3, false), (4, true)] {
+        let mut cluster = Cluster::new(2, 6, seed, PullSettings::default());
+        for change in 0..9 {
+            spread(&mut cluster, &format!("w{change}"));
+        }
+        cluster.store.down = down;
+        cluster.run(Millis(3_000));
+        cluster.replace(0, true);
+        let newest = cluster.store.revision;
+
+        let start = cluster.now;
+        while !cluster.nodes[0].puller.is_ready() {
+            cluster.run(Millis(10));
+            assert!(
+                cluster.now.since(start) < Millis(8_000),
+                "it is never ready"
+            );
+        }
+
+        assert_eq!(cluster.nodes[0].config.revision(), newest);
+    }
 }
 
 /// Fails if the store's watchers are not replaced when both are lost at once.
