Contain a panic on connections that this side opened

Cause: only accepted connections were contained; an answer that the library does not expect could have ended the thread with all connections. Change: the same containment on both sides, and a test with a listener that answers with nonsense. Conclusion: both directions are contained.

--- a/crates/waxwing_peer/src/client.rs
+++ b/crates/waxwing_peer/src/client.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -196,7 +197,11 @@
             // Nothing is sent; the channel is closed.
             let _ = ended.recv().await;
         };
-        system.or(quiet).or(end).await;
+        // A message that the library does not expect must not end the other connections.
+        let work = AssertUnwindSafe(system.or(quiet).or(end));
+        if FutureExt::catch_unwind(work).await.is_err() {
+            log::error!("the connection to peer {to} panicked");
+        }
         self.forget(to, number);
     }
 }
--- a/crates/waxwing_peer/tests/loopback.rs
+++ b/crates/waxwing_peer/tests/loopback.rs
@@ -315,6 +315,38 @@
     );
 }
 
+/// Fails if a peer that answers with bytes that are no message ends the caller, or its connections
+/// to others.
+#[test]
+fn a_nonsense_answer_costs_its_connection() {
+    let (a, b) = pair();
+    assert!(pull(&a, b.local_addr()).is_ok());
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let to = listener.local_addr().expect("an address");
+    let rounds = 50;
+    let liar = std::thread::spawn(move || {
+        for round in 0..rounds {
+            let (mut stream, _) = listener.accept().expect("a connection");
+            let mut frame = [0_u8; 56];
+            frame[..8].copy_from_slice(&[0, 0, 0, 0, 6, 0, 0, 0]);
+            frame[8..16].copy_from_slice(&[0, 0, 0, 0, 1, 0, 1, 0]);
+            frame[16] = round;
+            frame[24..].fill(round.wrapping_mul(37));
+            // The caller may close the connection first.
+            let _ = stream.write_all(&frame);
+            let _ = stream.read(&mut frame);
+        }
+    });
+
+    for _ in 0..rounds {
+        let answer = block_on(a.pull(to, pull_request(), Millis(300)));
+        assert!(answer.is_err(), "{answer:?}");
+    }
+
+    liar.join().expect("the listener ends");
+    assert!(pull(&a, b.local_addr()).is_ok());
+}
+
 /// Fails if callers can hold more connections than the limit, or if a closed one keeps its place.
 #[test]
 fn connections_are_limited() {
