--- a/crates/waxwingrail/src/request/driver.rs
+++ b/crates/waxwingrail/src/request/driver.rs
@@ -1,4 +1,7 @@
-//! The task that drives one request through its flow.
+//! The driver of one request: it passes events to the flow and carries out its actions.
+//!
+//! The driver belongs to the handler until the caller is answered, then to the body of the response,
+//! and at the end, if the flow still has to write its idempotency record, to a task of its own.
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -7,8 +10,6 @@
 use std::task::{Context, Poll};
 use std::time::Instant;
 
-use async_channel::{Receiver, Sender};
-use futures_lite::Stream;
 use hyper::http::request::Parts;
 use hyper::{Request, Response};
 use waxwing_core::{Arrival, Flow, FlowAction, FlowEvent, Refusal, StoreOutcome};
@@ -20,7 +21,7 @@
 use super::outbound::{Outbound, says_not_run};
 use super::relay::Relay;
 use super::upload::{Upload, UploadFault};
-use super::{Note, claim, refuse, refuse_early};
+use super::{claim, refuse, refuse_early};
 use crate::state::Shared;
 
 type Pending<T> = Pin<Box<dyn Future<Output = T> + Send>>;
@@ -35,58 +36,54 @@
     let Some(outbound) = Outbound::new(head, &arrival) else {
         return refuse_early(shared, RefusalReason::BadRequest, "the path is malformed");
     };
-    let (notes, inbox) = async_channel::unbounded();
-    let (reply, answer) = async_channel::bounded(1);
-    let mut caller = CallerGuard(Some(notes.clone()));
-    let id = shared.enter(notes.clone());
-    let driver = Driver {
-        shared: Arc::clone(shared),
-        flow: Flow::new(id, arrival),
-        outbound,
-        upload,
-        notes,
-        inbox: Box::pin(inbox),
-        reply: Some(reply),
-        store: None,
-        call: None,
-        to_region: false,
-        head: None,
-        timer: None,
-        events: VecDeque::from([FlowEvent::Start]),
-        arrived: Instant::now(),
-        sent: false,
-    };
-    shared.executor.spawn(driver.run()).detach();
-    let response = answer.recv().await;
-    caller.0 = None;
-    // The driver answers before it ends, unless it panicked.
-    response.unwrap_or_else(|_| {
-        let refusal = Refusal::new(RefusalReason::TargetFailed, Ran::Unknown);
-        refuse(shared, &refusal, "the daemon failed")
-    })
+    let driver = Driver::new(shared, arrival, outbound, upload);
+    let mut caller = Caller(Some(Box::new(driver)));
+    while let Some(driver) = &mut caller.0 {
+        let Some(event) = driver.next().await else {
+            break;
+        };
+        driver.deliver(event);
+        match driver.reply.take() {
+            None => {}
+            Some(Reply::Refused(response)) => {
+                caller.0.take().into_iter().for_each(Driver::go_on);
+                return response;
+            }
+            Some(Reply::Relayed(head, body)) => {
+                let relay = Relay::new(body, caller.0.take());
+                return Response::from_parts(head, streamed(relay));
+            }
+        }
+    }
+    // The flow answers before it ends.
+    let refusal = Refusal::new(RefusalReason::TargetFailed, Ran::Unknown);
+    refuse(shared, &refusal, "the daemon failed")
 }
 
-/// Reports that the caller went away if the response was not taken.
-struct CallerGuard(Option<Sender<Note>>);
+/// Holds the driver while the caller waits. Dropped with it, the caller went away.
+struct Caller(Option<Box<Driver>>);
 
-impl Drop for CallerGuard {
+impl Drop for Caller {
     fn drop(&mut self) {
-        if let Some(notes) = self.0.take() {
-            // Fails only if the driver has ended.
-            let _ = notes.try_send(Note::CallerGone);
+        // A flow that panicked is not stepped again.
+        if !std::thread::panicking()
+            && let Some(driver) = self.0.take()
+        {
+            driver.caller_gone();
         }
     }
 }
 
-struct Driver {
+enum Reply {
+    Refused(Response<Body>),
+    Relayed(hyper::http::response::Parts, Body),
+}
+
+pub(super) struct Driver {
     shared: Arc<Shared>,
     flow: Flow,
     outbound: Outbound,
     upload: Upload,
-    notes: Sender<Note>,
-    inbox: Pin<Box<Receiver<Note>>>,
-    /// Taken when the caller is answered.
-    reply: Option<Sender<Response<Body>>>,
     store: Option<Pending<StoreOutcome>>,
     call: Option<Pending<Result<Response<Body>, SendError>>>,
     /// Whether the present call goes to another region.
@@ -94,39 +91,100 @@
     /// The answer whose head arrived, until it is relayed or given up.
     head: Option<Response<Body>>,
     timer: Option<Pin<Box<CoarseSleep>>>,
+    /// Whether the request was queued. It may have to wait for several turns.
+    queued: bool,
     /// Events that wait to be delivered.
     events: VecDeque<FlowEvent>,
+    /// What the caller is told, until the handler takes it.
+    reply: Option<Reply>,
+    /// Whether the caller was answered or is gone.
+    answered: bool,
     arrived: Instant,
     /// Whether the time until the first attempt was recorded.
     sent: bool,
 }
 
 impl Driver {
-    async fn run(mut self) {
+    fn new(shared: &Arc<Shared>, arrival: Arrival, outbound: Outbound, upload: Upload) -> Self {
+        Self {
+            shared: Arc::clone(shared),
+            flow: Flow::new(shared.enter(), arrival),
+            outbound,
+            upload,
+            store: None,
+            call: None,
+            to_region: false,
+            head: None,
+            timer: None,
+            queued: false,
+            events: VecDeque::from([FlowEvent::Start]),
+            reply: None,
+            answered: false,
+            arrived: Instant::now(),
+            sent: false,
+        }
+    }
+
+    /// The answer was passed on in full.
+    pub(super) fn finished(mut self: Box<Self>, bytes_in: u64) {
+        let bytes_out = self.upload.sent();
+        self.deliver(FlowEvent::Finished {
+            bytes_out,
+            bytes_in,
+        });
+        self.go_on();
+    }
+
+    /// The answer broke off.
+    pub(super) fn broken(mut self: Box<Self>) {
+        self.deliver(FlowEvent::Broken);
+        self.go_on();
+    }
+
+    /// The caller closed its connection.
+    pub(super) fn caller_gone(mut self: Box<Self>) {
+        self.shared.metrics.abandoned.increment(1);
+        self.answered = true;
+        self.deliver(FlowEvent::CallerGone);
+        self.go_on();
+    }
+
+    /// Drives the flow to its end, without the caller.
+    fn go_on(self: Box<Self>) {
+        if self.flow.is_finished() {
+            return;
+        }
+        let executor = Arc::clone(&self.shared.executor);
+        executor.spawn(self.run()).detach();
+    }
+
+    async fn run(mut self: Box<Self>) {
         while let Some(event) = self.next().await {
-            let actions = self.shared.step(&mut self.flow, event);
-            for action in actions {
-                self.perform(action);
-            }
+            self.deliver(event);
         }
     }
 
-    async fn next(&mut self) -> Option<FlowEvent> {
-        if self.events.is_empty() && !self.flow.is_finished() {
-            let event = self.wait().await;
-            self.events.push_back(event);
+    fn deliver(&mut self, event: FlowEvent) {
+        let actions = self.shared.step(&mut self.flow, event);
+        for action in actions {
+            self.perform(action);
         }
-        self.events.pop_front()
     }
 
-    /// Waits for whatever happens first.
-    async fn wait(&mut self) -> FlowEvent {
-        std::future::poll_fn(|cx| self.poll_event(cx)).await
+    /// The next event, or the end of the flow.
+    async fn next(&mut self) -> Option<FlowEvent> {
+        if let Some(event) = self.events.pop_front() {
+            return Some(event);
+        }
+        if self.flow.is_finished() {
+            return None;
+        }
+        Some(std::future::poll_fn(|cx| self.poll_event(cx)).await)
     }
 
     fn poll_event(&mut self, cx: &mut Context<'_>) -> Poll<FlowEvent> {
-        if let Poll::Ready(Some(note)) = self.inbox.as_mut().poll_next(cx) {
-            return Poll::Ready(self.noted(note));
+        if self.queued && self.shared.take_wake(self.flow.id(), cx.waker()) {
+            return Poll::Ready(FlowEvent::Released);
         }
         if let Some(Poll::Ready(outcome)) = self.store.as_mut().map(|f| f.as_mut().poll(cx)) {
             self.store = None;
@@ -136,29 +194,13 @@
             self.call = None;
             return Poll::Ready(self.answered(result));
         }
-        if let Some(Poll::Ready(_)) = self.timer.as_mut().map(|t| t.as_mut().poll(cx)) {
+        if let Some(Poll::Ready(())) = self.timer.as_mut().map(|t| t.as_mut().poll(cx)) {
             self.timer = None;
             return Poll::Ready(FlowEvent::Timer);
         }
         Poll::Pending
     }
 
-    fn noted(&mut self, note: Note) -> FlowEvent {
-        match note {
-            Note::Released => FlowEvent::Released,
-            Note::Finished(bytes_in) => FlowEvent::Finished {
-                bytes_out: self.upload.sent(),
-                bytes_in,
-            },
-            Note::Broken => FlowEvent::Broken,
-            Note::CallerGone => {
-                self.shared.metrics.abandoned.increment(1);
-                self.reply = None;
-                FlowEvent::CallerGone
-            }
-        }
-    }
-
     fn answered(&mut self, result: Result<Response<Body>, SendError>) -> FlowEvent {
         match result {
             Ok(response) => {
@@ -223,7 +265,7 @@
             } => {
                 self.store = Some(claim::update(shared, path, version, value));
             }
-            FlowAction::Queue => {}
+            FlowAction::Queue => self.queued = true,
             FlowAction::SetTimer(at) => {
                 let left = at.since(shared.now());
                 let end = Instant::now() + left.duration();
@@ -293,31 +335,30 @@
     }
 
     fn refuse(&mut self, refusal: &Refusal, detail: &str) {
-        let Some(reply) = self.reply.take() else {
+        if std::mem::replace(&mut self.answered, true) {
             return;
-        };
-        let response = refuse(&self.shared, refusal, detail);
+        }
         self.shared.metrics.latency.record(self.arrived.elapsed());
-        // Fails only if the caller is gone, which its guard reports.
-        let _ = reply.try_send(response);
+        self.reply = Some(Reply::Refused(refuse(&self.shared, refusal, detail)));
     }
 
     fn relay(&mut self) {
-        let (Some(reply), Some(response)) = (self.reply.take(), self.head.take()) else {
+        let Some(response) = self.head.take() else {
             return;
         };
+        if std::mem::replace(&mut self.answered, true) {
+            return;
+        }
         let (mut head, body) = response.into_parts();
         remove_hop_headers(&mut head.headers);
         remove_proxy_headers(&mut head.headers);
-        let body = streamed(Relay::new(body, self.notes.clone()));
         self.shared.metrics.latency.record(self.arrived.elapsed());
         log::debug!(
             flow = self.flow.id().0, service = self.flow.arrival().service.as_str(),
             status = head.status.as_u16();
             "response relayed"
         );
-        // A response that nobody takes is dropped, which reports that the caller is gone.
-        let _ = reply.try_send(Response::from_parts(head, body));
+        self.reply = Some(Reply::Relayed(head, body));
     }
 }
 
--- a/crates/waxwingrail/src/request/mod.rs
+++ b/crates/waxwingrail/src/request/mod.rs
@@ -25,19 +25,6 @@
 use arrive::Fault;
 use upload::{Upload, UploadFault};
 
-/// What the driver of a request is told from outside.
-#[derive(Clone, Copy, Debug)]
-pub(crate) enum Note {
-    /// Its turn in the fair queue came.
-    Released,
-    /// The answer was passed on in full, with this many bytes.
-    Finished(u64),
-    /// The answer broke off.
-    Broken,
-    /// The caller closed its connection.
-    CallerGone,
-}
-
 /// Answers callers.
 pub(crate) struct Callers(pub(crate) Arc<Shared>);
 
--- a/crates/waxwingrail/src/request/relay.rs
+++ b/crates/waxwingrail/src/request/relay.rs
@@ -3,48 +3,52 @@
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
-use async_channel::Sender;
 use hyper::body::{Body as _, Bytes, Frame, SizeHint};
 use waxwing_http::{Body, BodyError};
 
-use super::Note;
+use super::driver::Driver;
 
-/// Passes frames on and reports the end to the driver of the request.
-pub(crate) struct Relay {
+/// Passes frames on and tells the driver of the request how the answer ended.
+pub(super) struct Relay {
     inner: Body,
     bytes: u64,
-    driver: Option<Sender<Note>>,
+    driver: Option<Box<Driver>>,
 }
 
 impl Relay {
-    pub(crate) fn new(inner: Body, driver: Sender<Note>) -> Self {
+    pub(super) fn new(inner: Body, driver: Option<Box<Driver>>) -> Self {
         let mut relay = Self {
             inner,
             bytes: 0,
-            driver: Some(driver),
+            driver,
         };
-        relay.report_end();
+        relay.note_end();
         relay
     }
 
-    fn report_end(&mut self) {
+    fn note_end(&mut self) {
         if self.inner.is_end_stream() {
-            self.report(Note::Finished(self.bytes));
+            self.finish();
         }
     }
 
-    fn report(&mut self, note: Note) {
+    fn finish(&mut self) {
         if let Some(driver) = self.driver.take() {
-            // Fails only if the driver has ended, which needs no report.
-            let _ = driver.try_send(note);
+            driver.finished(self.bytes);
         }
     }
 }
 
 impl Drop for Relay {
     fn drop(&mut self) {
-        self.report_end();
-        self.report(Note::CallerGone);
+        // A flow that panicked is not stepped again.
+        if std::thread::panicking() {
+            return;
+        }
+        self.note_end();
+        if let Some(driver) = self.driver.take() {
+            driver.caller_gone();
+        }
     }
 }
 
@@ -58,15 +62,16 @@
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         let frame = Pin::new(&mut self.inner).poll_frame(cx);
         match &frame {
-            Poll::Ready(None) => {
-                let bytes = self.bytes;
-                self.report(Note::Finished(bytes));
-            }
+            Poll::Ready(None) => self.finish(),
             Poll::Ready(Some(Ok(frame))) => {
                 self.bytes += frame.data_ref().map_or(0, Bytes::len) as u64;
-                self.report_end();
+                self.note_end();
+            }
+            Poll::Ready(Some(Err(_))) => {
+                if let Some(driver) = self.driver.take() {
+                    driver.broken();
+                }
             }
-            Poll::Ready(Some(Err(_))) => self.report(Note::Broken),
             Poll::Pending => {}
         }
         frame
--- a/crates/waxwingrail/src/state.rs
+++ b/crates/waxwingrail/src/state.rs
@@ -4,6 +4,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock};
+use std::task::Waker;
 
 use std::time::Duration;
 
@@ -18,7 +19,6 @@
 use waxwing_types::{Clock, Incarnation, Millis, VmId};
 
 use crate::metric::Metrics;
-use crate::request::Note;
 use crate::settings::Settings;
 
 /// Parts into which the table of requests is divided, so that threads rarely meet at one lock.
@@ -40,7 +40,14 @@
     pub(crate) rng: fastrand::Rng,
 }
 
-type FlowPart = Mutex<HashMap<FlowId, Sender<Note>>>;
+/// Whether the turn of a request in the fair queue came, and who waits for it.
+#[derive(Default)]
+struct Turn {
+    came: bool,
+    waker: Option<Waker>,
+}
+
+type FlowPart = Mutex<HashMap<FlowId, Turn>>;
 
 /// Everything that the tasks of a daemon share.
 ///
@@ -207,26 +214,46 @@
         let _ = self.nudge.0.try_send(());
     }
 
-    /// Numbers a request and notes where its messages go.
-    pub(crate) fn enter(&self, driver: Sender<Note>) -> FlowId {
+    /// Numbers a request.
+    pub(crate) fn enter(&self) -> FlowId {
         let id = FlowId(self.last_flow.fetch_add(1, Ordering::Relaxed) + 1);
         self.running.fetch_add(1, Ordering::Relaxed);
-        lock(self.part(id)).insert(id, driver);
+        lock(self.part(id)).insert(id, Turn::default());
         id
     }
 
     /// Forgets a request.
     pub(crate) fn leave(&self, id: FlowId) {
-        lock(self.part(id)).remove(&id);
+        let turn = lock(self.part(id)).remove(&id);
+        drop(turn);
         self.running.fetch_sub(1, Ordering::Relaxed);
     }
 
     /// Tells a request that its turn in the fair queue came.
     pub(crate) fn wake(&self, id: FlowId) {
-        if let Some(driver) = lock(self.part(id)).get(&id) {
-            // Fails only if the driver has ended.
-            let _ = driver.try_send(Note::Released);
+        let waker = lock(self.part(id)).get_mut(&id).and_then(|turn| {
+            turn.came = true;
+            turn.waker.take()
+        });
+        if let Some(waker) = waker {
+            waker.wake();
+        }
+    }
+
+    /// Takes the turn of a request if it came; else the waker is called when it comes.
+    pub(crate) fn take_wake(&self, id: FlowId, waker: &Waker) -> bool {
+        let mut part = lock(self.part(id));
+        let Some(turn) = part.get_mut(&id) else {
+            return false;
+        };
+        if std::mem::take(&mut turn.came) {
+            return true;
         }
+        let former = turn.waker.replace(waker.clone());
+        // The last waker of a task drops the task, which leaves this table.
+        drop(part);
+        drop(former);
+        false
     }
 
     fn part(&self, id: FlowId) -> &FlowPart {
