--- a/crates/waxwing_core/tests/world/mod.rs
+++ b/crates/waxwing_core/tests/world/mod.rs
@@ -1,378 +1,322 @@
-//! Failure domains of VMs that exchange records in virtual time over a network with faults.
+//! A simulated deployment: VMs with drifting clocks, a network and a store with faults.
 
-// Each test and the propagation example use a part of this module.
+// Included by several test programs, each of which uses a part.
 #![allow(dead_code, unreachable_pub)]
 
-pub mod oracle;
-mod service;
-pub mod store;
+mod net;
+mod oracle;
 
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet};
 
-use fastrand::Rng;
-use smol_str::SmolStr;
-use store::Store;
-use waxwing_core::{
-    Clocks, Config, Members, Page, PullAction, PullReply, PullRequest, PullSettings, Puller,
-    VersionedRecord, Vm,
-};
-use waxwing_types::{DomainId, Incarnation, Millis, Revision, VmId};
+use waxwing_core::{LeaseMode, Ledger, LedgerSettings, LimitKey, LimitSpec};
+use waxwing_types::{DomainId, Incarnation, Micros, Millis, Revision, VmId, WorkspaceId};
 
-const TIMEOUT: Millis = Millis(1000);
-const TICK: Millis = Millis(100);
-/// Number of the store among the domains, for cuts.
-pub const STORE: usize = usize::MAX;
+use net::Event;
+pub use oracle::{Bound, Oracle};
 
-/// A process on a VM.
-pub struct Node {
+/// Longest time that a lowered limit may go on in force after every VM adopted it: a lease
+/// between domains, and slack for the clocks.
+const LEASES_OVER: u64 = 30_000;
+
+#[derive(Clone, Debug)]
+pub struct Setup {
+    pub seed: u64,
+    pub mode: LeaseMode,
+    pub domains: usize,
+    pub vms: usize,
+    pub bounds: Vec<Bound>,
+    /// Greatest error of a clock's rate in millionths.
+    pub drift_ppm: u64,
+    /// Lost and duplicated messages and lost store answers, in thousandths.
+    pub loss: u64,
+    /// Delayed messages, in thousandths.
+    pub slow: u64,
+    pub orphan_term: Millis,
+    pub tick: u64,
+}
+
+pub struct Vm {
     pub id: VmId,
     pub domain: usize,
-    pub origin: Millis,
-    pub config: Config,
-    pub members: Members,
-    pub puller: Puller,
-    rng: Rng,
-    process: u64,
-    calls: BTreeSet<u64>,
+    pub ledger: Option<Ledger>,
+    incarnation: u64,
+    origin: u64,
+    drift_ppm: i64,
+    pub paused: bool,
+    pub leaving: bool,
+    withheld: Vec<Event>,
+    /// True time of death or pause.
+    gone_at: u64,
+    seen: BTreeMap<usize, u64>,
+    revision: u64,
 }
 
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Net {
-    /// Messages lost, of a thousand.
-    pub loss: u64,
-    /// Messages delivered twice, of a thousand.
-    pub duplicates: u64,
-    /// Greatest additional delay.
-    pub delay: u64,
-}
+impl Vm {
+    pub fn alive(&self) -> bool {
+        self.ledger.is_some()
+    }
 
-#[derive(Clone, Debug)]
-enum Event {
-    Tick,
-    List,
-    Request {
-        from: usize,
-        from_process: u64,
-        call: u64,
-        sent: Millis,
-        request: PullRequest,
-    },
-    Reply {
-        call: u64,
-        sent: Millis,
-        after: Revision,
-        reply: PullReply,
-    },
-    Failed {
-        call: u64,
-        to: VmId,
-    },
-    StoreCall(Waiting),
-    StoreWaited {
-        call: u64,
-    },
-    StoreReply {
-        call: u64,
-        as_of: Millis,
-        after: Revision,
-        reached: Revision,
-        records: Vec<VersionedRecord>,
-    },
-    StoreFailed {
-        call: u64,
-    },
+    pub fn serves(&self) -> bool {
+        self.alive() && !self.paused && !self.leaving
+    }
+
+    fn clock(&self, now: u64) -> Millis {
+        let scaled = i128::from(now) * (1_000_000 + i128::from(self.drift_ppm)) / 1_000_000;
+        Millis(self.origin + u64::try_from(scaled).expect("time is positive"))
+    }
 }
 
-#[derive(Clone, Debug)]
-struct Waiting {
-    node: usize,
-    call: u64,
-    sent: Millis,
-    after: Revision,
-    wait: Millis,
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Admitted,
+    /// Refused; `inside` if the demand was inside rate and burst.
+    Refused {
+        inside: bool,
+    },
+    /// No VM to serve the request.
+    Absent,
 }
 
 pub struct World {
-    pub now: Millis,
-    pub nodes: Vec<Node>,
-    pub store: Store,
-    pub net: Net,
-    /// Pairs of domains, or of a domain and [`STORE`], that cannot reach each other.
-    pub cuts: BTreeSet<(usize, usize)>,
-    pub settings: PullSettings,
-    pub pulls: u64,
-    pub reads: u64,
-    rng: Rng,
-    events: BinaryHeap<Reverse<(Millis, u64)>>,
-    bodies: BTreeMap<u64, (usize, u64, Event)>,
-    waiting: BTreeMap<u64, Waiting>,
-    next: u64,
+    pub now: u64,
+    pub setup: Setup,
+    pub vms: Vec<Vm>,
+    pub rng: fastrand::Rng,
+    pub specs: Vec<LimitSpec>,
+    pub oracles: Vec<Oracle>,
+    pub overdrawn: Option<String>,
+    pub cut: BTreeSet<(usize, usize)>,
+    pub cut_store: BTreeSet<usize>,
+    pub store_down: bool,
+    pub admitted: Vec<u64>,
+    pub messages: u64,
+    pub bytes: u64,
+    pub store_writes: u64,
+    objects: BTreeMap<usize, (u64, Vec<u8>)>,
+    revision: u64,
+    /// When every VM had adopted the newest revision.
+    adopted_at: Option<u64>,
+    events: BTreeMap<(u64, u64), Event>,
+    sequence: u64,
 }
 
 impl World {
-    pub fn new(domains: usize, vms: usize, seed: u64, settings: PullSettings) -> Self {
+    pub fn new(setup: Setup) -> Self {
+        let domains: Vec<DomainId> = (0..setup.domains).map(domain_id).collect();
+        let spec = |(index, bound): (usize, &Bound)| LimitSpec {
+            key: key(index),
+            rate: Micros::from_units(bound.rate),
+            burst: Micros::from_units(bound.burst),
+            domains: domains.clone(),
+            revision: Revision(1),
+        };
+        let specs = setup.bounds.iter().enumerate().map(spec).collect();
+        let oracles = setup.bounds.iter().map(|b| Oracle::new(1, *b)).collect();
         let mut world = Self {
-            now: Millis(0),
-            nodes: Vec::new(),
-            store: Store::default(),
-            net: Net::default(),
-            cuts: BTreeSet::new(),
-            settings,
-            pulls: 0,
-            reads: 0,
-            rng: Rng::with_seed(seed),
-            events: BinaryHeap::new(),
-            bodies: BTreeMap::new(),
-            waiting: BTreeMap::new(),
-            next: 0,
+            now: 0,
+            rng: fastrand::Rng::with_seed(setup.seed),
+            vms: Vec::new(),
+            specs,
+            oracles,
+            overdrawn: None,
+            cut: BTreeSet::new(),
+            cut_store: BTreeSet::new(),
+            store_down: false,
+            admitted: vec![0; setup.bounds.len()],
+            messages: 0,
+            bytes: 0,
+            store_writes: 0,
+            objects: BTreeMap::new(),
+            revision: 1,
+            adopted_at: None,
+            events: BTreeMap::new(),
+            sequence: 0,
+            setup,
         };
-        for domain in 0..domains {
-            for vm in 0..vms {
-                let id = VmId::from(format!("d{domain}-v{vm}").as_str());
-                let node = world.node(id, domain);
-                world.nodes.push(node);
+        for _ in 0..world.setup.vms {
+            for domain in 0..world.setup.domains {
+                world.add_vm(domain);
             }
         }
-        for i in 0..world.nodes.len() {
-            world.boot(i);
-        }
         world
     }
 
-    fn node(&mut self, id: VmId, domain: usize) -> Node {
-        self.next += 1;
-        let name = DomainId::from(format!("d{domain}").as_str());
-        Node {
-            members: Members::new(id.clone(), name),
-            id,
+    /// Starts a VM under a new id.
+    pub fn add_vm(&mut self, domain: usize) -> usize {
+        let index = self.vms.len();
+        let bound = i64::try_from(self.setup.drift_ppm).expect("drift is small");
+        self.vms.push(Vm {
+            id: VmId::from(format!("vm{index}").as_str()),
             domain,
-            origin: self.now,
-            config: Config::new(),
-            puller: Puller::new(Millis(0), Incarnation(self.next), self.settings),
-            rng: self.rng.fork(),
-            process: self.next,
-            calls: BTreeSet::new(),
-        }
+            ledger: None,
+            incarnation: 0,
+            origin: self.rng.u64(0..1_000_000_000),
+            drift_ppm: self.rng.i64(-bound..=bound),
+            paused: false,
+            leaving: false,
+            withheld: Vec::new(),
+            gone_at: 0,
+            seen: BTreeMap::new(),
+            revision: 0,
+        });
+        self.start(index);
+        index
     }
 
-    fn boot(&mut self, i: usize) {
-        let list = self.list();
-        self.nodes[i].members.on_list(Millis(0), list);
-        let phase = Millis(self.rng.u64(0..TICK.0));
-        self.schedule(phase, i, Event::Tick);
+    /// Starts a process of a VM that is down.
+    pub fn start(&mut self, index: usize) {
+        let now = self.now;
+        let setup = &self.setup;
+        let vm = &mut self.vms[index];
+        vm.incarnation += 1;
+        let domain = domain_id(vm.domain);
+        let mut settings = LedgerSettings::new(vm.id.clone(), Incarnation(vm.incarnation), domain);
+        settings.mode = setup.mode;
+        settings.orphan_term = setup.orphan_term;
+        settings.rewrite_period = Millis(setup.orphan_term.0 / 12);
+        vm.ledger = Some(Ledger::new(settings, vm.clock(now)));
+        (vm.paused, vm.leaving, vm.revision) = (false, false, 0);
+        vm.withheld.clear();
+        vm.seen.clear();
+        self.start_timers(index);
     }
 
-    /// Ends a process at once and starts another, under the same id or a new one.
-    pub fn replace(&mut self, i: usize, same_id: bool) {
-        let domain = self.nodes[i].domain;
-        let id = if same_id {
-            self.nodes[i].id.clone()
-        } else {
-            VmId::from(format!("d{domain}-n{}", self.next).as_str())
-        };
-        self.nodes[i] = self.node(id, domain);
-        self.boot(i);
-        // The platform's list lags.
-        for other in 0..self.nodes.len() {
-            let lag = Millis(self.rng.u64(1000..5000));
-            self.schedule(lag, other, Event::List);
-        }
+    pub fn kill(&mut self, index: usize) {
+        self.vms[index].ledger = None;
+        self.vms[index].gone_at = self.now;
     }
 
-    fn list(&self) -> Vec<Vm> {
-        let address = "127.0.0.1:1".parse().expect("an address");
-        let vm = |node: &Node| Vm {
-            id: node.id.clone(),
-            domain: node.members.domain().clone(),
-            client: address,
-            peer: address,
-            peer_http: address,
-            leaving: false,
-        };
-        self.nodes.iter().map(vm).collect()
+    pub fn pause(&mut self, index: usize) {
+        self.vms[index].paused = true;
+        self.vms[index].gone_at = self.now;
     }
 
-    /// A conditional update by an operator, unless the store is down.
-    pub fn put(&mut self, path: &SmolStr, value: Vec<u8>, expected: Revision) -> Option<Revision> {
-        if self.store.down {
-            return None;
-        }
-        let version = self.store.put(self.now, path, value, expected)?;
-        for waiting in std::mem::take(&mut self.waiting).into_values() {
-            self.answer(&waiting, waiting.sent);
+    pub fn resume(&mut self, index: usize) {
+        self.vms[index].paused = false;
+        for event in std::mem::take(&mut self.vms[index].withheld) {
+            self.schedule(0, event);
         }
-        Some(version)
     }
 
-    pub fn run(&mut self, span: Millis) {
-        let end = self.now + span;
-        while let Some(Reverse((at, number))) = self.events.peek().copied() {
-            if at > end {
-                break;
-            }
-            self.events.pop();
-            self.now = at;
-            let body = self.bodies.remove(&number);
-            let body = body.filter(|(node, process, _)| self.nodes[*node].process == *process);
-            if let Some((node, _, event)) = body {
-                self.handle(node, event);
-            }
+    /// Begins a planned stop.
+    pub fn stop(&mut self, index: usize) {
+        let now = self.vms[index].clock(self.now);
+        self.vms[index].leaving = true;
+        if let Some(ledger) = self.vms[index].ledger.as_mut() {
+            ledger.stop(now);
         }
-        self.now = end;
     }
 
-    pub fn is_cut(&self, a: usize, b: usize) -> bool {
-        (b == STORE && self.store.down) || self.cuts.contains(&(a.min(b), a.max(b)))
+    /// Changes a limit; `domains` are those over which it is divided.
+    pub fn change_limit(&mut self, index: usize, bound: Bound, domains: &[usize]) {
+        self.revision += 1;
+        let spec = &mut self.specs[index];
+        spec.rate = Micros::from_units(bound.rate);
+        spec.burst = Micros::from_units(bound.burst);
+        spec.domains = domains.iter().map(|d| domain_id(*d)).collect();
+        spec.revision = Revision(self.revision);
+        self.oracles[index].change(self.now, self.revision, bound);
+        self.adopted_at = None;
     }
 
-    fn schedule(&mut self, delay: Millis, node: usize, event: Event) {
-        self.next += 1;
-        self.events.push(Reverse((self.now + delay, self.next)));
-        let process = self.nodes[node].process;
-        self.bodies.insert(self.next, (node, process, event));
+    /// One request to a VM.
+    pub fn admit(&mut self, index: usize, limits: &[usize], cost: u64) -> Outcome {
+        let now = self.now;
+        let vm = &mut self.vms[index];
+        let clock = vm.clock(now);
+        let Some(ledger) = vm.ledger.as_mut().filter(|_| !vm.paused) else {
+            return Outcome::Absent;
+        };
+        let costs: Vec<_> = limits
+            .iter()
+            .map(|l| (key(*l), Micros::from_units(cost)))
+            .collect();
+        let result = ledger.admit(clock, &costs);
+        let urgent = ledger.wants_tick();
+        let covered = |o: &mut Oracle| o.level(now) >= i128::from(cost) * 1000;
+        let inside = limits.iter().all(|l| covered(&mut self.oracles[*l]));
+        if urgent {
+            self.tick(index);
+        }
+        if result.is_err() {
+            return Outcome::Refused { inside };
+        }
+        if !inside {
+            let level = limits.iter().map(|l| self.oracles[*l].level(now));
+            let text = format!(
+                "at {now} ms vm{index} overdrew {limits:?}: {:?}",
+                level.min()
+            );
+            self.overdrawn.get_or_insert(text);
+        }
+        for limit in limits {
+            self.oracles[*limit].admit(now, cost);
+            self.admitted[*limit] += cost;
+        }
+        Outcome::Admitted
     }
 
-    /// Sends a message to a node, with the faults of the network.
-    fn send(&mut self, from: usize, node: usize, event: &Event) {
-        if self.is_cut(from, self.nodes[node].domain) || self.rng.u64(0..1000) < self.net.loss {
-            return;
-        }
-        let twice = self.rng.u64(0..1000) < self.net.duplicates;
-        for _ in 0..=u32::from(twice) {
-            let extra = self.rng.u64(0..=self.net.delay);
-            let delay = if from == self.nodes[node].domain {
-                1
-            } else {
-                30
-            };
-            self.schedule(Millis(delay + extra), node, event.clone());
+    /// Runs all events up to `until`.
+    pub fn run_until(&mut self, until: u64) {
+        while let Some(entry) = self.events.first_entry()
+            && entry.key().0 <= until
+        {
+            let ((at, _), event) = entry.remove_entry();
+            self.now = self.now.max(at);
+            self.handle(event);
         }
+        self.now = until;
+        self.retire_bounds();
     }
 
-    fn handle(&mut self, i: usize, event: Event) {
-        let now = self.now.since(self.nodes[i].origin);
-        match event {
-            Event::Tick => {
-                let n = &mut self.nodes[i];
-                let actions = n.puller.tick(now, &n.config, &mut n.members, &mut n.rng);
-                self.act(i, actions);
-                self.schedule(TICK, i, Event::Tick);
-            }
-            Event::List => {
-                let list = self.list();
-                self.nodes[i].members.on_list(now, list);
-            }
-            Event::Request {
-                from,
-                from_process,
-                call,
-                sent,
-                request,
-            } => {
-                let n = &mut self.nodes[i];
-                let (reply, actions) =
-                    n.puller
-                        .on_request(now, &n.config, &mut n.members, &request);
-                self.act(i, actions);
-                if self.nodes[from].process == from_process {
-                    let after = request.after;
-                    let event = Event::Reply {
-                        call,
-                        sent,
-                        after,
-                        reply,
-                    };
-                    self.send(self.nodes[i].domain, from, &event);
-                }
-            }
-            Event::Reply {
-                call,
-                sent,
-                after,
-                mut reply,
-            } => {
-                let page = Page::read(after, &mut reply);
-                let n = &mut self.nodes[i];
-                n.calls.remove(&call);
-                let clocks = Clocks { now, sent };
-                let tables = (&mut n.config, &mut n.members);
-                let (_, actions) = n.puller.on_reply(clocks, tables, &reply, page, &mut n.rng);
-                self.act(i, actions);
-            }
-            Event::Failed { call, to } => {
-                let n = &mut self.nodes[i];
-                if n.calls.remove(&call) {
-                    n.puller.on_failed(&n.config, &mut n.members, &to);
-                }
-            }
-            Event::StoreCall(waiting) => self.on_store_call(waiting),
-            Event::StoreWaited { call } => {
-                if let Some(waiting) = self.waiting.remove(&call) {
-                    let as_of = waiting.sent + waiting.wait;
-                    self.answer(&waiting, as_of);
-                }
-            }
-            Event::StoreReply {
-                call,
-                as_of,
-                after,
-                reached,
-                records,
-            } => {
-                let page = Page::from_store(after, reached, false, records);
-                let n = &mut self.nodes[i];
-                n.calls.remove(&call);
-                let clocks = Clocks { now, sent: as_of };
-                let tables = (&mut n.config, &mut n.members);
-                let (_, actions) = n.puller.on_store(clocks, tables, page, &mut n.rng);
-                self.act(i, actions);
-            }
-            Event::StoreFailed { call } => {
-                let n = &mut self.nodes[i];
-                if n.calls.remove(&call) {
-                    n.puller
-                        .on_store_failed(now, &n.config, &n.members, &mut n.rng);
-                }
+    /// Drops the bounds that can no longer be in force.
+    fn retire_bounds(&mut self) {
+        let revision = self.revision;
+        let all = self
+            .vms
+            .iter()
+            .all(|vm| !vm.alive() || vm.revision >= revision);
+        if !all {
+            self.adopted_at = None;
+            return;
+        }
+        let since = *self.adopted_at.get_or_insert(self.now);
+        if self.now >= since + LEASES_OVER {
+            for oracle in &mut self.oracles {
+                oracle.retire_before(self.now, revision);
             }
         }
     }
 
-    fn act(&mut self, i: usize, actions: Vec<PullAction>) {
-        let sent = self.now.since(self.nodes[i].origin);
-        for action in actions {
-            self.next += 1;
-            let call = self.next;
-            self.nodes[i].calls.insert(call);
-            match action {
-                PullAction::Pull { to, request } => {
-                    self.pulls += 1;
-                    let target = self.nodes.iter().position(|n| n.id == to);
-                    let (from, from_process) = (i, self.nodes[i].process);
-                    let event = Event::Request {
-                        from,
-                        from_process,
-                        call,
-                        sent,
-                        request,
-                    };
-                    if let Some(target) = target {
-                        self.send(self.nodes[i].domain, target, &event);
-                    }
-                    self.schedule(TIMEOUT, i, Event::Failed { call, to });
-                }
-                PullAction::Watch { after, wait } => {
-                    let waiting = Waiting {
-                        node: i,
-                        call,
-                        sent,
-                        after,
-                        wait,
-                    };
-                    self.schedule(Millis(2), i, Event::StoreCall(waiting));
-                    self.schedule(TIMEOUT + wait, i, Event::StoreFailed { call });
-                }
+    pub fn check(&self) {
+        for vm in &self.vms {
+            if let Some(ledger) = vm.ledger.as_ref() {
+                ledger.check_invariants(vm.clock(self.now));
             }
         }
+        assert_eq!(self.overdrawn, None, "the oracle is overdrawn");
+    }
+}
+
+impl World {
+    pub fn reaches(&self, a: usize, b: usize) -> bool {
+        a == b || !self.cut.contains(&(a.min(b), a.max(b)))
+    }
+
+    pub fn reaches_store(&self, domain: usize) -> bool {
+        !self.store_down && !self.cut_store.contains(&domain)
+    }
+
+    pub fn vms_of(&self, domain: usize) -> Vec<usize> {
+        let serving = |i: &usize| self.vms[*i].domain == domain && self.vms[*i].serves();
+        (0..self.vms.len()).filter(serving).collect()
     }
 }
+
+pub fn domain_id(index: usize) -> DomainId {
+    DomainId::from(format!("d{index}").as_str())
+}
+
+pub fn key(index: usize) -> LimitKey {
+    LimitKey::Workspace(WorkspaceId::from(format!("w{index}").as_str()))
+}
