--- a/crates/waxwing_core/tests/world/net.rs
+++ b/crates/waxwing_core/tests/world/net.rs
@@ -147,10 +147,10 @@
         for action in actions {
             match action {
                 LedgerAction::Borrow { to, request } => {
-                    self.send(vm, &to, Message::Borrow(clock, process, request));
+                    self.send(vm, &to, &Message::Borrow(clock, process, request));
                 }
                 LedgerAction::Renew { to, request } => {
-                    self.send(vm, &to, Message::Renew(clock, process, request));
+                    self.send(vm, &to, &Message::Renew(clock, process, request));
                 }
                 LedgerAction::WriteOwners {
                     value, expected, ..
@@ -178,13 +178,13 @@
         self.rng.u64(0..1000) < self.setup.loss
     }
 
-    fn send(&mut self, from: usize, to: &VmId, message: Message) {
+    fn send(&mut self, from: usize, to: &VmId, message: &Message) {
         if let Some(vm) = self.vms.iter().position(|v| &v.id == to) {
             self.post(from, vm, None, message);
         }
     }
 
-    fn post(&mut self, from: usize, vm: usize, process: Option<u64>, message: Message) {
+    fn post(&mut self, from: usize, vm: usize, process: Option<u64>, message: &Message) {
         self.messages += 1;
         self.bytes += message.size();
         let copies = if self.lost() { 2 } else { 1 };
@@ -218,11 +218,11 @@
         match message {
             Message::Borrow(sent_at, process, request) => {
                 let reply = Message::Grants(sent_at, own, ledger.on_borrow(clock, &request));
-                self.post(vm, from, Some(process), reply);
+                self.post(vm, from, Some(process), &reply);
             }
             Message::Renew(sent_at, process, request) => {
                 let reply = Message::Renewed(sent_at, own, ledger.on_renew(clock, &request));
-                self.post(vm, from, Some(process), reply);
+                self.post(vm, from, Some(process), &reply);
             }
             Message::Grants(sent_at, owner, reply) => {
                 ledger.on_grants(clock, sent_at, &owner, &reply);
