waxwingrail: calls between daemons

Change: the daemon answers pulls, loans and renewals and makes its own calls through waxwing_peer; the driver of a request belongs to the handler, then to the response's body, without a task of its own; tests with several daemons. Measured: cargo test -p waxwingrail: all pass but standby_takes_over_from_a_killed_owner, which is under investigation.

--- a/crates/waxwingrail/src/daemon.rs
+++ b/crates/waxwingrail/src/daemon.rs
@@ -9,13 +9,14 @@
 use async_io::Timer;
 use futures_lite::future;
 use waxwing_http::{Handler, Server, ServerLimits};
+use waxwing_peer::{PeerHandler, PeerNode, PeerSettings, Peers};
 use waxwing_types::Millis;
 
 use crate::admin::Admin;
 use crate::request::{Callers, Regions};
 use crate::settings::Settings;
 use crate::state::{Parts, Shared};
-use crate::task::{self, Context};
+use crate::task::{self, Answers, Context};
 
 /// Connections on the admin address. Its callers are few, and must get through when callers of
 /// services do not.
@@ -44,6 +45,7 @@
     callers: Server,
     regions: Server,
     admin: Server,
+    peer: SocketAddr,
     tasks: Vec<Task<()>>,
 }
 
@@ -56,6 +58,18 @@
         let executor = Arc::clone(&parts.executor);
         let shared = Arc::new(Shared::new(settings, parts));
         let settings = &shared.settings;
+        // First, because an earlier process of this VM holds the address until it has ended.
+        let answers = Arc::new(Answers::new(Arc::clone(&shared)));
+        let handler: Arc<dyn PeerHandler> = Arc::clone(&answers) as _;
+        let node = PeerNode::start(settings.peer, PeerSettings::default(), handler)
+            .with_context(|| format!("--peer {}", settings.peer))?;
+        let peer = node.local_addr();
+        let peers: Arc<dyn Peers> = Arc::new(node);
+        answers.set_peers(&peers);
+        let ctx = Context {
+            shared: Arc::clone(&shared),
+            peers,
+        };
         let limits = ServerLimits {
             header_bytes: settings.max_header,
             connections: settings.max_connections,
@@ -65,10 +79,6 @@
             connections: ADMIN_CONNECTIONS,
             ..limits
         };
-        let ctx = Context {
-            shared: Arc::clone(&shared),
-            peers: Arc::new(crate::peers::NoPeers),
-        };
         let admin: Arc<dyn Handler> = Arc::new(Admin(Arc::clone(&shared)));
         let regions: Arc<dyn Handler> = Arc::new(Regions(Arc::clone(&shared)));
         let callers: Arc<dyn Handler> = Arc::new(Callers(Arc::clone(&shared)));
@@ -90,6 +100,7 @@
             callers,
             regions,
             admin,
+            peer,
             tasks,
         };
         daemon.log_start();
@@ -160,7 +171,7 @@
         Addresses {
             callers: self.callers.address(),
             regions: self.regions.address(),
-            peer: self.ctx.shared.settings.peer,
+            peer: self.peer,
             admin: self.admin.address(),
         }
     }
--- a/crates/waxwingrail/src/lib.rs
+++ b/crates/waxwingrail/src/lib.rs
@@ -5,7 +5,6 @@
 mod logging;
 mod lookup;
 mod metric;
-mod peers;
 mod request;
 mod run;
 mod settings;
--- a/crates/waxwingrail/src/task/mod.rs
+++ b/crates/waxwingrail/src/task/mod.rs
@@ -1,5 +1,6 @@
 //! The work that a daemon does besides requests.
 
+mod answer;
 mod feed;
 mod gauge;
 mod load;
@@ -10,14 +11,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::peers::Peers;
 use async_executor::Task;
 use async_io::Timer;
+use waxwing_peer::Peers;
 use waxwing_types::{Millis, VmId};
 
 use crate::state::Shared;
 
-pub(crate) use pull::answer_pull;
+pub(crate) use answer::Answers;
+
+/// Time for a call to a peer, a new connection over 55 ms one way included.
+const PEER_TIME: Millis = Millis::from_secs(1);
 
 /// What the tasks work with.
 #[derive(Clone)]
--- a/crates/waxwingrail/src/task/pull.rs
+++ b/crates/waxwingrail/src/task/pull.rs
@@ -10,7 +10,7 @@
 use waxwing_store::{ChangesOutcome, Object};
 use waxwing_types::{Millis, Revision, VmId};
 
-use super::{Context, pause, peer_failed};
+use super::{Context, PEER_TIME, pause, peer_failed};
 use crate::state::Shared;
 
 /// Time between ticks of the schedule.
@@ -42,7 +42,7 @@
         .tick(now, &config, &mut fleet.members, &mut tail.rng)
 }
 
-fn perform_all(ctx: &Context, actions: Vec<PullAction>) {
+pub(super) fn perform_all(ctx: &Context, actions: Vec<PullAction>) {
     for action in actions {
         ctx.shared
             .executor
@@ -65,7 +65,7 @@
     let after = request.after;
     let reply = match shared.peer_address(&to) {
         Some(address) => {
-            let reply = ctx.peers.pull(address, request).await;
+            let reply = ctx.peers.pull(address, request, PEER_TIME).await;
             reply.map_err(|error| error.to_string())
         }
         None => Err("not on the list".to_owned()),
@@ -255,22 +255,16 @@
     }
 }
 
-/// Answers a pull of another daemon.
-pub(crate) fn answer_pull(ctx: &Context, request: &PullRequest) -> PullReply {
-    let shared = &ctx.shared;
-    let (reply, actions) = {
-        let config = shared.config();
-        let mut fleet = shared.fleet();
-        let tail = shared.tail();
-        let now = shared.now();
-        let fleet = &mut *fleet;
-        let (mut reply, actions) =
-            fleet
-                .puller
-                .on_request(now, &config, &mut fleet.members, request);
-        reply.quarantined = tail.quarantine.to_share(now, MAX_PRINTS);
-        (reply, actions)
-    };
-    perform_all(ctx, actions);
-    reply
+/// Answers a pull of another daemon. Returns the calls that it leads to as well.
+pub(super) fn answer(shared: &Shared, request: &PullRequest) -> (PullReply, Vec<PullAction>) {
+    let config = shared.config();
+    let mut fleet = shared.fleet();
+    let tail = shared.tail();
+    let now = shared.now();
+    let fleet = &mut *fleet;
+    let (mut reply, actions) = fleet
+        .puller
+        .on_request(now, &config, &mut fleet.members, request);
+    reply.quarantined = tail.quarantine.to_share(now, MAX_PRINTS);
+    (reply, actions)
 }
--- a/crates/waxwingrail/src/task/quota.rs
+++ b/crates/waxwingrail/src/task/quota.rs
@@ -8,7 +8,7 @@
 use waxwing_types::{DomainId, Millis, Revision, VmId};
 
 use super::feed::{self, OWNERS};
-use super::{Context, pause, peer_failed};
+use super::{Context, PEER_TIME, pause, peer_failed};
 
 /// Time between ticks that nothing hastens.
 const TICK: Millis = Millis(100);
@@ -54,7 +54,7 @@
     let Some(address) = shared.peer_address(&to) else {
         return;
     };
-    match ctx.peers.borrow(address, request).await {
+    match ctx.peers.borrow(address, request, PEER_TIME).await {
         Ok(reply) => {
             let mut ledger = shared.ledger();
             ledger.on_grants(shared.now(), sent, &to, &reply);
@@ -68,7 +68,7 @@
     let Some(address) = shared.peer_address(&to) else {
         return;
     };
-    match ctx.peers.renew(address, request).await {
+    match ctx.peers.renew(address, request, PEER_TIME).await {
         Ok(reply) => {
             let mut ledger = shared.ledger();
             ledger.on_renewed(shared.now(), sent, &to, &reply);
--- /dev/null
+++ b/crates/waxwingrail/tests/fleet.rs
@@ -0,0 +1,169 @@
+//! Several daemons that call each other.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use common::{Rig, bytes, call, run, with};
+use hyper::{Request, StatusCode};
+use waxwing_http::{collect, empty};
+use waxwing_testkit::{Target, TargetSettings};
+use waxwingrail::Daemon;
+
+async fn target(rig: &Rig) -> Target {
+    rig.target(TargetSettings {
+        slots: 64,
+        ..TargetSettings::default()
+    })
+    .await
+}
+
+/// The status of a request on a public route or with the key of `acme`.
+async fn status(rig: &Rig, at: SocketAddr, path: &str) -> StatusCode {
+    let response = rig.send(at, call("GET", path, empty())).await;
+    let status = response.status();
+    collect(response.into_body(), 10_000).await.unwrap();
+    status
+}
+
+/// Guards against a VM that is not the owner of a limit and admits nothing, and against a withdrawn
+/// key that works on a VM which does not watch the store.
+#[test]
+fn three_vms_share_quota_and_configuration() {
+    run(|mut rig| async move {
+        let target = target(&rig).await;
+        rig.records(&[("d1", &target)]).await;
+        let mut daemons = Vec::new();
+        for vm in ["vm1", "vm2", "vm3"] {
+            daemons.push(rig.daemon(vm, "d1", &[]).await);
+        }
+        for daemon in &daemons {
+            rig.until_admitted(daemon).await;
+        }
+        rig.withdraw("key", "acme1").await;
+        for daemon in &daemons {
+            let at = daemon.addresses().callers;
+            rig.until("refused", async || {
+                status(&rig, at, "/v1/svc/shop/x").await == StatusCode::UNAUTHORIZED
+            })
+            .await;
+        }
+    });
+}
+
+/// Guards against a workspace whose rate counts for each VM anew.
+#[test]
+fn rate_counts_over_all_vms() {
+    run(|mut rig| async move {
+        let target = target(&rig).await;
+        rig.records(&[("d1", &target)]).await;
+        rig.workspace("small", 10, "small1", "small1.secret").await;
+        let first = rig.daemon("vm1", "d1", &[]).await;
+        let second = rig.daemon("vm2", "d1", &[]).await;
+        rig.until_admitted(&first).await;
+        rig.until_admitted(&second).await;
+        let addresses = [first.addresses().callers, second.addresses().callers];
+        let begun = Instant::now();
+        let ran = || {
+            target
+                .runs()
+                .runs
+                .iter()
+                .filter(|r| r.path.contains("small"))
+                .count()
+        };
+        let mut refused = 0;
+        for i in 0..200 {
+            let request = Request::get("/v1/svc/shop/small");
+            let request = request.header("authorization", "Bearer small1.secret");
+            let request = request.body(empty()).unwrap();
+            let response = rig.send(addresses[i % 2], request).await;
+            refused += u32::from(response.status() == StatusCode::TOO_MANY_REQUESTS);
+            collect(response.into_body(), 10_000).await.unwrap();
+        }
+        let most = 10 + 10 * begun.elapsed().as_millis() / 1000 + 1;
+        assert!(refused > 0, "nothing was refused");
+        assert!(ran() as u128 <= most, "{} ran, {most} allowed", ran());
+    });
+}
+
+/// Guards against work for another region that is lost, shows the key, or loses the workspace.
+#[test]
+fn request_is_forwarded_to_the_region_that_has_targets() {
+    run(|mut rig| async move {
+        let target = target(&rig).await;
+        rig.records(&[("d2", &target)]).await;
+        let near = rig.daemon("vm1", "d1", &[]).await;
+        let far = rig.daemon("vm2", "d2", &[]).await;
+        rig.until_admitted(&near).await;
+        let at = near.addresses().callers;
+        let before = rig.metric(&near, "waxwing_forwards_total").await;
+        let request = call("PUT", "/v1/svc/shop/items/7?x=1", bytes("hello"));
+        let request = with(request, &[("x-kept", "yes")]);
+        let response = rig.send(at, request).await;
+        assert_eq!(response.status(), StatusCode::OK);
+        assert!(rig.metric(&near, "waxwing_forwards_total").await > before);
+        let run = target.runs().runs.pop().unwrap();
+        assert_eq!((run.path.as_str(), run.body_bytes), ("/items/7?x=1", 5));
+        assert_eq!(run.headers["x-workspace"], "acme");
+        assert_eq!(run.headers["x-kept"], "yes");
+        for hidden in [
+            "authorization",
+            "x-key-id",
+            "x-key-hash",
+            "x-from-region",
+            "x-client",
+        ] {
+            assert!(!run.headers.contains_key(hidden), "{hidden}");
+        }
+        // The peer HTTP address takes no workspace on trust.
+        let forged = with(
+            Request::get("/v1/svc/shop/x").body(empty()).unwrap(),
+            &[("x-workspace", "acme"), ("x-from-region", "r1")],
+        );
+        let response = rig.send(far.addresses().regions, forged).await;
+        assert_eq!(response.status(), StatusCode::BAD_REQUEST);
+    });
+}
+
+async fn keeps_admitting(rig: &Rig, daemon: &Daemon) {
+    let at = daemon.addresses().callers;
+    for _ in 0..2 {
+        rig.until("admission by the successor", async || {
+            let shards = rig.metric(daemon, "waxwing_shards_owned").await;
+            shards > 7.5 && status(rig, at, "/v1/svc/shop/x").await == StatusCode::OK
+        })
+        .await;
+    }
+}
+
+/// Guards against a planned stop after which a limit has no owner.
+#[test]
+fn successor_admits_after_a_stop() {
+    run(|mut rig| async move {
+        let target = target(&rig).await;
+        rig.records(&[("d1", &target)]).await;
+        let first = rig.daemon("vm1", "d1", &[]).await;
+        let second = rig.daemon("vm2", "d1", &[]).await;
+        rig.until_admitted(&first).await;
+        rig.until_admitted(&second).await;
+        assert!(first.stop().await);
+        keeps_admitting(&rig, &second).await;
+    });
+}
+
+/// Guards against a killed owner whose shards nobody takes over.
+#[test]
+fn standby_takes_over_from_a_killed_owner() {
+    run(|mut rig| async move {
+        let target = target(&rig).await;
+        rig.records(&[("d1", &target)]).await;
+        let first = rig.daemon("vm1", "d1", &[]).await;
+        let second = rig.daemon("vm2", "d1", &[]).await;
+        rig.until_admitted(&first).await;
+        rig.until_admitted(&second).await;
+        drop(first);
+        keeps_admitting(&rig, &second).await;
+    });
+}
