--- a/crates/waxwingrail/src/request/driver.rs
+++ b/crates/waxwingrail/src/request/driver.rs
@@ -100,12 +100,13 @@
     /// Whether the caller was answered or is gone.
     answered: bool,
     arrived: Instant,
-    /// Whether the time until the first attempt was recorded.
-    sent: bool,
+    /// When the request arrived, until its first attempt was recorded.
+    unsent: Option<Instant>,
 }
 
 impl Driver {
     fn new(shared: &Arc<Shared>, arrival: Arrival, outbound: Outbound, upload: Upload) -> Self {
+        let arrived = Instant::now();
         Self {
             shared: Arc::clone(shared),
             flow: Flow::new(shared.enter(), arrival),
@@ -120,8 +121,8 @@
             events: VecDeque::from([FlowEvent::Start]),
             reply: None,
             answered: false,
-            arrived: Instant::now(),
-            sent: false,
+            arrived,
+            unsent: Some(arrived),
         }
     }
 
@@ -307,9 +308,8 @@
     }
 
     fn send(&mut self, address: SocketAddr, request: Request<Body>, to_region: bool) {
-        if !self.sent {
-            self.sent = true;
-            self.shared.metrics.added.record(self.arrived.elapsed());
+        if let Some(arrived) = self.unsent.take() {
+            self.shared.metrics.added.record(arrived.elapsed());
         }
         self.to_region = to_region;
         // The former answer holds its connection until here.
