--- a/crates/waxwingrail/src/state.rs
+++ b/crates/waxwingrail/src/state.rs
@@ -1,6 +1,6 @@
 //! The shared tables of the daemon and the order in which they are locked.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock};
@@ -31,6 +31,8 @@
 pub(crate) struct Fleet {
     pub(crate) members: Members,
     pub(crate) puller: Puller,
+    /// Addresses of all VMs on the platform's list.
+    pub(crate) addresses: HashSet<IpAddr>,
 }
 
 /// What is behind the last lock.
@@ -116,6 +118,7 @@
         let fleet = Fleet {
             members: Members::new(settings.vm.clone(), settings.domain.clone()),
             puller: Puller::new(now, parts.incarnation, PullSettings::default()),
+            addresses: HashSet::new(),
         };
         let tail = Tail {
             quarantine: Quarantine::default(),
@@ -305,15 +308,7 @@
 
     /// Whether a VM on the platform's list has this address.
     pub(crate) fn is_entry_vm(&self, ip: IpAddr) -> bool {
-        let fleet = self.fleet();
-        let members = &fleet.members;
-        let ids = members.domains().flat_map(|d| members.listed(d));
-        let mut vms = ids.filter_map(|id| members.vm(id));
-        vms.any(|vm| {
-            [vm.peer_http, vm.peer, vm.client]
-                .iter()
-                .any(|a| a.ip() == ip)
-        })
+        self.fleet().addresses.contains(&ip)
     }
 
     /// The table of client blocks.
--- a/crates/waxwingrail/src/task/feed.rs
+++ b/crates/waxwingrail/src/task/feed.rs
@@ -41,8 +41,11 @@
 }
 
 fn adopt(shared: &Shared, vms: Vec<waxwing_store::Vm>) {
+    let each = |vm: &waxwing_store::Vm| [vm.client.ip(), vm.peer.ip(), vm.peer_http.ip()];
+    let addresses = vms.iter().flat_map(each).collect();
     let list = vms.into_iter().map(listed).collect();
     let mut fleet = shared.fleet();
+    fleet.addresses = addresses;
     let now = shared.now();
     fleet.members.on_list(now, list);
     let live: Vec<VmId> = live(&fleet.members, now);
