Run the example records without the shared test runner

Cause: clippy reported parts of the shared runner that the test of the examples does not use. Change: the test parses and runs its command itself.

--- a/crates/waxwingctl/tests/examples.rs
+++ b/crates/waxwingctl/tests/examples.rs
@@ -1,14 +1,14 @@
 //! The example records.
 
-mod common;
-
 use std::collections::BTreeMap;
 use std::path::Path;
+use std::sync::Arc;
 
-use common::ctl;
+use async_executor::Executor;
+use async_io::block_on;
 use waxwing_records::{Document, Kind, Record, split_records};
 use waxwing_testkit::MemoryStore;
-use waxwingctl::Exit;
+use waxwingctl::{Exit, parse, run};
 
 const KINDS: [&str; 6] = [
     "blocks",
@@ -39,9 +39,17 @@
 fn both_deployments_apply_to_one_store() {
     let store = MemoryStore::new();
     for deployment in ["kain-bersih", "kerlann"] {
-        let ran = ctl(&store, &format!("apply {}", files(deployment).join(" ")));
-        assert_eq!(ran.exit, Exit::Done, "{}", ran.err);
-        assert!(!ran.out.contains(": changed ("), "{}", ran.out);
+        let line = format!("apply --store 127.0.0.1:1 {}", files(deployment).join(" "));
+        let settings = parse(line.split(' ').map(Into::into), |_| None).unwrap();
+        let executor = Arc::new(Executor::new());
+        let (mut out, mut err) = (Vec::new(), Vec::new());
+        let exit = block_on(run(&executor, &settings, Some(&store), &mut out, &mut err));
+        let (out, err) = (
+            String::from_utf8(out).unwrap(),
+            String::from_utf8(err).unwrap(),
+        );
+        assert_eq!(exit, Exit::Done, "{err}");
+        assert!(!out.contains(": changed ("), "{out}");
     }
 }
 
