--- a/crates/waxwing_core/tests/limit_fuzz.rs
+++ b/crates/waxwing_core/tests/limit_fuzz.rs
@@ -2,7 +2,6 @@
 //!
 //! `WAXWING_FUZZ_CASES`, `WAXWING_FUZZ_STEPS` and `WAXWING_FUZZ_SEED` lengthen or move the run.
 
-#[path = "limit_world/mod.rs"]
 mod world;
 
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -14,7 +13,7 @@
 use waxwing_types::Millis;
 use world::{Bound, Setup, World};
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 enum Step {
     Run(u64),
     Spend {
--- a/crates/waxwingrail/src/state.rs
+++ b/crates/waxwingrail/src/state.rs
@@ -4,6 +4,9 @@
 use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock};
+use std::task::Waker;
+
+use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
 use async_executor::Executor;
@@ -11,17 +14,19 @@
     BlockTable, Config, FairQueue, Flow, FlowAction, FlowEvent, FlowId, Ledger, LedgerSettings,
     Members, PullSettings, Puller, Quarantine, RetryBudget, Steering, Tables, TargetTable,
 };
-use waxwing_http::{Client, Server};
+use waxwing_http::{Client, CoarseTimer, Server};
 use waxwing_store::Store;
 use waxwing_types::{Clock, Incarnation, Millis, VmId};
 
 use crate::metric::Metrics;
-use crate::request::Note;
 use crate::settings::Settings;
 
 /// Parts into which the table of requests is divided, so that threads rarely meet at one lock.
 const FLOW_PARTS: u64 = 16;
 
+/// Precision of the deadlines of requests.
+const DEADLINE_TICK: Duration = Duration::from_millis(10);
+
 /// What is known of the other VMs. Behind one lock, because pulls change all of it.
 pub(crate) struct Fleet {
     pub(crate) members: Members,
@@ -35,7 +40,14 @@
     pub(crate) rng: fastrand::Rng,
 }
 
-type FlowPart = Mutex<HashMap<FlowId, Sender<Note>>>;
+/// Whether the turn of a request in the fair queue came, and who waits for it.
+#[derive(Default)]
+struct Turn {
+    came: bool,
+    waker: Option<Waker>,
+}
+
+type FlowPart = Mutex<HashMap<FlowId, Turn>>;
 
 /// Everything that the tasks of a daemon share.
 ///
@@ -47,6 +59,8 @@
     pub(crate) store: Arc<dyn Store>,
     pub(crate) executor: Arc<Executor<'static>>,
     pub(crate) client: Client,
+    /// Deadlines of requests.
+    pub(crate) timer: CoarseTimer,
     pub(crate) metrics: Metrics,
     pub(crate) steering: Steering,
 
@@ -112,6 +126,7 @@
             incarnation: parts.incarnation,
             clock: parts.clock,
             store: parts.store,
+            timer: CoarseTimer::start(&parts.executor, DEADLINE_TICK),
             executor: parts.executor,
             client: parts.client,
             metrics: Metrics::new(),
@@ -199,26 +214,46 @@
         let _ = self.nudge.0.try_send(());
     }
 
-    /// Numbers a request and notes where its messages go.
-    pub(crate) fn enter(&self, driver: Sender<Note>) -> FlowId {
+    /// Numbers a request.
+    pub(crate) fn enter(&self) -> FlowId {
         let id = FlowId(self.last_flow.fetch_add(1, Ordering::Relaxed) + 1);
         self.running.fetch_add(1, Ordering::Relaxed);
-        lock(self.part(id)).insert(id, driver);
+        lock(self.part(id)).insert(id, Turn::default());
         id
     }
 
     /// Forgets a request.
     pub(crate) fn leave(&self, id: FlowId) {
-        lock(self.part(id)).remove(&id);
+        let turn = lock(self.part(id)).remove(&id);
+        drop(turn);
         self.running.fetch_sub(1, Ordering::Relaxed);
     }
 
     /// Tells a request that its turn in the fair queue came.
     pub(crate) fn wake(&self, id: FlowId) {
-        if let Some(driver) = lock(self.part(id)).get(&id) {
-            // Fails only if the driver has ended.
-            let _ = driver.try_send(Note::Released);
+        let waker = lock(self.part(id)).get_mut(&id).and_then(|turn| {
+            turn.came = true;
+            turn.waker.take()
+        });
+        if let Some(waker) = waker {
+            waker.wake();
+        }
+    }
+
+    /// Takes the turn of a request if it came; else the waker is called when it comes.
+    pub(crate) fn take_wake(&self, id: FlowId, waker: &Waker) -> bool {
+        let mut part = lock(self.part(id));
+        let Some(turn) = part.get_mut(&id) else {
+            return false;
+        };
+        if std::mem::take(&mut turn.came) {
+            return true;
         }
+        let former = turn.waker.replace(waker.clone());
+        // The last waker of a task drops the task, which leaves this table.
+        drop(part);
+        drop(former);
+        false
     }
 
     fn part(&self, id: FlowId) -> &FlowPart {
