Date idempotency records and the status of failure domains

Change: the daemon appends created=SECONDS to each write of an idempotency record, which ClaimRecord reads over; the daemon writes waxwing_store::DomainStatus with the time of writing; the domain is taken from the path.

--- a/crates/waxwing_core/src/claim/record.rs
+++ b/crates/waxwing_core/src/claim/record.rs
@@ -22,7 +22,8 @@
     /// A record: its state and the token of the attempt that wrote it.
     ///
     /// The value is one line of text: `in_flight TOKEN`, `answered STATUS TOKEN`,
-    /// `released TOKEN` or `unknown TOKEN`, the token as 32 hexadecimal digits.
+    /// `released TOKEN` or `unknown TOKEN`, the token as 32 hexadecimal digits. The daemon appends
+    /// `created=SECONDS` (since 1970) for `waxwingctl sweep`, which no decision here depends on.
     pub struct ClaimRecord {
         /// State of the request.
         pub state: ClaimState,
@@ -77,7 +78,8 @@
         _ => return None,
     };
     let token = u128::from_str_radix(words.next()?, 16).ok()?;
-    words.next().is_none().then_some(ClaimRecord {
+    let created = words.next().map(|word| word.starts_with("created="));
+    (created != Some(false) && words.next().is_none()).then_some(ClaimRecord {
         state,
         token: Some(token),
     })
--- a/crates/waxwing_store/src/status.rs
+++ b/crates/waxwing_store/src/status.rs
@@ -7,19 +7,18 @@
     /// What one VM of a failure domain reports of it.
     #[derive(Serialize, Deserialize)]
     pub struct DomainStatus {
-        /// The failure domain.
-        pub domain: DomainId,
         /// The VM that wrote this.
         pub vm: VmId,
         /// Revision in force.
         pub revision: Revision,
-        /// Time since the failure domain last heard that this is the newest revision.
-        pub age_ms: Millis,
-        /// VMs that serve.
-        pub live: u32,
-        /// VMs that are being stopped.
-        pub leaving: u32,
+        /// Age of the configuration. `None`: the store was never heard of.
+        pub age_ms: Option<Millis>,
+        /// VMs that respond and stay.
+        pub live: usize,
+        /// VMs that respond and are leaving.
+        pub leaving: usize,
         /// When it was written, in seconds since 1970 by the writer's clock. Only shown to operators.
+        #[serde(default)]
         pub written: u64,
     }
 }
@@ -29,4 +28,13 @@
     pub fn path(domain: &DomainId) -> String {
         format!("status/{domain}")
     }
+
+    /// Whether it says the same as `other`, whatever the age and the time of writing.
+    pub fn same_content(&self, other: &Self) -> bool {
+        Self {
+            age_ms: self.age_ms,
+            written: self.written,
+            ..other.clone()
+        } == *self
+    }
 }
--- a/crates/waxwingctl/src/command/status.rs
+++ b/crates/waxwingctl/src/command/status.rs
@@ -18,6 +18,7 @@
 
 #[derive(Serialize)]
 struct Row {
+    domain: String,
     #[serde(flatten)]
     status: DomainStatus,
     /// Records that are newer than the revision in force.
@@ -49,14 +50,14 @@
         Err(reason) => return console.fail(Exit::Failed, &[reason]),
     };
     let (statuses, faulty) = parse(&objects);
-    let oldest = statuses.iter().map(|s| s.revision).min();
+    let oldest = statuses.iter().map(|(_, s)| s.revision).min();
     let newer = list(store, "config/", oldest.unwrap_or_default(), timeout).await;
     let newer = match newer {
         Ok((objects, _)) => objects.iter().map(|o| o.version).collect::<Vec<_>>(),
         Err(reason) => return console.fail(Exit::Failed, &[reason]),
     };
     let newest = newer.iter().copied().chain(oldest).max();
-    let rows = statuses.into_iter().map(|s| row(s, &newer, now));
+    let rows = statuses.into_iter().map(|(d, s)| row(d, s, &newer, now));
     console.report(&Report {
         newest: newest.unwrap_or_default(),
         domains: rows.collect(),
@@ -65,24 +66,28 @@
     Exit::Done
 }
 
-fn parse(objects: &[Object]) -> (Vec<DomainStatus>, Vec<String>) {
+/// Failure domains with their status in the order of their names, and faults.
+fn parse(objects: &[Object]) -> (Vec<(String, DomainStatus)>, Vec<String>) {
     let (mut statuses, mut faulty) = (Vec::new(), Vec::new());
     for object in objects {
         match serde_json::from_slice::<DomainStatus>(&object.value) {
-            Ok(status) => statuses.push(status),
+            Ok(status) => {
+                let domain = object.path.trim_start_matches("status/");
+                statuses.push((domain.to_owned(), status));
+            }
             Err(error) => faulty.push(format!("{}: {error}", object.path)),
         }
     }
-    statuses.sort_by(|a, b| a.domain.cmp(&b.domain));
+    statuses.sort_by(|(a, _), (b, _)| a.cmp(b));
     (statuses, faulty)
 }
 
-fn row(status: DomainStatus, newer: &[Revision], now: u64) -> Row {
+fn row(domain: String, status: DomainStatus, newer: &[Revision], now: u64) -> Row {
     let behind = newer.iter().filter(|v| **v > status.revision).count();
     let reported = now.saturating_sub(status.written);
     let state = if reported > OLD_REPORT_SECS {
         "no report"
-    } else if status.age_ms > LATE {
+    } else if status.age_ms.is_none_or(|age| age > LATE) {
         "late"
     } else if behind > 0 {
         "behind"
@@ -90,6 +95,7 @@
         "ok"
     };
     Row {
+        domain,
         status,
         behind,
         reported,
@@ -97,10 +103,14 @@
     }
 }
 
+fn seconds(age: Millis) -> String {
+    format!("{}.{} s", age.0 / 1000, age.0 % 1000 / 100)
+}
+
 impl Report {
     fn summary(&self) -> String {
         let count = |state| self.domains.iter().filter(|r| r.state == state).count();
-        let sum = |f: fn(&Row) -> u32| self.domains.iter().map(f).sum::<u32>();
+        let sum = |f: fn(&Row) -> usize| self.domains.iter().map(f).sum::<usize>();
         format!(
             "{} failure domains: {} ok, {} behind, {} late, {} without report; VMs: {} live, {} leaving",
             self.domains.len(),
@@ -124,15 +134,11 @@
         for row in &self.domains {
             let status = &row.status;
             rows.push(vec![
-                status.domain.to_string(),
+                row.domain.clone(),
                 row.state.to_owned(),
                 status.revision.to_string(),
                 row.behind.to_string(),
-                format!(
-                    "{}.{} s",
-                    status.age_ms.0 / 1000,
-                    status.age_ms.0 % 1000 / 100
-                ),
+                status.age_ms.map_or("never heard".into(), seconds),
                 status.live.to_string(),
                 status.leaving.to_string(),
                 format!("{} s ago", row.reported),
--- a/crates/waxwingctl/tests/commands.rs
+++ b/crates/waxwingctl/tests/commands.rs
@@ -72,7 +72,7 @@
 }
 
 fn put_status(store: &MemoryStore, domain: &str, revision: u64, age_ms: u64, written: u64) {
-    let status = json!({"domain": domain, "vm": "v1", "revision": revision, "age_ms": age_ms,
+    let status = json!({"vm": "v1", "revision": revision, "age_ms": age_ms,
         "live": 30, "leaving": 1, "written": written});
     put(store, &format!("status/{domain}"), &status.to_string());
 }
--- a/crates/waxwingrail/src/request/claim.rs
+++ b/crates/waxwingrail/src/request/claim.rs
@@ -2,7 +2,7 @@
 
 use std::pin::Pin;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 use waxwing_core::StoreOutcome;
 use waxwing_store::{Condition, ReadOutcome, WriteOutcome};
@@ -49,6 +49,7 @@
 
 async fn write(shared: &Shared, path: &str, value: Vec<u8>, condition: Condition) -> StoreOutcome {
     let begun = Instant::now();
+    let value = dated(value);
     let timeout = shared.settings.store_timeout;
     let outcome = shared.store.put(path, value, condition, timeout).await;
     shared.metrics.store.record(begun.elapsed());
@@ -66,6 +67,15 @@
     }
 }
 
+/// Appends the time of the write, by which `waxwingctl sweep` tells old records. A record is thus kept
+/// for its whole time after its last change.
+fn dated(mut value: Vec<u8>) -> Vec<u8> {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let secs = since.map_or(0, |d| d.as_secs());
+    value.extend_from_slice(format!(" created={secs}").as_bytes());
+    value
+}
+
 fn unreachable(shared: &Shared, path: &str, reason: &str) -> StoreOutcome {
     shared.metrics.store_failures.increment(1);
     log::debug!(path = path, reason = reason; "store call failed");
--- a/crates/waxwingrail/src/task/status.rs
+++ b/crates/waxwingrail/src/task/status.rs
@@ -1,7 +1,8 @@
 //! The status of the failure domain, written by one of its VMs.
 
-use serde::Serialize;
-use waxwing_store::{Condition, ReadOutcome, WriteOutcome};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use waxwing_store::{Condition, DomainStatus, ReadOutcome, WriteOutcome};
 use waxwing_types::{Millis, Revision};
 
 use super::{Context, pause};
@@ -11,39 +12,14 @@
 /// Longest time between two writes.
 const REWRITE: Millis = Millis::from_secs(30);
 
-/// The value of `status/{domain}`.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
-struct Status {
-    /// The VM that wrote it.
-    vm: String,
-    /// Revision in force.
-    revision: u64,
-    /// Age of the configuration in ms, absent if the store was never heard of.
-    age_ms: Option<u64>,
-    /// VMs that respond and stay.
-    live: usize,
-    /// VMs that respond and are leaving.
-    leaving: usize,
-}
-
-impl Status {
-    /// Whether only the age differs, which every write brings up to date.
-    fn same_but_age(&self, other: &Self) -> bool {
-        Self {
-            age_ms: self.age_ms,
-            ..other.clone()
-        } == *self
-    }
-}
-
 struct Written {
-    status: Status,
+    status: DomainStatus,
     at: Millis,
 }
 
 pub(super) async fn run(ctx: Context) {
     let shared = &ctx.shared;
-    let path = format!("status/{}", shared.settings.domain);
+    let path = DomainStatus::path(&shared.settings.domain);
     let mut version = None;
     let mut last: Option<Written> = None;
     loop {
@@ -53,7 +29,7 @@
             last = None;
             continue;
         };
-        let fresh = |w: &Written| now.since(w.at) < REWRITE && w.status.same_but_age(&status);
+        let fresh = |w: &Written| now.since(w.at) < REWRITE && w.status.same_content(&status);
         if last.as_ref().is_some_and(fresh) {
             continue;
         }
@@ -64,7 +40,7 @@
 }
 
 /// The status, if writing it is this VM's duty.
-fn duty(shared: &Shared, now: Millis) -> Option<Status> {
+fn duty(shared: &Shared, now: Millis) -> Option<DomainStatus> {
     let config = shared.config();
     let fleet = shared.fleet();
     if !fleet.puller.is_ready() || !fleet.members.is_first(now) {
@@ -72,12 +48,14 @@
     }
     let (live, leaving) = fleet.members.census(now);
     let age = config.age(now);
-    Some(Status {
-        vm: shared.settings.vm.to_string(),
-        revision: config.revision().0,
-        age_ms: (age != Millis::MAX).then_some(age.0),
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    Some(DomainStatus {
+        vm: shared.settings.vm.clone(),
+        revision: config.revision(),
+        age_ms: (age != Millis::MAX).then_some(age),
         live,
         leaving,
+        written: since.map_or(0, |d| d.as_secs()),
     })
 }
 
@@ -86,7 +64,7 @@
 async fn write(
     shared: &Shared,
     path: &str,
-    status: &Status,
+    status: &DomainStatus,
     version: &mut Option<Revision>,
 ) -> bool {
     let timeout = shared.settings.store_timeout;
