--- a/crates/waxwingrail/src/metric.rs
+++ b/crates/waxwingrail/src/metric.rs
@@ -113,7 +113,12 @@
 impl Metrics {
     /// The metrics as Prometheus text.
     pub(crate) fn render(&self) -> String {
-        self.handle.run_upkeep();
         self.handle.render()
     }
+
+    /// Moves the samples of the histograms into their buckets. Without it the samples pile up until
+    /// the metrics are rendered, which may be never.
+    pub(crate) fn condense(&self) {
+        self.handle.run_upkeep();
+    }
 }
--- a/crates/waxwingrail/src/task/gauge.rs
+++ b/crates/waxwingrail/src/task/gauge.rs
@@ -19,6 +19,7 @@
             was_ready = ready;
         }
         shared.refresh_gauges();
+        shared.metrics.condense();
         shared.client.prune();
         let live = {
             let fleet = shared.fleet();
--- a/crates/waxwingrail/tests/retry.rs
+++ b/crates/waxwingrail/tests/retry.rs
@@ -92,8 +92,8 @@
 #[test]
 fn refused_connection_is_tried_elsewhere() {
     run(|mut rig| async move {
-        let (dead, live) = (target(&rig, "dead").await, target(&rig, "live").await);
-        let daemon = rigged(&mut rig, &[&dead, &live]).await;
+        let (dead, other) = (target(&rig, "dead").await, target(&rig, "other").await);
+        let daemon = rigged(&mut rig, &[&dead, &other]).await;
         dead.control(&TargetControl {
             down_ms: Some(60_000),
             crash: true,
