waxwingrail: write the status of a domain only for a change

Cause: the status carried the revision, which rises with every write to the store, so that each write of a status led to the next one about 2 s later, in every domain. Change: a write follows a record, a VM that comes or goes, or 30 s; the ledger is configured once for each revision.

--- a/crates/waxwing_store/src/status.rs
+++ b/crates/waxwing_store/src/status.rs
@@ -28,13 +28,4 @@
     pub fn path(domain: &DomainId) -> String {
         format!("status/{domain}")
     }
-
-    /// Whether it says the same as `other`, whatever the age and the time of writing.
-    pub fn same_content(&self, other: &Self) -> bool {
-        Self {
-            age_ms: self.age_ms,
-            written: self.written,
-            ..other.clone()
-        } == *self
-    }
 }
--- a/crates/waxwingrail/src/state.rs
+++ b/crates/waxwingrail/src/state.rs
@@ -16,7 +16,7 @@
 };
 use waxwing_http::{Client, CoarseTimer, Server};
 use waxwing_store::Store;
-use waxwing_types::{Clock, Incarnation, Millis, VmId};
+use waxwing_types::{Clock, Incarnation, Millis, Revision, VmId};
 
 use crate::metric::Metrics;
 use crate::settings::Settings;
@@ -77,6 +77,8 @@
     pub(crate) blocks: RwLock<(u64, Arc<BlockTable>)>,
     /// Highest generation for which a table was or is being built.
     blocks_begun: AtomicU64,
+    /// Revision of the limits that the ledger has.
+    limits_revision: AtomicU64,
     flows: Vec<FlowPart>,
     last_flow: AtomicU64,
     running: AtomicUsize,
@@ -142,6 +144,7 @@
             tail: Mutex::new(tail),
             blocks: RwLock::default(),
             blocks_begun: AtomicU64::new(0),
+            limits_revision: AtomicU64::new(0),
             panics: parts.panics,
             connections: OnceLock::new(),
             flows: (0..FLOW_PARTS).map(|_| Mutex::default()).collect(),
@@ -264,6 +267,13 @@
         &self.flows[at]
     }
 
+    /// Notes the revision that the ledger is given. `false`: it had that one or a higher one.
+    pub(crate) fn take_limits_revision(&self, revision: Revision) -> bool {
+        self.limits_revision
+            .fetch_max(revision.0, Ordering::Relaxed)
+            < revision.0
+    }
+
     /// Notes that a table of client blocks is being built. `false`: one at least as new was begun.
     pub(crate) fn take_blocks_generation(&self, generation: u64) -> bool {
         self.blocks_begun.fetch_max(generation, Ordering::Relaxed) < generation
--- a/crates/waxwingrail/src/task/pull.rs
+++ b/crates/waxwingrail/src/task/pull.rs
@@ -208,6 +208,9 @@
     }
     // A revision that rises without a record still has to be confirmed by the owners of shards.
     let config = shared.config();
+    if !shared.take_limits_revision(config.revision()) && !changed {
+        return;
+    }
     let mut ledger = shared.ledger();
     let domains = config.domains().keys().cloned().collect();
     let (revision, limits) = (config.revision(), config.limits());
--- a/crates/waxwingrail/src/task/status.rs
+++ b/crates/waxwingrail/src/task/status.rs
@@ -12,8 +12,20 @@
 /// Longest time between two writes.
 const REWRITE: Millis = Millis::from_secs(30);
 
+/// What a write of the status must not miss.
+///
+/// The revision is not part of it: it rises with each write to the store, those of statuses included,
+/// so that the writes of many domains would keep each other going.
+#[derive(PartialEq, Eq)]
+struct Content {
+    /// Records put in force or rejected.
+    records: u64,
+    live: usize,
+    leaving: usize,
+}
+
 struct Written {
-    status: DomainStatus,
+    content: Content,
     at: Millis,
 }
 
@@ -25,22 +37,22 @@
     loop {
         pause(PERIOD).await;
         let now = shared.now();
-        let Some(status) = duty(shared, now) else {
+        let Some((status, content)) = duty(shared, now) else {
             last = None;
             continue;
         };
-        let fresh = |w: &Written| now.since(w.at) < REWRITE && w.status.same_content(&status);
+        let fresh = |w: &Written| now.since(w.at) < REWRITE && w.content == content;
         if last.as_ref().is_some_and(fresh) {
             continue;
         }
         if write(shared, &path, &status, &mut version).await {
-            last = Some(Written { status, at: now });
+            last = Some(Written { content, at: now });
         }
     }
 }
 
 /// The status, if writing it is this VM's duty.
-fn duty(shared: &Shared, now: Millis) -> Option<DomainStatus> {
+fn duty(shared: &Shared, now: Millis) -> Option<(DomainStatus, Content)> {
     let config = shared.config();
     let fleet = shared.fleet();
     if !fleet.puller.is_ready() || !fleet.members.is_first(now) {
@@ -48,15 +60,22 @@
     }
     let (live, leaving) = fleet.members.census(now);
     let age = config.age(now);
+    let counts = config.counts();
+    let content = Content {
+        records: counts.adopted + counts.rejected,
+        live,
+        leaving,
+    };
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    Some(DomainStatus {
+    let status = DomainStatus {
         vm: shared.settings.vm.clone(),
         revision: config.revision(),
         age_ms: (age != Millis::MAX).then_some(age),
         live,
         leaving,
         written: since.map_or(0, |d| d.as_secs()),
-    })
+    };
+    Some((status, content))
 }
 
 /// Writes the status. Another VM may have written it, which shows as a conflict; the next attempt
--- a/crates/waxwingrail/tests/common/mod.rs
+++ b/crates/waxwingrail/tests/common/mod.rs
@@ -79,7 +79,7 @@
         self.write(&format!("config/{kind}/{name}"), &record).await;
     }
 
-    async fn write(&self, path: &str, record: &Value) {
+    pub(crate) async fn write(&self, path: &str, record: &Value) {
         let condition = match self.store.get(path, STORE_TIME).await {
             ReadOutcome::Found(object) => Condition::Version(object.version),
             ReadOutcome::Absent => Condition::Absent,
@@ -211,6 +211,15 @@
         });
     }
 
+    /// Version of an object in the store.
+    pub(crate) async fn version(&self, path: &str) -> Option<u64> {
+        match self.store.get(path, STORE_TIME).await {
+            ReadOutcome::Found(object) => Some(object.version.0),
+            ReadOutcome::Absent => None,
+            ReadOutcome::Unreachable(reason) => panic!("{reason}"),
+        }
+    }
+
     /// The table of owners of a failure domain.
     pub(crate) async fn owners(&self, domain: &str) -> OwnersTable {
         match self
--- a/crates/waxwingrail/tests/fleet.rs
+++ b/crates/waxwingrail/tests/fleet.rs
@@ -176,3 +176,38 @@
         keeps_admitting(&rig, &second).await;
     });
 }
+
+/// Guards against a status or a table of owners that is written again for each write of others to the
+/// store, its own included: with many domains the writes would never end.
+#[test]
+fn writes_of_others_lead_to_no_write() {
+    run(|mut rig| async move {
+        let target = target(&rig).await;
+        rig.records(&[("d1", &target)]).await;
+        let daemon = rig.daemon("vm1", "d1", &[]).await;
+        rig.until_admitted(&daemon).await;
+        rig.until("status", async || rig.version("status/d1").await.is_some())
+            .await;
+        let before = rig.version("status/d1").await;
+        let owners = rig.version("owners/d1").await;
+        for i in 0..3 {
+            let path = format!("claims/{i}");
+            rig.write(&path, &serde_json::json!({})).await;
+            let written = rig.version(&path).await.unwrap();
+            let admin = daemon.addresses().admin;
+            rig.until("the revision in force", async || {
+                let status = rig.text(admin, "/v1/status").await;
+                let status: serde_json::Value = serde_json::from_str(&status).unwrap();
+                status["revision"].as_u64() >= Some(written)
+            })
+            .await;
+        }
+        assert_eq!(rig.version("status/d1").await, before);
+        assert_eq!(rig.version("owners/d1").await, owners);
+        rig.withdraw("key", "acme1").await;
+        rig.until("a new status", async || {
+            rig.version("status/d1").await > before
+        })
+        .await;
+    });
+}
