--- a/crates/waxwing_testkit/src/caller/call.rs
+++ b/crates/waxwing_testkit/src/caller/call.rs
@@ -28,6 +28,8 @@
 pub struct CallerSettings {
     /// VMs to ask for the entry VMs.
     pub entries: Vec<SocketAddr>,
+    /// The only VM to send to, without a look-up.
+    pub vm: Option<SocketAddr>,
     /// Service to call.
     pub service: String,
     /// Client address named in look-ups.
@@ -112,6 +114,9 @@
     ///
     /// Empty only if no VM ever answered.
     pub async fn entry_vms(&self) -> Vec<SocketAddr> {
+        if let Some(vm) = self.inner.settings.vm {
+            return vec![vm];
+        }
         if let Some(vms) = self.cache().fresh() {
             return vms;
         }
--- a/crates/waxwing_testkit/tests/caller.rs
+++ b/crates/waxwing_testkit/tests/caller.rs
@@ -60,6 +60,7 @@
 fn caller(executor: &Arc<Executor<'static>>, entries: Vec<SocketAddr>) -> Caller {
     let settings = CallerSettings {
         entries,
+        vm: None,
         service: "status".into(),
         client: Ipv4Addr::LOCALHOST.into(),
         key: Some("id.secret".into()),
