--- a/crates/waxwingrail/src/state.rs
+++ b/crates/waxwingrail/src/state.rs
@@ -1,9 +1,10 @@
 //! The shared tables of the daemon and the order in which they are locked.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock};
+use std::task::Waker;
 
 use std::time::Duration;
 
@@ -15,10 +16,9 @@
 };
 use waxwing_http::{Client, CoarseTimer, Server};
 use waxwing_store::Store;
-use waxwing_types::{Clock, Incarnation, Millis, VmId};
+use waxwing_types::{Clock, Incarnation, Millis, Revision, VmId};
 
 use crate::metric::Metrics;
-use crate::request::Note;
 use crate::settings::Settings;
 
 /// Parts into which the table of requests is divided, so that threads rarely meet at one lock.
@@ -31,6 +31,8 @@
 pub(crate) struct Fleet {
     pub(crate) members: Members,
     pub(crate) puller: Puller,
+    /// Addresses of all VMs on the platform's list.
+    pub(crate) addresses: HashSet<IpAddr>,
 }
 
 /// What is behind the last lock.
@@ -40,7 +42,14 @@
     pub(crate) rng: fastrand::Rng,
 }
 
-type FlowPart = Mutex<HashMap<FlowId, Sender<Note>>>;
+/// Whether the turn of a request in the fair queue came, and who waits for it.
+#[derive(Default)]
+struct Turn {
+    came: bool,
+    waker: Option<Waker>,
+}
+
+type FlowPart = Mutex<HashMap<FlowId, Turn>>;
 
 /// Everything that the tasks of a daemon share.
 ///
@@ -68,6 +77,8 @@
     pub(crate) blocks: RwLock<(u64, Arc<BlockTable>)>,
     /// Highest generation for which a table was or is being built.
     blocks_begun: AtomicU64,
+    /// Revision of the limits that the ledger has.
+    limits_revision: AtomicU64,
     flows: Vec<FlowPart>,
     last_flow: AtomicU64,
     running: AtomicUsize,
@@ -109,6 +120,7 @@
         let fleet = Fleet {
             members: Members::new(settings.vm.clone(), settings.domain.clone()),
             puller: Puller::new(now, parts.incarnation, PullSettings::default()),
+            addresses: HashSet::new(),
         };
         let tail = Tail {
             quarantine: Quarantine::default(),
@@ -132,6 +144,7 @@
             tail: Mutex::new(tail),
             blocks: RwLock::default(),
             blocks_begun: AtomicU64::new(0),
+            limits_revision: AtomicU64::new(0),
             panics: parts.panics,
             connections: OnceLock::new(),
             flows: (0..FLOW_PARTS).map(|_| Mutex::default()).collect(),
@@ -207,33 +220,60 @@
         let _ = self.nudge.0.try_send(());
     }
 
-    /// Numbers a request and notes where its messages go.
-    pub(crate) fn enter(&self, driver: Sender<Note>) -> FlowId {
+    /// Numbers a request.
+    pub(crate) fn enter(&self) -> FlowId {
         let id = FlowId(self.last_flow.fetch_add(1, Ordering::Relaxed) + 1);
         self.running.fetch_add(1, Ordering::Relaxed);
-        lock(self.part(id)).insert(id, driver);
+        lock(self.part(id)).insert(id, Turn::default());
         id
     }
 
     /// Forgets a request.
     pub(crate) fn leave(&self, id: FlowId) {
-        lock(self.part(id)).remove(&id);
+        let turn = lock(self.part(id)).remove(&id);
+        drop(turn);
         self.running.fetch_sub(1, Ordering::Relaxed);
     }
 
     /// Tells a request that its turn in the fair queue came.
     pub(crate) fn wake(&self, id: FlowId) {
-        if let Some(driver) = lock(self.part(id)).get(&id) {
-            // Fails only if the driver has ended.
-            let _ = driver.try_send(Note::Released);
+        let waker = lock(self.part(id)).get_mut(&id).and_then(|turn| {
+            turn.came = true;
+            turn.waker.take()
+        });
+        if let Some(waker) = waker {
+            waker.wake();
         }
     }
 
+    /// Takes the turn of a request if it came; else the waker is called when it comes.
+    pub(crate) fn take_wake(&self, id: FlowId, waker: &Waker) -> bool {
+        let mut part = lock(self.part(id));
+        let Some(turn) = part.get_mut(&id) else {
+            return false;
+        };
+        if std::mem::take(&mut turn.came) {
+            return true;
+        }
+        let former = turn.waker.replace(waker.clone());
+        // The last waker of a task drops the task, which leaves this table.
+        drop(part);
+        drop(former);
+        false
+    }
+
     fn part(&self, id: FlowId) -> &FlowPart {
         let at = usize::try_from(id.0 % FLOW_PARTS).unwrap_or(0);
         &self.flows[at]
     }
 
+    /// Notes the revision that the ledger is given. `false`: it had that one or a higher one.
+    pub(crate) fn take_limits_revision(&self, revision: Revision) -> bool {
+        self.limits_revision
+            .fetch_max(revision.0, Ordering::Relaxed)
+            < revision.0
+    }
+
     /// Notes that a table of client blocks is being built. `false`: one at least as new was begun.
     pub(crate) fn take_blocks_generation(&self, generation: u64) -> bool {
         self.blocks_begun.fetch_max(generation, Ordering::Relaxed) < generation
@@ -278,15 +318,7 @@
 
     /// Whether a VM on the platform's list has this address.
     pub(crate) fn is_entry_vm(&self, ip: IpAddr) -> bool {
-        let fleet = self.fleet();
-        let members = &fleet.members;
-        let ids = members.domains().flat_map(|d| members.listed(d));
-        let mut vms = ids.filter_map(|id| members.vm(id));
-        vms.any(|vm| {
-            [vm.peer_http, vm.peer, vm.client]
-                .iter()
-                .any(|a| a.ip() == ip)
-        })
+        self.fleet().addresses.contains(&ip)
     }
 
     /// The table of client blocks.
