--- a/crates/waxwing_core/tests/flow_fuzz.rs
+++ b/crates/waxwing_core/tests/flow_fuzz.rs
@@ -6,6 +6,8 @@
 
 #[path = "flow_fuzz/drive.rs"]
 mod drive;
+#[path = "flow_fuzz/oracle.rs"]
+mod oracle;
 #[path = "flow_fuzz/records.rs"]
 mod records;
 #[path = "flow_fuzz/store.rs"]
