Count the grants of an earlier process, and doubt all updates of one version

By review: a second update with the same expected version hid that the first was still unresolved, so acknowledgements sent between the two were trusted. Change: commitments are kept by process and add up; a pending update remembers the send time and the changes of all updates of its version; the simulated store lets writes take effect after their caller gave up.

--- a/crates/waxwing_core/src/limit/account.rs
+++ b/crates/waxwing_core/src/limit/account.rs
@@ -5,7 +5,7 @@
 use super::bucket::{Bucket, Quota};
 use super::demand::Demand;
 use super::divide::fair_level;
-use super::grant::Commitments;
+use super::grant::{Commitments, Process};
 use super::lease::Leases;
 use super::plan::Asks;
 use super::share::Division;
@@ -161,27 +161,24 @@
         terms: Terms,
     ) -> Option<Grant> {
         self.advance(now);
-        let vm = &request.from;
-        let before = self.given.of(now, vm);
+        let process = &(request.from.clone(), request.incarnation);
+        let before = self.given.of(now, process);
         let want = (Quota::of(ask.rate, ask.burst), terms.end);
-        if !self
-            .given
-            .note(vm, request.incarnation, terms.cross, want, ask.in_force)
-        {
+        if !self.given.note(process, terms.cross, want, ask.in_force) {
             return None;
         }
-        if self.given.of(now, vm) != before {
+        if self.given.of(now, process) != before {
             self.changed(now);
         }
-        let quota = self.allotment(now, vm, want.0, terms);
-        if quota == Quota::ZERO && self.given.of(now, vm) == Quota::ZERO {
+        let quota = self.allotment(now, process, want.0, terms);
+        if quota == Quota::ZERO && self.given.of(now, process) == Quota::ZERO {
             return None;
         }
-        let tokens = self.debit(now, vm, quota, ask, terms.cross);
+        let tokens = self.debit(now, process, quota, ask, terms.cross);
         if !terms.cross && ask.rate.0 == 0 {
             self.drawn.record(now, tokens);
         }
-        let seq = self.given.add(vm, terms.epoch, quota, terms.end);
+        let seq = self.given.add(process, terms.epoch, quota, terms.end);
         self.refresh(now);
         self.bucket.clip(self.capacity.burst);
         Some(Grant {
@@ -198,10 +195,17 @@
     /// is not needed as a reserve for the wants inside the domain, half of the tokens at most. A VM
     /// of the domain that cannot admit a request gets enough for one, or nothing: parts of a token
     /// in many buckets admit nothing.
-    fn debit(&mut self, now: Millis, vm: &VmId, quota: Quota, ask: &Ask, cross: bool) -> u64 {
+    fn debit(
+        &mut self,
+        now: Millis,
+        process: &Process,
+        quota: Quota,
+        ask: &Ask,
+        cross: bool,
+    ) -> u64 {
         let held = self.share(now).plus(self.leases.total(now));
-        let others = self.given.total(now).minus(self.given.of(now, vm));
-        let committed = others.plus(self.given.of(now, vm).max(quota));
+        let others = self.given.total(now).minus(self.given.of(now, process));
+        let committed = others.plus(self.given.of(now, process).max(quota));
         let tokens = self.bucket.tokens();
         let displaced = tokens.saturating_sub(held.minus(committed).burst);
         let spare = if cross {
@@ -281,18 +285,18 @@
         self.given.total(now).fits(held)
     }
 
-    /// Quota for `vm`: its fair part, within what is not committed to others.
+    /// Quota for a borrower: its fair part, within what is not committed to others.
     ///
     /// The commitments in force now are held against what outlives the new lease. That is stricter
     /// than necessary at each single moment, and therefore safe at every moment until it ends.
-    fn allotment(&self, now: Millis, vm: &VmId, want: Quota, terms: Terms) -> Quota {
+    fn allotment(&self, now: Millis, process: &Process, want: Quota, terms: Terms) -> Quota {
         let share = self.share(now);
         let backing = if terms.cross {
             share
         } else {
             share.plus(self.leases.outliving(terms.end))
         };
-        let others = self.given.total(now).minus(self.given.of(now, vm));
+        let others = self.given.total(now).minus(self.given.of(now, process));
         let free = backing.minus(others);
         let level = if terms.cross {
             let idle = backing.minus(self.inside_wants(now));
--- a/crates/waxwing_core/src/limit/decide.rs
+++ b/crates/waxwing_core/src/limit/decide.rs
@@ -99,12 +99,27 @@
             }
             self.beat = self.beat.max(entry.beat);
         }
-        self.pending = Some(Pending {
+        let changes = self.list.iter().zip(&table.shards);
+        let mut pending = Pending {
             sent_at: now,
             expected: self.version,
             table: table.clone(),
             in_flight: true,
-        });
+            since: now,
+            alters: changes
+                .clone()
+                .map(|(s, e)| s.entry.epoch != e.epoch)
+                .collect(),
+            gives: changes.map(|(s, e)| s.entry.owner != e.owner).collect(),
+        };
+        if let Some(earlier) = self.pending.take() {
+            pending.since = earlier.since;
+            for index in 0..SHARDS {
+                pending.alters[index] |= earlier.alters[index];
+                pending.gives[index] |= earlier.gives[index];
+            }
+        }
+        self.pending = Some(pending);
     }
 }
 
--- a/crates/waxwing_core/src/limit/grant.rs
+++ b/crates/waxwing_core/src/limit/grant.rs
@@ -6,6 +6,9 @@
 
 use super::bucket::Quota;
 
+/// A process of a VM.
+pub(crate) type Process = (VmId, Incarnation);
+
 common_derives! {
     copy
     /// A grant whose quota lease may not have ended yet.
@@ -18,9 +21,8 @@
 }
 
 common_derives! {
-    /// A VM that borrows.
+    /// A process that borrows.
     struct Borrower {
-        incarnation: Incarnation,
         /// Whether it belongs to another failure domain.
         cross: bool,
         want: Quota,
@@ -34,36 +36,40 @@
     /// The commitments of an owner for one limit.
     #[derive(Default)]
     pub(crate) struct Commitments {
-        borrowers: BTreeMap<VmId, Borrower>,
+        /// By process, because the quota of an earlier process may have been lent on to VMs that go
+        /// on spending it.
+        borrowers: BTreeMap<Process, Borrower>,
         last_seq: u64,
     }
 }
 
 impl Commitments {
-    /// Notes what `vm` wants, and drops the grants that its newer one in force replaced. False if
-    /// the request comes from an earlier process of the VM.
+    /// Notes what a process wants, and drops the grants that its newer one in force replaced. False
+    /// if a later process of the VM has borrowed.
     pub(crate) fn note(
         &mut self,
-        vm: &VmId,
-        incarnation: Incarnation,
+        process: &Process,
         cross: bool,
         (want, want_until): (Quota, Millis),
         in_force: u64,
     ) -> bool {
+        for ((vm, incarnation), other) in &mut self.borrowers {
+            if *vm == process.0 && *incarnation > process.1 {
+                return false;
+            }
+            if *vm == process.0 && *incarnation < process.1 {
+                other.want = Quota::ZERO;
+            }
+        }
         let borrower = self
             .borrowers
-            .entry(vm.clone())
+            .entry(process.clone())
             .or_insert_with(|| Borrower {
-                incarnation,
                 cross,
                 want,
                 want_until,
                 given: Vec::new(),
             });
-        if incarnation < borrower.incarnation {
-            return false;
-        }
-        borrower.incarnation = incarnation;
         borrower.cross = cross;
         borrower.want = want;
         borrower.want_until = want_until;
@@ -73,10 +79,16 @@
 
     /// Records a grant to a known borrower and returns its sequence number, which lies above
     /// those of all earlier epochs of the shard.
-    pub(crate) fn add(&mut self, vm: &VmId, epoch: u64, quota: Quota, until: Millis) -> u64 {
+    pub(crate) fn add(
+        &mut self,
+        process: &Process,
+        epoch: u64,
+        quota: Quota,
+        until: Millis,
+    ) -> u64 {
         self.last_seq = (self.last_seq + 1).max(epoch << 32);
         let seq = self.last_seq;
-        if let Some(borrower) = self.borrowers.get_mut(vm) {
+        if let Some(borrower) = self.borrowers.get_mut(process) {
             borrower.given.push(Given { seq, quota, until });
         }
         seq
@@ -98,9 +110,9 @@
     }
 
     /// The commitment to one borrower: the maximum over its grants that have not ended.
-    pub(crate) fn of(&self, at: Millis, vm: &VmId) -> Quota {
+    pub(crate) fn of(&self, at: Millis, process: &Process) -> Quota {
         self.borrowers
-            .get(vm)
+            .get(process)
             .map_or(Quota::ZERO, |b| committed(b, at))
     }
 
--- a/crates/waxwing_core/src/limit/shard.rs
+++ b/crates/waxwing_core/src/limit/shard.rs
@@ -47,6 +47,12 @@
         pub(crate) table: OwnersTable,
         /// Whether the outcome is still to come.
         pub(crate) in_flight: bool,
+        /// Send time of the first update of the same version, each of which may still take effect.
+        pub(crate) since: Millis,
+        /// Shards of which one of these updates changes owner or standby.
+        pub(crate) alters: Vec<bool>,
+        /// Shards that one of these updates gives to another owner.
+        pub(crate) gives: Vec<bool>,
     }
 }
 
@@ -282,7 +288,7 @@
         let until = match self.pending.as_ref().filter(|_| self.changes_epoch(index)) {
             _ if !alone => renewed,
             // A standby that the pending update names takes over a term after it at the earliest.
-            Some(pending) => renewed.max(leased(Some(pending.sent_at))),
+            Some(pending) => renewed.max(leased(Some(pending.since))),
             None => Millis::MAX,
         };
         let written = owned.written.unwrap_or(Millis::ZERO);
@@ -296,17 +302,17 @@
     /// Whether the pending update changes owner or standby of a shard.
     pub(crate) fn changes_epoch(&self, index: usize) -> bool {
         let pending = self.pending.as_ref();
-        pending.is_some_and(|p| p.table.shards[index].epoch != self.list[index].entry.epoch)
+        pending.is_some_and(|p| p.alters[index])
     }
 
     /// Whether the pending update names another owner for a shard of this VM.
     fn gives_away(&self, index: usize) -> bool {
         let pending = self.pending.as_ref();
-        pending.is_some_and(|p| p.table.shards[index].owner != self.list[index].entry.owner)
+        pending.is_some_and(|p| p.gives[index])
     }
 
     fn sent_after_pending(&self, sent_at: Millis) -> bool {
-        self.pending.as_ref().is_some_and(|p| sent_at >= p.sent_at)
+        self.pending.as_ref().is_some_and(|p| sent_at >= p.since)
     }
 
     /// The live VMs by rendezvous rank for a shard.
--- a/crates/waxwing_core/tests/world/net.rs
+++ b/crates/waxwing_core/tests/world/net.rs
@@ -249,6 +249,13 @@
     fn call_store(&mut self, vm: usize, sent_at: Millis, write: Option<(Vec<u8>, Option<u64>)>) {
         let process = self.vms[vm].incarnation;
         let delay = 1 + self.delay();
+        // A caller gives up; its write may take effect later all the same.
+        let abandoned = delay > STORE_TIMEOUT;
+        if abandoned && write.is_some() {
+            let unknown = Message::Written(sent_at, WriteOutcome::Unknown);
+            self.answer(vm, process, STORE_TIMEOUT, unknown);
+        }
+        let process = if abandoned { 0 } else { process };
         self.schedule(
             delay,
             Event::Call {
