--- a/crates/waxwing_core/src/limit/account.rs
+++ b/crates/waxwing_core/src/limit/account.rs
@@ -279,9 +279,10 @@
         }
     }
 
-    /// Whether the commitments fit into the share and the leases held.
+    /// Whether the commitments fit into the share and the leases that outlive them.
     pub(crate) fn fits(&self, now: Millis) -> bool {
-        let held = self.division.share().plus(self.leases.total(now));
+        let leases = self.leases.outliving(self.given.last_end());
+        let held = self.division.share().plus(leases);
         self.given.total(now).fits(held)
     }
 
