Size the quota leases of the cost measurement for the domain

Cause: with the default longest term of 5 s the leases of a domain of 34 VMs end before they are renewed (period 5.1 s). Change: the example uses LedgerSettings::sized_for, spreads the demand evenly and retries a refused request once after a tick.

--- a/crates/waxwing_bench/examples/ledger_cost.rs
+++ b/crates/waxwing_bench/examples/ledger_cost.rs
@@ -129,7 +129,8 @@
         let live: Vec<_> = (0..options.vms).map(vm).collect();
         let now = Millis(1000);
         let ledger = |id: &VmId| {
-            let settings = LedgerSettings::new(id.clone(), Incarnation(1), domain.clone());
+            let settings = LedgerSettings::new(id.clone(), Incarnation(1), domain.clone())
+                .sized_for(options.vms);
             let mut ledger = Ledger::new(settings, now);
             let specs = specs(options, &domain);
             ledger.configure(now, Revision(1), vec![domain.clone()], specs);
@@ -149,7 +150,7 @@
     fn demand(&mut self, now: Millis, options: &Options) {
         let requests = RATE * DEMAND * TICK.0 / 100_000;
         let one = Micros::from_units(1);
-        let mut turn = usize::try_from(now.0 / TICK.0).unwrap_or_default();
+        let mut turn = usize::try_from(now.0 / TICK.0 * requests).unwrap_or_default();
         for index in 0..options.active {
             let key = workspace(index);
             for _ in 0..requests {
@@ -157,8 +158,11 @@
                 match self.ledgers[turn % options.vms].admit(now, &[(key.clone(), one)]) {
                     Ok(()) => self.totals.admitted += 1,
                     Err(_) => {
-                        self.totals.refused += 1;
                         self.tick_one(now, turn % options.vms);
+                        match self.ledgers[turn % options.vms].admit(now, &[(key.clone(), one)]) {
+                            Ok(()) => self.totals.admitted += 1,
+                            Err(_) => self.totals.refused += 1,
+                        }
                     }
                 }
             }
