Test the pages of the store

Cause: a page of the store that was in force at once failed one of two runs of the fuzz test only. Change: a test by example.

--- a/crates/waxwing_core/tests/config_table.rs
+++ b/crates/waxwing_core/tests/config_table.rs
@@ -121,6 +121,25 @@
     assert_eq!(rate(&config, "b"), Some(2));
 }
 
+/// Fails if a page of the store is in force before the last: a record that was replaced by one of a
+/// later page is missing until then.
+#[test]
+fn pages_of_the_store_are_in_force_with_the_last() {
+    let mut config = Config::new();
+
+    config.on_store(
+        NOW,
+        NOW,
+        page(0, 3, Millis(0), true, vec![workspace("a", 3, 1)]),
+    );
+    assert_eq!(config.revision(), Revision(0));
+    assert_eq!(config.store_position(), Revision(3));
+    assert_eq!(config.age(NOW), Millis::MAX);
+
+    config.on_store(NOW, NOW, page(3, 10, Millis(0), false, vec![]));
+    assert_eq!(config.revision(), Revision(10));
+}
+
 /// Fails if blocks stay in force after their withdrawal, or if the table is not known to be old.
 #[test]
 fn withdrawn_blocks_are_gone() {
