Measure both deployments beside two baselines on virtual time

Change: waxwing_bench::fleet runs every entry VM on the core, or on a baseline, against models of network, store, targets and callers; the example measures prints latency, headroom, drain time, worst and best workspace, false refusals, caps, and whether each goal is met. Demand, run times and the spread of records are drawn alike for all systems.

--- a/crates/waxwing_bench/src/lib.rs
+++ b/crates/waxwing_bench/src/lib.rs
@@ -1,1 +1,3 @@
 //! Benchmarks and capacity measurements.
+
+pub mod fleet;
