--- a/crates/waxwing_bench/src/fleet/case.rs
+++ b/crates/waxwing_bench/src/fleet/case.rs
@@ -1,5 +1,6 @@
 //! The cases: faults, and when they begin and end.
 
+use serde::Deserialize;
 use waxwing_types::Millis;
 
 use super::System;
@@ -31,7 +32,8 @@
 const LEAVER: usize = 1;
 
 /// A fault of the environment.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Fault {
     /// None.
     Calm,
@@ -123,7 +125,7 @@
 
 impl World {
     /// Stops the demand, lets the running requests end, and returns the result.
-    fn settle(&mut self, until: u64) -> Outcome {
+    pub(super) fn settle(&mut self, until: u64) -> Outcome {
         let uses = self.outcome();
         self.stop_arrivals();
         self.run_until(until);
@@ -135,6 +137,11 @@
         }
     }
 
+    /// Sets the demand of all workspaces, in percent of their rates.
+    pub fn set_demand(&mut self, percent: u64) {
+        self.demand.fill(percent);
+    }
+
     /// Begins a fault.
     pub fn start(&mut self, fault: Fault) {
         let target = &mut self.targets[0][TARGET];
--- a/crates/waxwing_bench/src/fleet/drive.rs
+++ b/crates/waxwing_bench/src/fleet/drive.rs
@@ -316,7 +316,7 @@
         self.meter
             .on_run(self.now, root.workspace, self.vms[job.at.vm].domain);
         if root.poison {
-            self.meter.crashes += 1;
+            self.meter.crashes.push(self.now);
             self.crash(service, target);
             return;
         }
--- a/crates/waxwing_bench/src/fleet/measure.rs
+++ b/crates/waxwing_bench/src/fleet/measure.rs
@@ -37,7 +37,7 @@
     region_work: Vec<Vec<u64>>,
     /// Time of the last run for each workspace by requests that entered in each failure domain.
     last_runs: Vec<[u64; super::size::DOMAINS]>,
-    pub(super) crashes: u64,
+    pub(super) crashes: Vec<u64>,
 }
 
 /// The result of a run.
@@ -74,8 +74,8 @@
     pub moved_count: usize,
     /// The same for work that other regions sent to a region, of its spare capacity.
     pub region_work: f64,
-    /// Crashes by poison requests.
-    pub crashes: u64,
+    /// Time in ms from the first to the last crash by a poison request.
+    pub crash_span: f64,
     /// Requests of a workspace admitted beyond rate and burst, at most.
     pub overdraft: i64,
 }
@@ -96,7 +96,7 @@
             moved: Vec::new(),
             region_work: vec![Vec::new(); REGIONS],
             last_runs: vec![[0; super::size::DOMAINS]; WORKSPACES],
-            crashes: 0,
+            crashes: Vec::new(),
         }
     }
 
@@ -242,7 +242,7 @@
             moved: peak(&self.meter.moved, CAP),
             moved_count: self.meter.moved.len(),
             region_work: regions.fold(0.0, f64::max),
-            crashes: self.meter.crashes,
+            crash_span: self.crash_span(),
             overdraft: self.meter.overdraft / 1_000_000,
         }
     }
@@ -254,6 +254,15 @@
         runs.map(|(_, time)| time / 1000).max().unwrap_or(0)
     }
 
+    /// Infinite if no request crashed a target, so that a bound on it cannot be met by accident.
+    fn crash_span(&self) -> f64 {
+        let crashes = &self.meter.crashes;
+        let (Some(first), Some(last)) = (crashes.first(), crashes.last()) else {
+            return f64::INFINITY;
+        };
+        millis(last - first)
+    }
+
     fn drain_time(&self) -> Option<f64> {
         let target = self
             .targets
--- a/crates/waxwing_bench/src/fleet/mod.rs
+++ b/crates/waxwing_bench/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 mod event;
 mod ledger;
 mod measure;
+mod replay;
 mod simple;
 mod size;
 mod target;
@@ -15,6 +16,7 @@
 
 pub use case::{CASES, Case, Fault};
 pub use measure::Outcome;
+pub use replay::replay;
 pub use size::{DEPLOYMENTS, Size};
 pub use world::World;
 
