Give the simulated callers sites

Cause: the simulated look-ups knew no sites, so that all callers of a lost region went to the failure domain of the VM that answered. Ruled out: a fault of the core; its look-up rotates the VMs of other regions by caller.

--- a/crates/waxwing_bench/src/fleet/caller.rs
+++ b/crates/waxwing_bench/src/fleet/caller.rs
@@ -156,12 +156,9 @@
             return;
         };
         let daemon = &self.vms[vm];
-        let client = [
-            10,
-            9,
-            u8::try_from(caller / 250).unwrap_or(0),
-            u8::try_from(caller % 250).unwrap_or(0),
-        ];
+        // The last byte spreads the callers of a site over its VMs.
+        let last = u8::try_from(caller % 251).unwrap_or(0);
+        let client = [10, 9, u8::try_from(home).unwrap_or(0), last];
         let blocks = BlockTable::build(daemon.config.block_parts());
         let now = Millis(self.now / 1000);
         let members = &daemon.members;
--- a/crates/waxwing_bench/src/fleet/size.rs
+++ b/crates/waxwing_bench/src/fleet/size.rs
@@ -121,6 +121,9 @@
             all.push(key(w, false));
         }
         all.extend((0..3).map(|s| self.service(s, None)));
+        let blocks = (0..DOMAINS).map(|d| format!("10.9.{d}.0/24 site{d}"));
+        let blocks: Vec<_> = blocks.collect();
+        all.push(record("blocks", "callers", &json!({"blocks": blocks})));
         all
     }
 
@@ -165,7 +168,7 @@
 fn region_record(index: usize) -> Value {
     let domains: Vec<_> = [2 * index, 2 * index + 1]
         .iter()
-        .map(|d| json!({"name": domain(*d)}))
+        .map(|d| json!({"name": domain(*d), "sites": [format!("site{d}")]}))
         .collect();
     let others = (0..REGIONS).filter(|r| *r != index);
     let links: Vec<_> = others
