Let a request wait for tokens that its VM is borrowing

Change: a request that finds too few tokens tries again every 20 ms for at most 300 ms, unless the lenders answered twice without giving any; such attempts do not count as further demand. A refusal of a broken upload takes earlier attempts into account.

--- a/crates/waxwing_bench/examples/ledger_cost.rs
+++ b/crates/waxwing_bench/examples/ledger_cost.rs
@@ -149,26 +149,31 @@
     /// Requests of one tick, spread over the VMs by turns.
     fn demand(&mut self, now: Millis, options: &Options) {
         let requests = RATE * DEMAND * TICK.0 / 100_000;
-        let one = Micros::from_units(1);
         let mut turn = usize::try_from(now.0 / TICK.0 * requests).unwrap_or_default();
         for index in 0..options.active {
             let key = workspace(index);
             for _ in 0..requests {
                 turn += 1;
-                match self.ledgers[turn % options.vms].admit(now, &[(key.clone(), one)]) {
-                    Ok(()) => self.totals.admitted += 1,
-                    Err(_) => {
-                        self.tick_one(now, turn % options.vms);
-                        match self.ledgers[turn % options.vms].admit(now, &[(key.clone(), one)]) {
-                            Ok(()) => self.totals.admitted += 1,
-                            Err(_) => self.totals.refused += 1,
-                        }
-                    }
-                }
+                self.admit(now, turn % options.vms, &key);
             }
         }
     }
 
+    /// Admits one request, after a second attempt that follows an early tick.
+    fn admit(&mut self, now: Millis, index: usize, key: &LimitKey) {
+        let costs = [(key.clone(), Micros::from_units(1))];
+        let mut admitted = self.ledgers[index].admit(now, &costs).is_ok();
+        if !admitted {
+            self.tick_one(now, index);
+            admitted = self.ledgers[index].admit_again(now, &costs).is_ok();
+        }
+        if admitted {
+            self.totals.admitted += 1;
+        } else {
+            self.totals.refused += 1;
+        }
+    }
+
     fn tick(&mut self, now: Millis) {
         for index in 0..self.ledgers.len() {
             self.tick_one(now, index);
--- a/crates/waxwing_core/src/flow/mod.rs
+++ b/crates/waxwing_core/src/flow/mod.rs
@@ -52,6 +52,8 @@
 #[derive(Debug)]
 enum Phase {
     New,
+    /// Waits until this time for tokens that the VM borrows.
+    Admitting(Millis),
     Claiming,
     Waiting,
     Sent(Attempt),
@@ -174,8 +176,12 @@
         let next = match self.phase {
             Phase::Waiting => self.next_look(ctx),
             Phase::Claiming | Phase::Sent(_) => self.deadline,
-            // A record that is being closed sets its own timer.
-            Phase::New | Phase::Relaying(..) | Phase::Closing(_) | Phase::Finished => return,
+            // Admission and a record that is being closed set their own timers.
+            Phase::New
+            | Phase::Admitting(_)
+            | Phase::Relaying(..)
+            | Phase::Closing(_)
+            | Phase::Finished => return,
         };
         ctx.out.push(FlowAction::SetTimer(next));
     }
@@ -190,13 +196,14 @@
                 self.refuse(ctx, RefusalReason::TargetTimeout);
             }
             Phase::Closing(_) => self.on_closing_timer(ctx),
+            Phase::Admitting(until) => self.on_admission_timer(ctx, until),
             Phase::New | Phase::Relaying(..) | Phase::Finished => {}
         }
     }
 
     fn on_caller_gone(&mut self, ctx: &mut Step<'_, '_>) {
         let state = match &mut self.phase {
-            Phase::New => {
+            Phase::New | Phase::Admitting(_) => {
                 self.phase = Phase::Finished;
                 return;
             }
@@ -226,7 +233,7 @@
         let pending = match &mut self.phase {
             // The caller was answered, or its answer waits for a write.
             Phase::Closing(closing) => closing.refusal.take(),
-            Phase::New | Phase::Claiming | Phase::Waiting => Some(refusal),
+            Phase::New | Phase::Admitting(_) | Phase::Claiming | Phase::Waiting => Some(refusal),
             Phase::Sent(_) | Phase::Relaying(..) | Phase::Finished => None,
         };
         let state = if self.maybe_ran {
--- a/crates/waxwing_core/src/flow/start.rs
+++ b/crates/waxwing_core/src/flow/start.rs
@@ -6,19 +6,67 @@
 use crate::queue::fits;
 use crate::{Claim, Fingerprint, LimitKey};
 
+/// Time for which a request waits for tokens that the VM borrows. Two calls between regions take
+/// 220 ms.
+const ADMISSION_WAIT: Millis = Millis(300);
+/// Time between two attempts of such a request to take its tokens.
+const ADMISSION_PERIOD: Millis = Millis(20);
 /// Bytes that a forwarded request takes on a link besides its body.
 const HEAD_BYTES: u64 = 1024;
 
 impl Flow {
     pub(super) fn on_start(&mut self, ctx: &mut Step<'_, '_>) {
-        let result = self
-            .identify(ctx)
-            .and_then(|()| self.check_wait(ctx))
-            .and_then(|()| self.admit(ctx));
-        if let Err(refusal) = result {
+        let result = self.identify(ctx).and_then(|()| self.check_wait(ctx));
+        match result {
+            Ok(()) => self.try_admission(ctx, ctx.now + ADMISSION_WAIT),
+            Err(refusal) => self.refuse_with(ctx, refusal),
+        }
+    }
+
+    /// Takes the tokens again, or refuses the request if its time is over.
+    pub(super) fn on_admission_timer(&mut self, ctx: &mut Step<'_, '_>, until: Millis) {
+        match self.recheck(ctx) {
+            Ok(()) => self.try_admission(ctx, until),
+            Err(reason) => self.refuse(ctx, reason),
+        }
+    }
+
+    /// Takes the tokens. A request that finds too few waits until `until` if the VM is borrowing
+    /// some: a VM that sees the first request of a workspace holds none yet.
+    fn try_admission(&mut self, ctx: &mut Step<'_, '_>, until: Millis) {
+        let Err(refusal) = self.admit(ctx) else {
+            self.admitted(ctx);
+            return;
+        };
+        let next = ctx.now + ADMISSION_PERIOD;
+        if next > until || next > self.deadline || !self.expects_tokens(ctx) {
             self.refuse_with(ctx, refusal);
             return;
         }
+        self.phase = Phase::Admitting(until);
+        ctx.out.push(FlowAction::SetTimer(next));
+    }
+
+    fn expects_tokens(&self, ctx: &Step<'_, '_>) -> bool {
+        let workspace = self.workspace.clone().map(LimitKey::Workspace);
+        let local = self.arrival.forwarded.is_none();
+        local && workspace.is_some_and(|key| ctx.t.ledger.expects_tokens(&key))
+    }
+
+    fn take(&self, ctx: &mut Step<'_, '_>, wants: &[(LimitKey, Micros)]) -> Result<(), LimitKey> {
+        match self.phase {
+            Phase::Admitting(_) => ctx.t.ledger.admit_again(ctx.now, wants),
+            Phase::New
+            | Phase::Claiming
+            | Phase::Waiting
+            | Phase::Sent(_)
+            | Phase::Relaying(..)
+            | Phase::Closing(_)
+            | Phase::Finished => ctx.t.ledger.admit(ctx.now, wants),
+        }
+    }
+
+    fn admitted(&mut self, ctx: &mut Step<'_, '_>) {
         ctx.t.retries.on_request(ctx.now, &self.arrival.service);
         ctx.out.push(FlowAction::SetTimer(self.deadline));
         match self.new_claim(ctx) {
@@ -78,7 +126,7 @@
         if self.admit_shift(ctx, &wants)? || wants.is_empty() {
             return Ok(());
         }
-        let admitted = ctx.t.ledger.admit(ctx.now, &wants);
+        let admitted = self.take(ctx, &wants);
         admitted.map_err(|_| self.rate_limited(ctx))
     }
 
@@ -107,7 +155,7 @@
         let mut wants = own.to_vec();
         wants.push((LimitKey::Shift(name), Micros::from_units(1)));
         wants.push((link, Micros::from_units(self.link_bytes())));
-        match ctx.t.ledger.admit(ctx.now, &wants) {
+        match self.take(ctx, &wants) {
             Ok(()) => {
                 self.planned = Some(region);
                 Ok(true)
--- a/crates/waxwing_core/src/flow/tables.rs
+++ b/crates/waxwing_core/src/flow/tables.rs
@@ -14,6 +14,15 @@
     /// The first limit that has too little.
     fn admit(&mut self, now: Millis, wants: &[(LimitKey, Micros)]) -> Result<(), LimitKey>;
 
+    /// Takes all amounts or none for a request that was turned down before.
+    ///
+    /// # Errors
+    /// The first limit that has too little.
+    fn admit_again(&mut self, now: Millis, wants: &[(LimitKey, Micros)]) -> Result<(), LimitKey>;
+
+    /// Whether a limit that has too little may get more within a call to another VM.
+    fn expects_tokens(&self, key: &LimitKey) -> bool;
+
     /// Takes an amount that was spent already.
     fn charge(&mut self, now: Millis, key: &LimitKey, amount: Micros);
 }
@@ -23,6 +32,14 @@
         self.admit(now, wants)
     }
 
+    fn admit_again(&mut self, now: Millis, wants: &[(LimitKey, Micros)]) -> Result<(), LimitKey> {
+        self.admit_again(now, wants)
+    }
+
+    fn expects_tokens(&self, key: &LimitKey) -> bool {
+        self.expects_tokens(key)
+    }
+
     fn charge(&mut self, now: Millis, key: &LimitKey, amount: Micros) {
         self.charge(now, key, amount);
     }
--- a/crates/waxwing_core/src/limit/account.rs
+++ b/crates/waxwing_core/src/limit/account.rs
@@ -51,7 +51,7 @@
     pub(crate) asks: Asks,
     /// When the limit was withdrawn.
     withdrawn: Option<Millis>,
-    window: Option<Window>,
+    pub(super) window: Option<Window>,
     bucket: Bucket,
     /// Time up to which the bucket is refilled.
     at: Millis,
--- a/crates/waxwing_core/src/limit/ledger.rs
+++ b/crates/waxwing_core/src/limit/ledger.rs
@@ -100,13 +100,29 @@
     /// # Errors
     /// The first limit that has too few tokens or is unknown.
     pub fn admit(&mut self, now: Millis, costs: &[(LimitKey, Micros)]) -> Result<(), LimitKey> {
+        for (key, cost) in costs {
+            if let Some(account) = self.accounts.get_mut(key) {
+                account.demand.record(now, cost.0);
+            }
+        }
+        self.admit_again(now, costs)
+    }
+
+    /// Like `admit`, for a request that counts as demand already because it was turned down before.
+    ///
+    /// # Errors
+    /// The first limit that has too few tokens or is unknown.
+    pub fn admit_again(
+        &mut self,
+        now: Millis,
+        costs: &[(LimitKey, Micros)],
+    ) -> Result<(), LimitKey> {
         let mut lacking = None;
         for (index, (key, cost)) in costs.iter().enumerate() {
             let earlier = costs[..index].iter().filter(|(k, _)| k == key);
             let total = earlier.fold(*cost, |sum, (_, c)| sum.saturating_add(*c));
             let covered = self.accounts.get_mut(key).is_some_and(|account| {
                 account.advance(now);
-                account.demand.record(now, cost.0);
                 account.tokens() >= total.0
             });
             if !covered {
@@ -295,6 +311,12 @@
 }
 
 impl Ledger {
+    /// Whether tokens that this VM borrows may arrive within a call to another VM. False while the
+    /// lenders answer without giving any, as they do when the limit is spent.
+    pub fn expects_tokens(&self, key: &LimitKey) -> bool {
+        self.accounts.get(key).is_some_and(Account::expects_tokens)
+    }
+
     /// Whether a tick would ask for tokens at once.
     pub fn wants_tick(&self) -> bool {
         self.short
--- a/crates/waxwing_core/src/limit/plan.rs
+++ b/crates/waxwing_core/src/limit/plan.rs
@@ -23,6 +23,8 @@
 /// Time for which a reply from another domain is awaited before the next lender is asked. A call
 /// between regions takes 110 ms.
 const REPLY: Millis = Millis(200);
+/// Replies without tokens after which a lender is not expected to give any.
+const MAX_FRUITLESS: u32 = 2;
 /// Time after which leases beyond twice the need are reduced ahead of their renewal.
 const EXCESS: Millis = Millis(1000);
 
@@ -39,6 +41,8 @@
         gap: Millis,
         /// Sequence number named as in force in the last ask.
         told: u64,
+        /// Replies in a row that brought nothing.
+        fruitless: u32,
     }
 }
 
@@ -159,6 +163,13 @@
 }
 
 impl Account {
+    /// Whether a lender may still give tokens: none was asked yet, or one gave some lately.
+    pub(crate) fn expects_tokens(&self) -> bool {
+        let mut lenders = self.asks.lenders.values();
+        let unasked = self.asks.lenders.is_empty() && self.window.is_none();
+        unasked || lenders.any(|l| l.fruitless < MAX_FRUITLESS)
+    }
+
     /// Whether the tokens are so few that a request may soon find none.
     pub(crate) fn is_short(&self, now: Millis) -> bool {
         let want = self.demand.want(now);
@@ -256,6 +267,7 @@
             barren_since: None,
             gap,
             told: 0,
+            fruitless: 0,
         });
         state.sent = Some(now);
         state.silent_since = state.silent_since.or(Some(now));
@@ -280,6 +292,7 @@
         } else {
             state.barren_since.or(Some(now))
         };
+        state.fruitless = if gained { 0 } else { state.fruitless + 1 };
         state.gap = if gained {
             gap
         } else {
--- a/crates/waxwing_core/tests/flow_fuzz/vm.rs
+++ b/crates/waxwing_core/tests/flow_fuzz/vm.rs
@@ -22,6 +22,14 @@
         }
     }
 
+    fn admit_again(&mut self, now: Millis, wants: &[(LimitKey, Micros)]) -> Result<(), LimitKey> {
+        self.admit(now, wants)
+    }
+
+    fn expects_tokens(&self, _: &LimitKey) -> bool {
+        true
+    }
+
     fn charge(&mut self, _: Millis, _: &LimitKey, _: Micros) {}
 }
 
--- a/crates/waxwingrail/src/request/driver.rs
+++ b/crates/waxwingrail/src/request/driver.rs
@@ -241,7 +241,12 @@
     /// The attempt failed because of the caller's body. The flow treats it as a caller that left, so
     /// that it counts against neither the target nor the request.
     fn upload_failed(&mut self, fault: UploadFault, may_have_run: bool) -> FlowEvent {
-        let ran = if may_have_run { Ran::Unknown } else { Ran::No };
+        // An earlier attempt may have run the request, too.
+        let ran = if may_have_run {
+            Ran::Unknown
+        } else {
+            self.flow.ran()
+        };
         let (reason, detail) = match fault {
             UploadFault::TooLarge => (RefusalReason::TooLarge, "the body exceeds the limit"),
             UploadFault::CallerBroke => (RefusalReason::BadRequest, "the body broke off"),
--- a/crates/waxwingrail/src/settings/mod.rs
+++ b/crates/waxwingrail/src/settings/mod.rs
@@ -44,6 +44,8 @@
         pub admin: SocketAddr,
         /// Worker threads.
         pub workers: usize,
+        /// Most VMs of a failure domain, from which the longest term of quota leases follows.
+        pub domain_vms: usize,
         /// Least severe level that is logged.
         pub log_level: LevelFilter,
         /// Form of a log line.
@@ -126,6 +128,7 @@
     let [listen, peer, peer_http, admin] = ["listen", "peer", "peer-http", "admin"]
         .map(|name| values.parsed(name, "an IP address and a port"));
     let workers = values.workers();
+    let domain_vms = values.size("domain-vms", 1, 1000);
     let log_level = values.parsed("log-level", "error, warn, info, debug or trace");
     let log_format = values.format();
     let max_body = values.number("max-body-bytes", 0, 1 << 40);
@@ -154,6 +157,7 @@
         peer_http: peer_http?,
         admin: admin?,
         workers: workers?,
+        domain_vms: domain_vms?,
         log_level: log_level?,
         log_format: log_format?,
         max_body: max_body?,
--- a/crates/waxwingrail/src/settings/table.rs
+++ b/crates/waxwingrail/src/settings/table.rs
@@ -54,6 +54,7 @@
     optional("peer-http", "IP:port", "0.0.0.0:8082", "address for requests from entry VMs of other regions"),
     optional("admin", "IP:port", "127.0.0.1:8083", "address for health, metrics and status"),
     optional("workers", "threads", "auto", "worker threads; auto: one per core"),
+    optional("domain-vms", "number", "11", "most VMs of a failure domain; the same on all VMs of a deployment"),
     optional("log-level", "level", "info", "error, warn, info, debug or trace"),
     optional("log-format", "format", "text", "text or json"),
     optional("max-body-bytes", "bytes", "1073741824", "greatest request body"),
--- a/crates/waxwingrail/src/state.rs
+++ b/crates/waxwingrail/src/state.rs
@@ -116,7 +116,8 @@
             settings.vm.clone(),
             parts.incarnation,
             settings.domain.clone(),
-        );
+        )
+        .sized_for(settings.domain_vms);
         let fleet = Fleet {
             members: Members::new(settings.vm.clone(), settings.domain.clone()),
             puller: Puller::new(now, parts.incarnation, PullSettings::default()),
