--- a/crates/waxwing_bench/src/fleet/drive.rs
+++ b/crates/waxwing_bench/src/fleet/drive.rs
@@ -38,10 +38,10 @@
             live.sending = false;
             self.end_connection(at);
         }
-        let starts = event == FlowEvent::Start;
+        let was_admitted = self.live(at).is_some_and(|l| l.is_admitted());
         let broken = event == FlowEvent::Broken;
         let actions = self.vms[at.vm].step(now, at.flow, event.clone());
-        if starts && !actions.iter().any(|a| matches!(a, FlowAction::Refuse(_))) {
+        if !was_admitted && self.live(at).is_some_and(|l| l.is_admitted()) {
             if parent.is_some() {
                 let region = self.vms[at.vm].domain / 2;
                 self.meter.on_region_work(self.now, region);
--- a/crates/waxwing_bench/src/fleet/simple.rs
+++ b/crates/waxwing_bench/src/fleet/simple.rs
@@ -79,6 +79,7 @@
     deadline: Millis,
     status: u16,
     pub(super) finished: bool,
+    pub(super) admitted: bool,
 }
 
 impl SimpleFlow {
@@ -91,6 +92,7 @@
             deadline: Millis::MAX,
             status: 0,
             finished: false,
+            admitted: false,
         }
     }
 
@@ -152,6 +154,7 @@
         if !shared.admit(now, self.workspace) {
             return self.refuse(RefusalReason::RateLimited, Ran::No);
         }
+        self.admitted = true;
         self.deadline = now + Millis(super::size::TIMEOUTS[self.service]);
         let mut actions = vec![FlowAction::SetTimer(self.deadline)];
         match &mut self.claim {
--- a/crates/waxwing_bench/src/fleet/vm.rs
+++ b/crates/waxwing_bench/src/fleet/vm.rs
@@ -179,6 +179,13 @@
         }
     }
 
+    pub(super) fn is_admitted(&self) -> bool {
+        match &self.handler {
+            Handler::Core(flow) => flow.is_admitted(),
+            Handler::Simple(flow) => flow.admitted,
+        }
+    }
+
     pub(super) fn is_finished(&self) -> bool {
         match &self.handler {
             Handler::Core(flow) => flow.is_finished(),
--- a/crates/waxwing_core/src/flow/mod.rs
+++ b/crates/waxwing_core/src/flow/mod.rs
@@ -79,6 +79,8 @@
     planned: Option<RegionId>,
     tried: Vec<TargetId>,
     refused_by: Vec<RegionId>,
+    /// Whether the request took its tokens.
+    admitted: bool,
     attempts: u32,
     breaks: u32,
     /// Whether an attempt may have run the request.
@@ -112,6 +114,7 @@
             planned: None,
             tried: Vec::new(),
             refused_by: Vec::new(),
+            admitted: false,
             attempts: 0,
             breaks: 0,
             maybe_ran: false,
@@ -275,6 +278,11 @@
         }
     }
 
+    /// Whether the request took its tokens.
+    pub fn is_admitted(&self) -> bool {
+        self.admitted
+    }
+
     /// Whether the flow needs no further event.
     pub fn is_finished(&self) -> bool {
         matches!(self.phase, Phase::Finished)
--- a/crates/waxwing_core/src/flow/start.rs
+++ b/crates/waxwing_core/src/flow/start.rs
@@ -35,7 +35,7 @@
     /// some: a VM that sees the first request of a workspace holds none yet.
     fn try_admission(&mut self, ctx: &mut Step<'_, '_>, until: Millis) {
         let Err(refusal) = self.admit(ctx) else {
-            self.admitted(ctx);
+            self.on_admitted(ctx);
             return;
         };
         let next = ctx.now + ADMISSION_PERIOD;
@@ -66,7 +66,8 @@
         }
     }
 
-    fn admitted(&mut self, ctx: &mut Step<'_, '_>) {
+    fn on_admitted(&mut self, ctx: &mut Step<'_, '_>) {
+        self.admitted = true;
         ctx.t.retries.on_request(ctx.now, &self.arrival.service);
         ctx.out.push(FlowAction::SetTimer(self.deadline));
         match self.new_claim(ctx) {
