Make the live target the slower one in the test of refused connections

Cause: refused_connection_is_tried_elsewhere failed once on a busy machine with 'never: a retry'. If the target that goes down answered slowly before (300 ms against 1 ms in a trial), target choice rightly avoids it for longer than the test waits, so no connection is refused. The trial fails every time in the same way. Change: the other target answers after 300 ms, so that the dead one is chosen. What is asserted is the same. Conclusion: the verdict does not depend on the load of the machine.

--- a/crates/waxwingrail/tests/retry.rs
+++ b/crates/waxwingrail/tests/retry.rs
@@ -94,6 +94,12 @@
     run(|mut rig| async move {
         let (dead, other) = (target(&rig, "dead").await, target(&rig, "other").await);
         let daemon = rigged(&mut rig, &[&dead, &other]).await;
+        // A target that answered more slowly than the other before it went down would be avoided for
+        // longer than the test waits, and there would be no refused connection.
+        other.control(&TargetControl {
+            latency_ms: Some(300),
+            ..TargetControl::default()
+        });
         dead.control(&TargetControl {
             down_ms: Some(60_000),
             crash: true,
