Pass the windows of shard leases on only when they change

Cause: each borrow and each acknowledgement visited every limit to set the window of its shard, although it seldom differs. Change: the ledger remembers the windows that all accounts have.

--- a/crates/waxwing_core/src/limit/ledger.rs
+++ b/crates/waxwing_core/src/limit/ledger.rs
@@ -4,7 +4,7 @@
 
 use waxwing_types::{DomainId, Micros, Millis, Revision, VmId};
 
-use super::account::{Account, Terms};
+use super::account::{Account, Terms, Window};
 use super::owners::shard_of;
 use super::plan::MAX_GAP;
 use super::shard::{Shards, shard_id};
@@ -28,6 +28,8 @@
     pub(super) revision: Revision,
     /// All failure domains of the deployment.
     pub(super) domains: Vec<DomainId>,
+    /// Windows that all accounts have. Empty: some account has others.
+    windows: Vec<Option<Window>>,
     /// A tick is due before the next regular one.
     pub(super) short: bool,
 }
@@ -43,6 +45,7 @@
             lenders: vec![Vec::new(); SHARDS],
             revision: Revision(0),
             domains: Vec::new(),
+            windows: Vec::new(),
             short: false,
         }
     }
@@ -83,6 +86,7 @@
                 .insert(key, Account::new(now, shard, division));
         }
         self.settle(now);
+        self.windows.clear();
         self.sync_windows(now);
     }
 
@@ -304,9 +308,13 @@
         let windows: Vec<_> = (0..SHARDS)
             .map(|index| self.shards.window(&self.settings, index))
             .collect();
+        if windows == self.windows {
+            return;
+        }
         for account in self.accounts.values_mut() {
             account.set_window(now, windows[usize::from(account.shard.0)]);
         }
+        self.windows = windows;
     }
 }
 
