Name the states of the limits in standard terms

Cause: 'dry', 'barren', 'fruitless', 'heirs' and 'hastened' are figures of speech. Change: low, ungranted, empty replies, successors, early ticks. No behaviour changes. Conclusion: the names read without the comments.

--- a/crates/waxwing_bench/src/fleet/drive.rs
+++ b/crates/waxwing_bench/src/fleet/drive.rs
@@ -66,7 +66,7 @@
         if self.live(at).is_some_and(|l| l.is_finished()) {
             self.vms[at.vm].flows.remove(&at.flow);
         }
-        self.hasten(at.vm);
+        self.tick_early(at.vm);
     }
 
     fn act(&mut self, at: Link, action: FlowAction) {
--- a/crates/waxwing_bench/src/fleet/event.rs
+++ b/crates/waxwing_bench/src/fleet/event.rs
@@ -60,7 +60,7 @@
         target: usize,
     },
     Tick(u64),
-    Hastened(usize),
+    EarlyTick(usize),
     Message {
         from: usize,
         vm: usize,
--- a/crates/waxwing_bench/src/fleet/ledger.rs
+++ b/crates/waxwing_bench/src/fleet/ledger.rs
@@ -53,13 +53,13 @@
     }
 
     /// Ticks the ledger soon if it runs short.
-    pub(super) fn hasten(&mut self, vm: usize) {
-        if !self.vms[vm].ledger.wants_tick() || self.hastened[vm] {
+    pub(super) fn tick_early(&mut self, vm: usize) {
+        if !self.vms[vm].ledger.wants_tick() || self.early_ticks[vm] {
             return;
         }
-        self.hastened[vm] = true;
+        self.early_ticks[vm] = true;
         let due = self.ticked[vm] + LEAST_TICK;
-        self.schedule(due.saturating_sub(self.now), Event::Hastened(vm));
+        self.schedule(due.saturating_sub(self.now), Event::EarlyTick(vm));
     }
 
     fn post(&mut self, from: usize, vm: usize, process: Option<u64>, message: Message) {
--- a/crates/waxwing_bench/src/fleet/world.rs
+++ b/crates/waxwing_bench/src/fleet/world.rs
@@ -46,7 +46,7 @@
     pub(super) cut: Option<usize>,
     pub(super) lost_region: Option<usize>,
     pub(super) ticked: Vec<u64>,
-    pub(super) hastened: Vec<bool>,
+    pub(super) early_ticks: Vec<bool>,
     pub(super) last_flow: u64,
     pub(super) last_attempt: u64,
     pub(super) meter: Meter,
@@ -84,7 +84,7 @@
             cut: None,
             lost_region: None,
             ticked: vec![0; size.vms],
-            hastened: vec![false; size.vms],
+            early_ticks: vec![false; size.vms],
             last_flow: 0,
             last_attempt: 0,
             meter: Meter::new(size),
@@ -130,7 +130,7 @@
         let (vm, process) = match &event {
             Event::Flow { at, .. } | Event::Timer { at, .. } => (at.vm, Some(at.process)),
             Event::Message { vm, process, .. } => (*vm, *process),
-            Event::Adopt { vm } | Event::Hastened(vm) => (*vm, None),
+            Event::Adopt { vm } | Event::EarlyTick(vm) => (*vm, None),
             _ => return self.handle_outside(&event),
         };
         let daemon = &mut self.vms[vm];
@@ -153,8 +153,8 @@
                 from, vm, message, ..
             } => self.on_message(from, vm, message),
             Event::Adopt { vm } => self.adopt(vm),
-            Event::Hastened(vm) => {
-                self.hastened[vm] = false;
+            Event::EarlyTick(vm) => {
+                self.early_ticks[vm] = false;
                 self.tick_ledger(vm);
             }
             _ => {}
--- a/crates/waxwing_core/src/limit/decide.rs
+++ b/crates/waxwing_core/src/limit/decide.rs
@@ -185,9 +185,9 @@
     fn may_take_over(&self, now: Millis, settings: &LedgerSettings, index: usize) -> bool {
         let shard = &self.list[index];
         let owner = shard.entry.owner.as_ref();
-        let mut heirs = self.ranked(settings, index);
-        heirs.retain(|vm| Some(vm) != owner);
-        let first = heirs.first() == Some(&settings.vm);
+        let mut successors = self.ranked(settings, index);
+        successors.retain(|vm| Some(vm) != owner);
+        let first = successors.first() == Some(&settings.vm);
         let unchanged = now.since(shard.since);
         if owner.is_none() {
             return first;
--- a/crates/waxwing_core/src/limit/demand.rs
+++ b/crates/waxwing_core/src/limit/demand.rs
@@ -72,7 +72,7 @@
     ///
     /// A bucket that is topped up after nearly every request wastes a rate of its own, so a VM
     /// with few requests asks for burst alone. More burst than half a second of the rate would lie
-    /// idle in many buckets while others run dry.
+    /// idle in many buckets while others are empty.
     pub(crate) fn want(&self, now: Millis) -> Quota {
         if !self.is_warm(now) {
             return Quota::ZERO;
--- a/crates/waxwing_core/src/limit/ledger.rs
+++ b/crates/waxwing_core/src/limit/ledger.rs
@@ -203,7 +203,7 @@
                 end,
             };
             grants.extend(account.lend(now, request, ask, terms));
-            self.short |= !cross && account.is_dry();
+            self.short |= !cross && account.is_low();
         }
         BorrowReply { grants }
     }
--- a/crates/waxwing_core/src/limit/plan.rs
+++ b/crates/waxwing_core/src/limit/plan.rs
@@ -11,20 +11,20 @@
 /// An owner that has not answered for this long is passed over for owners of other domains.
 const SILENT: Millis = Millis(700);
 /// The same for an owner that answers without granting anything.
-const BARREN: Millis = Millis(500);
+const UNGRANTED: Millis = Millis(500);
 /// Greatest time between asks to the own domain's owner while tokens are short.
 pub(crate) const MAX_GAP: Millis = Millis(200);
-/// Requests below which the pool of an owner counts as nearly dry.
-const DRY: u64 = 2;
+/// Requests below which the pool of an owner counts as low.
+const LOW: u64 = 2;
 /// Requests that the owner of such a pool asks of other domains.
-const DRY_NEED: u64 = 3;
+const LOW_RESERVE: u64 = 3;
 /// Time for which it goes on asking. Leases that come and go lose the tokens that they displace.
-const DRY_TIME: Millis = Millis::from_secs(3);
+const LOW_TERM: Millis = Millis::from_secs(3);
 /// Time for which a reply from another domain is awaited before the next lender is asked. A call
 /// between regions takes 110 ms.
 const REPLY: Millis = Millis(200);
 /// Replies without tokens after which a lender is not expected to give any.
-const MAX_FRUITLESS: u32 = 2;
+const MAX_EMPTY_REPLIES: u32 = 2;
 /// Time after which leases beyond twice the need are reduced ahead of their renewal.
 const EXCESS: Millis = Millis(1000);
 
@@ -35,14 +35,14 @@
         /// First ask since the last reply.
         silent_since: Option<Millis>,
         /// First reply without a grant since the last grant.
-        barren_since: Option<Millis>,
+        ungranted_since: Option<Millis>,
         /// Least time to the next ask ahead of the period. Doubles with each ask that gains
         /// nothing.
         gap: Millis,
         /// Sequence number named as in force in the last ask.
         told: u64,
         /// Replies in a row that brought nothing.
-        fruitless: u32,
+        empty_replies: u32,
     }
 }
 
@@ -52,7 +52,7 @@
     pub(crate) struct Asks {
         lenders: BTreeMap<VmId, AskState>,
         /// End of the time in which an owner asks other domains for a reserve.
-        dry_until: Millis,
+        low_until: Millis,
     }
 }
 
@@ -85,8 +85,8 @@
         lenders: &Lenders<'_>,
     ) -> Vec<(VmId, Ask)> {
         self.advance(now);
-        if self.is_dry() {
-            self.asks.dry_until = now + DRY_TIME;
+        if self.is_low() {
+            self.asks.low_until = now + LOW_TERM;
         }
         self.asks.forget_former(lenders);
         let mut asks = Vec::new();
@@ -167,7 +167,7 @@
     pub(crate) fn expects_tokens(&self) -> bool {
         let mut lenders = self.asks.lenders.values();
         let unasked = self.asks.lenders.is_empty() && self.window.is_none();
-        unasked || lenders.any(|l| l.fruitless < MAX_FRUITLESS)
+        unasked || lenders.any(|l| l.empty_replies < MAX_EMPTY_REPLIES)
     }
 
     /// Whether the tokens are so few that a request may soon find none.
@@ -177,20 +177,20 @@
     }
 
     /// Whether the pool of an owner may soon leave a VM of its domain without a token.
-    pub(crate) fn is_dry(&self) -> bool {
-        self.tokens() < self.demand.unit().saturating_mul(DRY)
+    pub(crate) fn is_low(&self) -> bool {
+        self.tokens() < self.demand.unit().saturating_mul(LOW)
     }
 
     /// What the domain lacks: quota beyond the share, with a second of the rate as burst, and two
-    /// requests when the pool has run dry.
+    /// requests when the pool is low.
     fn owner_need(&self, now: Millis) -> Quota {
         let mut need = self.inside_wants(now).minus(self.share(now));
         if need.rate > 0 {
             need.burst = need.burst.max(need.rate);
         }
         let unit = self.demand.unit();
-        if self.asks.dry_until > now {
-            need.burst = need.burst.max(unit.saturating_mul(DRY_NEED));
+        if self.asks.low_until > now {
+            need.burst = need.burst.max(unit.saturating_mul(LOW_RESERVE));
         }
         need
     }
@@ -264,10 +264,10 @@
         let state = self.lenders.entry(lender.clone()).or_insert(AskState {
             sent: None,
             silent_since: None,
-            barren_since: None,
+            ungranted_since: None,
             gap,
             told: 0,
-            fruitless: 0,
+            empty_replies: 0,
         });
         state.sent = Some(now);
         state.silent_since = state.silent_since.or(Some(now));
@@ -287,12 +287,12 @@
             return;
         };
         state.silent_since = None;
-        state.barren_since = if granted {
+        state.ungranted_since = if granted {
             None
         } else {
-            state.barren_since.or(Some(now))
+            state.ungranted_since.or(Some(now))
         };
-        state.fruitless = if gained { 0 } else { state.fruitless + 1 };
+        state.empty_replies = if gained { 0 } else { state.empty_replies + 1 };
         state.gap = if gained {
             gap
         } else {
@@ -319,7 +319,7 @@
         let over = |since: Option<Millis>, most| since.is_some_and(|s| now.since(s) > most);
         self.lenders
             .get(lender)
-            .is_none_or(|s| !over(s.silent_since, SILENT) && !over(s.barren_since, BARREN))
+            .is_none_or(|s| !over(s.silent_since, SILENT) && !over(s.ungranted_since, UNGRANTED))
     }
 
     fn waited(&self, now: Millis, lender: &VmId) -> Millis {
--- a/crates/waxwingrail/src/task/quota.rs
+++ b/crates/waxwingrail/src/task/quota.rs
@@ -10,7 +10,7 @@
 use super::feed::{self, OWNERS};
 use super::{Context, PEER_TIME, pause, peer_failed};
 
-/// Time between ticks that nothing hastens.
+/// Time between regular ticks.
 const TICK: Millis = Millis(100);
 /// Least time between two ticks.
 const LEAST_TICK: Millis = Millis(5);
