Test the wait for borrowed tokens

Cause: the wait had no test of its own. Change: a rule test: refused as rate limited and not run, neither at once nor beyond 1 s, and before the deadline. A request whose next attempt would fall on its deadline is now refused as rate limited instead of one period later as late. Conclusion: the wait is bounded on both sides.

--- a/crates/waxwing_core/src/flow/start.rs
+++ b/crates/waxwing_core/src/flow/start.rs
@@ -39,7 +39,7 @@
             return;
         };
         let next = ctx.now + ADMISSION_PERIOD;
-        if next > until || next > self.deadline || !self.expects_tokens(ctx) {
+        if next > until || next >= self.deadline || !self.expects_tokens(ctx) {
             self.refuse_with(ctx, refusal);
             return;
         }
--- a/crates/waxwing_core/tests/flow_rules.rs
+++ b/crates/waxwing_core/tests/flow_rules.rs
@@ -17,13 +17,18 @@
     Arrival, Capacity, ClaimRecord, ClaimState, FairQueue, Fingerprint, Flow, FlowAction,
     FlowEvent, FlowId, LoadReport, Observation, Quarantine, Refusal, RetryBudget, Slot, Ticket,
 };
-use waxwing_types::{Millis, RefusalReason, ServiceId, TargetId};
+use waxwing_types::{Millis, Ran, RefusalReason, ServiceId, TargetId};
 
 use records::{Kind, Request, TARGETS, WORKSPACES, adopt, arrival, fixed, key, service};
 use vm::{Daemon, Live};
 
 fn daemon() -> Daemon {
-    let mut daemon = Daemon::new(0, 1, 0, 1, 0);
+    daemon_rejecting(0)
+}
+
+/// A daemon whose limits reject one request in `reject`, or none if it is 0.
+fn daemon_rejecting(reject: u8) -> Daemon {
+    let mut daemon = Daemon::new(0, 1, 0, 1, reject);
     let mut list = fixed();
     list.extend((0..WORKSPACES).map(|w| key(w, false)));
     list.push(service([false; TARGETS]));
@@ -59,6 +64,41 @@
     })
 }
 
+/// Time of the refusal of a request for which no tokens come, with what was refused.
+fn refusal_without_tokens(timeout: Millis) -> (u64, Refusal) {
+    let mut daemon = daemon_rejecting(1);
+    let mut arrival = check();
+    arrival.timeout = Some(timeout);
+    daemon
+        .flows
+        .insert(1, Live::new(Flow::new(FlowId(1), arrival), 0, None));
+    let mut now = 0;
+    let mut actions = daemon.step(now, 1, FlowEvent::Start);
+    loop {
+        match actions.as_slice() {
+            [FlowAction::Refuse(refusal)] => return (now, *refusal),
+            [FlowAction::SetTimer(next)] => now = next.0,
+            other => panic!("{other:?} at {now} ms"),
+        }
+        actions = daemon.step(now, 1, FlowEvent::Timer);
+    }
+}
+
+/// Guards against requests that are refused while their VM is borrowing tokens, and against requests
+/// that wait for tokens without bound or beyond their deadline.
+#[test]
+fn requests_wait_a_bounded_time_for_borrowed_tokens() {
+    let (patient, refusal) = refusal_without_tokens(Millis(5000));
+    let (hurried, late) = refusal_without_tokens(Millis(100));
+
+    assert!((220..=1000).contains(&patient), "{patient} ms");
+    assert!(hurried <= 100, "{hurried} ms");
+    for refusal in [refusal, late] {
+        assert_eq!(refusal.reason, RefusalReason::RateLimited);
+        assert_eq!(refusal.ran, Ran::No);
+    }
+}
+
 /// Guards against telling a caller which services of other workspaces exist.
 #[test]
 fn foreign_and_unknown_services_look_the_same() {
