--- /dev/null
+++ b/crates/waxwing_edge/src/target/pool.rs
@@ -0,0 +1,277 @@
+//! The table of targets.
+
+use std::collections::{HashMap, HashSet};
+
+use slotmap::SlotMap;
+use waxwing_records::Registration;
+use waxwing_types::{DomainId, Millis, RegionId, ServiceId, TargetId};
+
+use super::state::State;
+use super::{ColdRule, Ended, LoadReport, Place, TargetKey};
+use crate::hash::{hash_bytes, mix64};
+use crate::mix::{Mix, Room};
+
+/// VMs that send to one cold target. More would exceed its bound with the requests that each holds.
+const COLD_SENDERS: usize = 4;
+/// Part in percent of a cold target's rate that is used; VMs may disagree for a moment about who sends.
+const COLD_PERCENT: u64 = 80;
+/// Weight of a new sample in the average work of a service.
+const WORK_WEIGHT: f64 = 0.05;
+
+/// The targets of one service.
+pub(crate) struct Group {
+    pub(crate) keys: Vec<TargetKey>,
+    pub(crate) mix: Option<Mix>,
+    /// Average time in ms from send to answer at a target that has a free slot.
+    pub(crate) work: f64,
+    pub(crate) cold: ColdRule,
+}
+
+/// The targets of all services.
+pub struct TargetPool {
+    pub(crate) place: Place,
+    pub(crate) regions: Vec<RegionId>,
+    pub(crate) own_region: usize,
+    pub(crate) targets: SlotMap<TargetKey, State>,
+    ids: HashMap<TargetId, TargetKey>,
+    pub(crate) groups: HashMap<ServiceId, Group>,
+    evacuated: HashSet<DomainId>,
+    vm: u64,
+    /// Hashes of the VMs of the region, with this one.
+    vms: Vec<u64>,
+}
+
+/// Queries.
+impl TargetPool {
+    /// Number of targets.
+    pub fn len(&self) -> usize {
+        self.targets.len()
+    }
+
+    /// Whether there is no target.
+    pub fn is_empty(&self) -> bool {
+        self.targets.is_empty()
+    }
+
+    /// Requests of this VM at all targets.
+    pub fn inflight(&self) -> u32 {
+        self.targets.values().map(|t| t.inflight).sum()
+    }
+
+    /// Part of a service's requests that goes to a region.
+    pub fn part(&self, service: &ServiceId, region: &RegionId) -> Option<f64> {
+        let region = self.regions.iter().position(|r| r == region)?;
+        Some(self.groups.get(service)?.mix.as_ref()?.part(region))
+    }
+
+    /// Whether a target may get a request now.
+    pub(crate) fn is_usable(&self, now: Millis, key: TargetKey) -> bool {
+        let Some(target) = self.targets.get(key) else {
+            return false;
+        };
+        target.is_ready()
+            && target.responds(now)
+            && !self.evacuated.contains(&target.entry.domain)
+            && (!target.is_cold(now) || target.has_cold_token())
+    }
+
+    /// Whether this VM sends to a target while it is cold.
+    fn is_sender(&self, hash: u64) -> bool {
+        let own = mix64(self.vm, hash);
+        let ahead = self.vms.iter().filter(|vm| mix64(**vm, hash) > own);
+        ahead.count() < COLD_SENDERS
+    }
+
+    pub(crate) fn rooms(&self, now: Millis, group: &Group) -> Vec<Room> {
+        let mut rooms = vec![Room::default(); self.regions.len()];
+        for key in &group.keys {
+            let target = &self.targets[*key];
+            if self.is_usable(now, *key) {
+                let room = &mut rooms[target.region];
+                room.slots += target.slots();
+                room.load += target.load(now);
+            }
+        }
+        rooms
+    }
+}
+
+/// Commands.
+impl TargetPool {
+    /// A pool of a VM without targets.
+    pub fn new(vm: &str, place: Place) -> Self {
+        let mut regions = vec![place.region.clone()];
+        for (_, region) in &place.regions {
+            if !regions.contains(region) {
+                regions.push(region.clone());
+            }
+        }
+        // The same order on every VM.
+        regions.sort_unstable();
+        let own_region = regions.iter().position(|r| *r == place.region);
+        let vm = hash_bytes(vm.as_bytes());
+        Self {
+            own_region: own_region.unwrap_or_default(),
+            regions,
+            place,
+            targets: SlotMap::with_key(),
+            ids: HashMap::new(),
+            groups: HashMap::new(),
+            evacuated: HashSet::new(),
+            vm,
+            vms: vec![vm],
+        }
+    }
+
+    /// Adopts the VMs of the region, which share the sends to cold targets.
+    pub fn set_vms<'a>(&mut self, vms: impl Iterator<Item = &'a str>) {
+        self.vms = vms.map(|vm| hash_bytes(vm.as_bytes())).collect();
+    }
+
+    /// Adopts how the cold targets of a service are spared.
+    pub fn set_cold(&mut self, service: &ServiceId, rule: ColdRule) {
+        self.group(service).cold = rule;
+    }
+
+    /// Adopts an entry. One of an earlier process of the target is ignored.
+    pub fn adopt(&mut self, now: Millis, entry: Registration) {
+        if let Some(key) = self.ids.get(&entry.id).copied() {
+            let target = &mut self.targets[key];
+            if entry.incarnation < target.entry.incarnation {
+                return;
+            }
+            let same = entry.incarnation == target.entry.incarnation
+                && entry.address == target.entry.address
+                && entry.service == target.entry.service
+                && entry.domain == target.entry.domain;
+            if same {
+                target.update(now, entry);
+                return;
+            }
+            self.remove(&entry.id.clone());
+        }
+        let region = self.region_of(&entry.domain);
+        let near = entry.domain == self.place.domain;
+        let hash = hash_bytes(entry.id.as_str().as_bytes());
+        let service = entry.service.clone();
+        let id = entry.id.clone();
+        let target = State::new(now, entry, region, near, hash);
+        let key = self.targets.insert(target);
+        self.ids.insert(id, key);
+        self.group(&service).keys.push(key);
+    }
+
+    /// Forgets a target, whose entry is gone.
+    pub fn remove(&mut self, id: &TargetId) {
+        let Some(key) = self.ids.remove(id) else {
+            return;
+        };
+        if let Some(target) = self.targets.remove(key)
+            && let Some(group) = self.groups.get_mut(&target.entry.service)
+        {
+            group.keys.retain(|k| *k != key);
+        }
+    }
+
+    /// Names of the targets that a complete list lacks.
+    pub fn missing(&self, listed: &HashSet<TargetId>) -> Vec<TargetId> {
+        let ids = self.ids.keys().filter(|id| !listed.contains(*id));
+        ids.cloned().collect()
+    }
+
+    /// Adopts the failure domains that are evacuated. The targets of one that is no longer evacuated
+    /// may have become cold.
+    pub fn set_evacuated(&mut self, now: Millis, evacuated: HashSet<DomainId>) {
+        let back: Vec<_> = self.evacuated.difference(&evacuated).cloned().collect();
+        for target in self.targets.values_mut() {
+            if back.contains(&target.entry.domain)
+                && let Some(group) = self.groups.get(&target.entry.service)
+            {
+                target.chill(now, group.cold);
+            }
+        }
+        self.evacuated = evacuated;
+    }
+
+    /// A request at a target ended.
+    pub fn ended(&mut self, now: Millis, key: TargetKey, ended: Ended) {
+        let Some(target) = self.targets.get_mut(key) else {
+            return;
+        };
+        if let Ended::Answered { latency, .. } = ended
+            && target.load(now) <= target.slots()
+            && let Some(group) = self.groups.get_mut(&target.entry.service)
+        {
+            #[allow(clippy::cast_precision_loss, reason = "latencies are short")]
+            let latency = latency.0 as f64;
+            group.work = match group.work {
+                0.0 => latency,
+                former => former + (latency - former) * WORK_WEIGHT,
+            };
+        }
+        target.ended(now, ended);
+    }
+
+    /// A target reported its load.
+    pub fn reported(&mut self, now: Millis, key: TargetKey, report: LoadReport) {
+        if let Some(target) = self.targets.get_mut(key) {
+            target.reported(now, report);
+        }
+    }
+
+    /// Moves the parts of the regions and counts the sends to cold targets. To be called a few times a
+    /// second.
+    pub fn tick(&mut self, now: Millis) {
+        let senders: Vec<(TargetKey, bool)> = self
+            .targets
+            .iter()
+            .filter(|(_, t)| t.is_cold(now))
+            .map(|(key, t)| (key, t.region == self.own_region && self.is_sender(t.hash)))
+            .collect();
+        let count = self.vms.len().clamp(1, COLD_SENDERS) as u64;
+        for (key, sends) in senders {
+            let target = &mut self.targets[key];
+            let rule = self.groups.get(&target.entry.service).map(|g| g.cold);
+            if let (true, Some(rule)) = (sends, rule) {
+                let used = ColdRule {
+                    rate: rule.rate * COLD_PERCENT / 100,
+                    ..rule
+                };
+                target.refill(now, used, count);
+            }
+        }
+        let services: Vec<ServiceId> = self.groups.keys().cloned().collect();
+        for service in services {
+            let Some(group) = self.groups.get(&service) else {
+                continue;
+            };
+            let rooms = self.rooms(now, group);
+            let own = self.own_region;
+            if let Some(group) = self.groups.get_mut(&service) {
+                match &mut group.mix {
+                    Some(mix) => mix.adjust(now, &rooms),
+                    None => group.mix = Some(Mix::new(now, own, &rooms)),
+                }
+            }
+        }
+    }
+
+    fn group(&mut self, service: &ServiceId) -> &mut Group {
+        self.groups.entry(service.clone()).or_insert_with(|| Group {
+            keys: Vec::new(),
+            mix: None,
+            work: 0.0,
+            cold: ColdRule {
+                rate: 0,
+                time: Millis::ZERO,
+            },
+        })
+    }
+
+    fn region_of(&self, domain: &DomainId) -> (usize, RegionId) {
+        let known = self.place.regions.iter().find(|(d, _)| d == domain);
+        let region = known.map_or(&self.place.region, |(_, region)| region);
+        let index = self.regions.iter().position(|r| r == region);
+        (index.unwrap_or(self.own_region), region.clone())
+    }
+}
--- a/crates/waxwing_http/src/client.rs
+++ b/crates/waxwing_http/src/client.rs
@@ -12,7 +12,7 @@
 use futures_lite::future;
 use hyper::body::{Body as _, Bytes, Frame, Incoming, SizeHint};
 use hyper::header::{HOST, HeaderValue};
-use hyper::{Request, Response};
+use hyper::{HeaderMap, Request, Response};
 
 use crate::conn::{Conn, Outcome};
 use crate::pool::Pool;
@@ -154,12 +154,13 @@
     fn finish(
         &self,
         address: SocketAddr,
-        conn: Conn,
+        mut conn: Conn,
         outcome: Outcome,
     ) -> Result<Response<Body>, SendError> {
         match outcome {
             Outcome::Head(response) => {
                 let (head, incoming) = response.into_parts();
+                conn.kept = kept(&head.headers).or(conn.kept);
                 let mut body = PooledBody {
                     incoming,
                     address,
@@ -177,6 +178,17 @@
     }
 }
 
+/// The idle time-out that `Keep-Alive` states.
+fn kept(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get("keep-alive")?.to_str().ok()?;
+    let parts = value
+        .split(',')
+        .filter_map(|part| part.trim().split_once('='));
+    let mut timeouts = parts.filter(|(name, _)| name.trim().eq_ignore_ascii_case("timeout"));
+    let secs = timeouts.next()?.1.trim().parse().ok()?;
+    Some(Duration::from_secs(secs))
+}
+
 fn set_host(request: &mut Request<Body>, address: SocketAddr) {
     if !request.headers().contains_key(HOST)
         && let Ok(value) = HeaderValue::from_str(&address.to_string())
--- a/crates/waxwing_http/src/conn.rs
+++ b/crates/waxwing_http/src/conn.rs
@@ -15,6 +15,7 @@
 
 use crate::Body;
 use crate::counted::Counted;
+use crate::socket::tune;
 
 /// Time allowed for a pooled connection to become ready for its next request. It is ready at once
 /// unless the target answered before it had read the whole request.
@@ -36,6 +37,8 @@
 pub(crate) struct Conn {
     sender: SendRequest<Body>,
     written: Arc<AtomicU64>,
+    /// Time for which the target keeps the connection open while it is idle, if it said so.
+    pub(crate) kept: Option<Duration>,
     _driver: Task<()>,
 }
 
@@ -46,7 +49,7 @@
         header_bytes: usize,
     ) -> io::Result<Self> {
         let stream = TcpStream::connect(address).await?;
-        stream.set_nodelay(true)?;
+        tune(&stream)?;
         let written = Arc::new(AtomicU64::new(0));
         let io = FuturesIo::new(Counted::new(stream, Arc::clone(&written)));
         let (sender, conn) = http1::Builder::new()
@@ -62,6 +65,7 @@
         Ok(Self {
             sender,
             written,
+            kept: None,
             _driver: driver,
         })
     }
--- /dev/null
+++ b/crates/waxwing_http/src/dialect.rs
@@ -0,0 +1,62 @@
+//! The names by which callers, targets and VMs understand each other.
+
+use std::net::SocketAddr;
+
+use hyper::header::HeaderName;
+use smol_str::SmolStr;
+use waxwing_types::{DomainId, Millis};
+
+/// Names of headers and the scheme of keys.
+#[derive(Clone, Debug)]
+pub struct HeaderNames {
+    /// Id of one attempt of a caller, echoed by targets.
+    pub request_id: HeaderName,
+    /// Milliseconds that the caller still waits.
+    pub deadline: HeaderName,
+    /// Target that is to run the request.
+    pub instance: HeaderName,
+    /// Workspace of the request.
+    pub workspace: HeaderName,
+    /// Requests running, requests waiting and slots of the target.
+    pub load: HeaderName,
+    /// Says that the request was not run.
+    pub not_run: HeaderName,
+    /// Milliseconds for which the target stays cold.
+    pub cold: HeaderName,
+    /// Cookie that names the object of a request.
+    pub object: &'static str,
+    /// Scheme of keys in `Authorization`.
+    pub scheme: &'static str,
+}
+
+/// A question for entry VMs.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct DirectoryQuery {
+    /// Failure domain of the caller, if it was named.
+    pub domain: Option<DomainId>,
+}
+
+/// How the outer interfaces are spelled.
+pub trait Dialect: Send + Sync {
+    /// Names of headers.
+    fn headers(&self) -> &HeaderNames;
+
+    /// Whether a path asks whether the daemon is ready.
+    fn is_ready_path(&self, path: &str) -> bool;
+
+    /// Reads a question for entry VMs. `None`: the path asks something else.
+    fn directory_query(&self, path: &str, query: Option<&str>) -> Option<DirectoryQuery>;
+
+    /// Writes the value of `Retry-After`.
+    fn retry_after(&self, wait: Millis) -> String;
+
+    /// Writes an answer that holds for a time.
+    fn directory_answer(&self, addresses: &[SocketAddr], lifetime: Millis) -> String;
+}
+
+/// The value of a parameter of a query that needs no decoding.
+pub fn query_value(query: Option<&str>, name: &str) -> Option<SmolStr> {
+    let mut pairs = query?.split('&').filter_map(|pair| pair.split_once('='));
+    let (_, value) = pairs.find(|(key, _)| *key == name)?;
+    Some(SmolStr::new(value))
+}
--- a/crates/waxwing_http/src/pool.rs
+++ b/crates/waxwing_http/src/pool.rs
@@ -7,9 +7,20 @@
 
 use crate::conn::Conn;
 
+/// Part in percent of a target's own idle time-out for which a connection is kept. A request that
+/// crosses the target's close may have run.
+const KEPT_PERCENT: u32 = 60;
+
 struct Idle {
     conn: Conn,
     since: Instant,
+    lifetime: Duration,
+}
+
+impl Idle {
+    fn is_fresh(&self) -> bool {
+        self.since.elapsed() < self.lifetime
+    }
 }
 
 /// Idle connections, the most recently used last.
@@ -31,23 +42,29 @@
     pub(crate) fn take(&self, address: SocketAddr) -> Option<Conn> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let entry = idle.get_mut(&address)?.pop_back()?;
-        (entry.since.elapsed() < self.lifetime).then_some(entry.conn)
+        entry.is_fresh().then_some(entry.conn)
     }
 
     pub(crate) fn put(&self, address: SocketAddr, conn: Conn) {
         let since = Instant::now();
+        let kept = conn.kept.map(|kept| kept * KEPT_PERCENT / 100);
+        let lifetime = kept.map_or(self.lifetime, |kept| kept.min(self.lifetime));
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let queue = idle.entry(address).or_default();
         if queue.len() >= self.most {
             queue.pop_front();
         }
-        queue.push_back(Idle { conn, since });
+        queue.push_back(Idle {
+            conn,
+            since,
+            lifetime,
+        });
     }
 
     pub(crate) fn prune(&self) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         for queue in idle.values_mut() {
-            queue.retain(|entry| entry.since.elapsed() < self.lifetime);
+            queue.retain(Idle::is_fresh);
         }
         idle.retain(|_, queue| !queue.is_empty());
     }
--- a/crates/waxwing_http/src/server.rs
+++ b/crates/waxwing_http/src/server.rs
@@ -20,6 +20,7 @@
 use smol_hyper::rt::FuturesIo;
 use waxwing_types::{Ran, RefusalReason};
 
+use crate::socket::tune;
 use crate::{Body, CoarseTimer, Problem};
 
 /// The protocol library's own bound on a header section, as a multiple of the configured limit.
@@ -217,7 +218,9 @@
 }
 
 async fn serve(stream: TcpStream, peer: SocketAddr, open: Open, handler: Arc<dyn Handler>) {
-    let _ = stream.set_nodelay(true);
+    if let Err(error) = tune(&stream) {
+        log::debug!(error = error.to_string().as_str(); "socket options not set");
+    }
     let state = &open.state;
     let service = service_fn(|request| answer(state, &handler, request, peer));
     let hard = state.limits.header_bytes * HARD_HEADER_FACTOR;
--- a/crates/waxwing_records/src/lib.rs
+++ b/crates/waxwing_records/src/lib.rs
@@ -3,11 +3,13 @@
 
 mod blocks;
 mod check;
+mod deployment;
 mod document;
 mod finding;
 mod key;
 mod reference;
 mod region;
+mod registration;
 mod service;
 mod shift;
 mod split;
@@ -15,11 +17,15 @@
 mod workspace;
 
 pub use blocks::{Block, Blocks};
+pub use deployment::{
+    Backend, CallerLimits, Deployment, Evacuation, HostRoute, RunKind, ServiceSpec, WorkspaceSpec,
+};
 pub use document::{Document, Kind, MAX_RECORD_BYTES, Record, RecordName};
 pub use finding::{Finding, Findings};
 pub use key::{Key, KeyHash};
 pub use reference::check_references;
 pub use region::{Domain, Link, Region};
+pub use registration::{Registration, TargetState, VmEntry};
 pub use service::{Route, Service, Target};
 pub use shift::Shift;
 pub use split::split_records;
--- /dev/null
+++ b/crates/waxwing_store/src/registry.rs
@@ -0,0 +1,122 @@
+//! The trait through which a daemon reads a deployment and registers itself.
+
+use smol_str::SmolStr;
+use waxwing_records::{Deployment, Registration, VmEntry};
+use waxwing_types::{DomainId, Millis, Revision, common_derives};
+
+use crate::{Pending, WriteOutcome};
+
+common_derives! {
+    key
+    /// A family of entries, each with a watch of its own.
+    pub enum Family {
+        /// The deployment record.
+        Deployment,
+        /// Targets.
+        Targets,
+        /// Failure domains whose targets are to get nothing.
+        Evacuations,
+        /// Entry VMs.
+        Vms,
+    }
+}
+
+impl Family {
+    /// Every family.
+    pub const ALL: [Self; 4] = [
+        Self::Deployment,
+        Self::Targets,
+        Self::Evacuations,
+        Self::Vms,
+    ];
+
+    /// The family as logs and metrics show it.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Deployment => "deployment",
+            Self::Targets => "targets",
+            Self::Evacuations => "evacuations",
+            Self::Vms => "vms",
+        }
+    }
+}
+
+common_derives! {
+    /// The content of an entry.
+    #[allow(clippy::large_enum_variant, reason = "moved once on its way to its table")]
+    pub enum Entry {
+        /// The deployment record.
+        Deployment(Deployment),
+        /// A target.
+        Target(Registration),
+        /// A failure domain that is evacuated.
+        Evacuation(DomainId),
+        /// An entry VM.
+        Vm(VmEntry),
+        /// The entry cannot be read, with the reason. It names nothing to use.
+        Unreadable(String),
+    }
+}
+
+common_derives! {
+    /// An entry that exists, changed or went.
+    pub struct Change {
+        /// Name of the entry in its family.
+        pub name: SmolStr,
+        /// Its content, `None` if it was removed.
+        pub entry: Option<Entry>,
+    }
+}
+
+common_derives! {
+    /// The end of a list.
+    pub enum ListOutcome {
+        /// All entries of the family at a revision.
+        Listed {
+            /// The entries.
+            entries: Vec<Change>,
+            /// Revision from which to watch.
+            revision: Revision,
+        },
+        /// No usable answer, with the reason.
+        Unreachable(String),
+    }
+}
+
+common_derives! {
+    /// The end of a watch.
+    pub enum WatchOutcome {
+        /// What changed, nothing if the wait ended.
+        Changed {
+            /// The changes in their order.
+            changes: Vec<Change>,
+            /// Revision from which to go on.
+            revision: Revision,
+        },
+        /// The store no longer holds the changes after the revision.
+        HistoryGone,
+        /// No usable answer, with the reason.
+        Unreachable(String),
+    }
+}
+
+/// Lists and watches families of entries.
+pub trait Registry: Send + Sync {
+    /// All entries of a family.
+    fn list(&self, family: Family, timeout: Millis) -> Pending<'_, ListOutcome>;
+
+    /// Changes after a revision. Waits up to `wait` for the first one.
+    fn watch(
+        &self,
+        family: Family,
+        after: Revision,
+        wait: Millis,
+        timeout: Millis,
+    ) -> Pending<'_, WatchOutcome>;
+
+    /// Creates or replaces the entry of a VM.
+    fn announce<'a>(&'a self, vm: &'a VmEntry, timeout: Millis) -> Pending<'a, WriteOutcome>;
+
+    /// Removes the entry of a VM.
+    fn withdraw<'a>(&'a self, vm: &'a VmEntry, timeout: Millis) -> Pending<'a, WriteOutcome>;
+}
--- /dev/null
+++ b/crates/waxwingrail/src/edge/mod.rs
@@ -0,0 +1,15 @@
+//! The daemon of a deployment whose routes, targets and VMs are entries of a registry.
+
+mod answer;
+mod body;
+mod daemon;
+mod forward;
+mod listen;
+mod peers;
+mod request;
+mod settings;
+mod state;
+mod watch;
+
+pub use daemon::{EdgeDaemon, EdgeParts, run};
+pub use settings::{EdgeCommand, EdgeSettings, read};
--- /dev/null
+++ b/crates/waxwingrail/src/edge/request.rs
@@ -0,0 +1,357 @@
+//! One request of a caller, from its head to the answer.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use async_io::Timer;
+use hyper::body::Incoming;
+use hyper::header::{AUTHORIZATION, COOKIE, EXPECT, HOST};
+use hyper::http::request::Parts;
+use hyper::{HeaderMap, Request, Response};
+use smol_str::SmolStr;
+use waxwing_edge::{Access, Admission, Pick, Plan, TargetKey, Want, hash_bytes, mix64};
+use waxwing_http::{Body, remove_hop_headers, remove_proxy_headers};
+use waxwing_records::WorkspaceSpec;
+use waxwing_types::{Millis, RefusalReason, RegionId, RetryReason, ServiceId};
+
+use super::answer::Refusal;
+use super::body::{Gathered, gather};
+use super::forward::{Attempt, AttemptEnd, forward};
+use super::peers;
+use super::state::Shared;
+
+/// Bytes of a request body that are held before it is sent. Until then a request that a target refuses
+/// can be sent elsewhere, and a slow upload takes no slot.
+const HELD_BYTES: usize = 1 << 20;
+/// Bytes of a body that count for its fingerprint.
+const PRINT_BYTES: usize = 4096;
+/// Pauses in which tokens of neighbours are awaited. An answer from the own region takes about 2 ms.
+const TOKEN_PAUSES: [Duration; 2] = [Duration::from_millis(6), Duration::from_millis(14)];
+/// Shortest and longest time after which a refused caller is told to come back.
+const WAIT_BOUNDS: (Millis, Millis) = (Millis(50), Millis(1000));
+/// Time that must be left for a further attempt.
+const LEAST_LEFT: Millis = Millis(20);
+/// Part in percent of the objective beyond which an answer is no longer worth a slot.
+const LATE_PERCENT: u64 = 130;
+
+/// A request and what is known of it.
+pub(crate) struct Exchange<'a> {
+    shared: &'a Arc<Shared>,
+    head: Parts,
+    body: Option<Incoming>,
+    began: Instant,
+    arrived: Millis,
+}
+
+/// What a request needs to be sent.
+struct Ready<'p> {
+    access: Access<'p>,
+    service: ServiceId,
+    object: Option<u64>,
+    /// Time until which it is answered.
+    deadline: Millis,
+    print: u64,
+}
+
+impl<'a> Exchange<'a> {
+    pub(crate) fn new(shared: &'a Arc<Shared>, request: Request<Incoming>) -> Self {
+        let (head, body) = request.into_parts();
+        Self {
+            shared,
+            head,
+            body: Some(body),
+            began: Instant::now(),
+            arrived: shared.now(),
+        }
+    }
+
+    /// Answers the request.
+    pub(crate) async fn run(mut self) -> Response<Body> {
+        let shared = self.shared;
+        match self.serve().await {
+            Ok(response) => response,
+            Err(refusal) => {
+                let refusal = self.bounded(refusal);
+                metrics::counter!("edge_refusals_total", "reason" => refusal.reason.as_str())
+                    .increment(1);
+                log::debug!(
+                    reason = refusal.reason.as_str(), request = self.id().as_str(),
+                    path = self.head.uri.path(), age_ms = shared.now().since(self.arrived).0;
+                    "request refused"
+                );
+                refusal.response(shared)
+            }
+        }
+    }
+
+    async fn serve(&mut self) -> Result<Response<Body>, Refusal> {
+        let shared = self.shared;
+        let Some(plan) = shared.plan() else {
+            let (least, _) = WAIT_BOUNDS;
+            return Err(Refusal::after(RefusalReason::ConfigStale, least));
+        };
+        let access = self.access(&plan)?;
+        let deadline = self.deadline(&access);
+        if let Some(workspace) = access.workspace {
+            self.admit(workspace).await?;
+        }
+        let mut body = self.read_body(&plan, deadline).await?;
+        let ready = self.ready(access, deadline, &body)?;
+        if !shared.poison().is_empty() && shared.poison().holds(shared.now(), ready.print) {
+            return Err(Refusal::new(RefusalReason::Quarantined));
+        }
+        self.send(&ready, &mut body).await
+    }
+
+    fn access<'p>(&self, plan: &'p Plan) -> Result<Access<'p>, Refusal> {
+        let host = self.head.headers.get(HOST).and_then(|v| v.to_str().ok());
+        let host = host.or_else(|| self.head.uri.host()).unwrap_or_default();
+        let key = self.head.headers.get(AUTHORIZATION);
+        let key = key.and_then(|v| v.to_str().ok());
+        let key = key.and_then(|v| v.strip_prefix(self.shared.dialect.headers().scheme));
+        let key = key.and_then(|v| v.strip_prefix(' ')).map(str::trim);
+        plan.access(host, self.head.uri.path(), key)
+            .map_err(Refusal::new)
+    }
+
+    /// The caller's own deadline or the route's, whichever comes first.
+    fn deadline(&self, access: &Access<'_>) -> Millis {
+        let name = &self.shared.dialect.headers().deadline;
+        let asked = self.head.headers.get(name);
+        let asked = asked.and_then(|v| v.to_str().ok()?.parse().ok());
+        let asked = asked.map_or(Millis::MAX, Millis);
+        self.arrived + access.route.timeout.min(asked)
+    }
+
+    /// Takes a token of the workspace's quota. A neighbour's token is awaited for a moment.
+    async fn admit(&self, workspace: &WorkspaceSpec) -> Result<(), Refusal> {
+        let shared = self.shared;
+        let mut admission = shared.quota().admit(shared.now(), workspace);
+        for pause in TOKEN_PAUSES {
+            let Admission::Short { .. } = admission else {
+                return Ok(());
+            };
+            peers::ask_for(shared, &workspace.id);
+            Timer::after(pause).await;
+            admission = shared.quota().admit_again(shared.now(), workspace);
+        }
+        match admission {
+            Admission::Admitted => Ok(()),
+            Admission::Short { wait } => Err(Refusal::after(RefusalReason::RateLimited, wait)),
+        }
+    }
+
+    async fn read_body(
+        &mut self,
+        plan: &Plan,
+        deadline: Millis,
+    ) -> Result<Gathered<Incoming>, Refusal> {
+        let limit = plan.record().limits.body_bytes;
+        let announced = self.head.headers.get(hyper::header::CONTENT_LENGTH);
+        let announced = announced.and_then(|v| v.to_str().ok()?.parse::<u64>().ok());
+        if announced.is_some_and(|bytes| bytes > limit) {
+            return Err(Refusal::new(RefusalReason::TooLarge));
+        }
+        let Some(body) = self.body.take() else {
+            return Err(Refusal::new(RefusalReason::BadRequest));
+        };
+        let reading = async {
+            let gathered = gather(body, HELD_BYTES).await;
+            gathered.map_err(|_| Refusal::new(RefusalReason::BadRequest))
+        };
+        let timer = self.timer(deadline);
+        let expired = async {
+            timer.await;
+            Err(Refusal::new(RefusalReason::DeadlineExceeded))
+        };
+        futures_lite::future::or(reading, expired).await
+    }
+
+    fn ready<'p>(
+        &mut self,
+        access: Access<'p>,
+        deadline: Millis,
+        body: &Gathered<Incoming>,
+    ) -> Result<Ready<'p>, Refusal> {
+        let service = access.service(fastrand::f64());
+        let service = service.ok_or(Refusal::new(RefusalReason::RouteUnknown))?;
+        let object = self.object().map(|object| hash_bytes(object.as_bytes()));
+        let object = object.filter(|_| access.route.affinity);
+        let path = hash_bytes(self.head.uri.path().as_bytes());
+        let workspace = access.workspace.map_or("", |w| w.id.as_str());
+        let start = &body.start[..body.start.len().min(PRINT_BYTES)];
+        let content = mix64(hash_bytes(start), object.unwrap_or_default());
+        let print = mix64(mix64(path, hash_bytes(workspace.as_bytes())), content);
+        self.strip_headers();
+        Ok(Ready {
+            service: service.clone(),
+            access,
+            object,
+            deadline,
+            print,
+        })
+    }
+
+    /// Sends the request until it is answered, or may not be sent again.
+    async fn send(
+        &mut self,
+        ready: &Ready<'_>,
+        body: &mut Gathered<Incoming>,
+    ) -> Result<Response<Body>, Refusal> {
+        let shared = self.shared;
+        let mut tried: Vec<TargetKey> = Vec::new();
+        let mut sends = 0;
+        let mut last = Refusal::new(RefusalReason::NoTarget);
+        shared.budgets().on_request(shared.now(), &ready.service);
+        loop {
+            let picked = self.pick(ready, &tried);
+            let (key, target) = match picked {
+                Pick::Chosen(key, target) => (key, target),
+                Pick::Full { wait } if sends == 0 => {
+                    return Err(Refusal::after(RefusalReason::QueueFull, wait));
+                }
+                Pick::Nothing if sends == 0 && tried.is_empty() => {
+                    let (least, _) = WAIT_BOUNDS;
+                    return Err(Refusal::after(RefusalReason::NoTarget, least));
+                }
+                Pick::Full { .. } | Pick::Nothing => return Err(last),
+            };
+            let attempt = Attempt {
+                head: &self.head,
+                key,
+                target,
+                workspace: ready.access.workspace.map(|w| &w.id),
+                deadline: ready.deadline,
+                kind: ready.access.route.kind,
+                print: ready.print,
+            };
+            let timer = self.timer(ready.deadline);
+            let repeatable = body.rest.is_none();
+            let end = forward(shared, &attempt, body.take(), timer).await;
+            tried.push(key);
+            let (reason, refusal) = match end {
+                AttemptEnd::Answered(response) => return Ok(response),
+                AttemptEnd::Unsent => (RetryReason::ConnectFailed, RefusalReason::NoTarget),
+                AttemptEnd::NotRun => (RetryReason::TargetShed, RefusalReason::TargetsShedding),
+                AttemptEnd::Failed(response) => {
+                    if !self.may_repeat(ready, sends + 1) || !repeatable {
+                        return Ok(response);
+                    }
+                    (RetryReason::ConnectionBroken, RefusalReason::TargetFailed)
+                }
+                AttemptEnd::Broken => (RetryReason::ConnectionBroken, RefusalReason::TargetFailed),
+                AttemptEnd::TimedOut => return Err(Refusal::new(RefusalReason::TargetTimeout)),
+            };
+            let (least, _) = WAIT_BOUNDS;
+            let not_run = matches!(end_kind(refusal), EndKind::NotRun);
+            last = merge(last, refusal, least, sends);
+            if !matches!(reason, RetryReason::ConnectFailed) {
+                sends += 1;
+            }
+            let allowed = not_run || ready.access.route.kind.is_idempotent();
+            let unsent = matches!(reason, RetryReason::ConnectFailed);
+            if !allowed || !repeatable || !(unsent || self.may_repeat(ready, sends)) {
+                return Err(last);
+            }
+            if shared.now() + LEAST_LEFT >= ready.deadline {
+                return Err(last);
+            }
+            metrics::counter!("edge_retries_total", "reason" => reason.as_str()).increment(1);
+            if sends > 0 {
+                shared.budgets().on_repeat(shared.now(), &ready.service);
+            }
+        }
+    }
+
+    fn pick(&self, ready: &Ready<'_>, tried: &[TargetKey]) -> Pick {
+        let shared = self.shared;
+        let now = shared.now();
+        let objective = ready.access.route.objective;
+        let late = self.arrived + Millis(objective.0 * LATE_PERCENT / 100);
+        let allowed = |region: &RegionId| ready.access.allows(region);
+        let want = Want {
+            service: &ready.service,
+            object: ready.object,
+            allowed: &allowed,
+            tried,
+            within: late.min(ready.deadline).since(now),
+        };
+        let mut rng = fastrand::Rng::new();
+        shared.targets().pick(now, &want, &mut rng)
+    }
+
+    /// Whether the request may reach one more target.
+    fn may_repeat(&self, ready: &Ready<'_>, sends: u32) -> bool {
+        let shared = self.shared;
+        let vms = shared.fleet().len();
+        sends < ready.access.route.attempts
+            && shared.budgets().allows(shared.now(), &ready.service, vms)
+    }
+
+    fn timer(&self, deadline: Millis) -> waxwing_http::CoarseSleep {
+        let left = deadline.since(self.arrived);
+        self.shared.timer.sleep_until(self.began + left.duration())
+    }
+
+    /// The object that the request is about, from its cookie.
+    fn object(&self) -> Option<SmolStr> {
+        let name = self.shared.dialect.headers().object;
+        let cookies = self.head.headers.get_all(COOKIE).iter();
+        let cookies = cookies.filter_map(|v| v.to_str().ok());
+        let mut pairs = cookies
+            .flat_map(|v| v.split(';'))
+            .filter_map(|pair| pair.trim().split_once('='));
+        let (_, value) = pairs.find(|(key, _)| *key == name)?;
+        Some(value.into())
+    }
+
+    fn id(&self) -> SmolStr {
+        let name = &self.shared.dialect.headers().request_id;
+        let id = self.head.headers.get(name).and_then(|v| v.to_str().ok());
+        id.unwrap_or_default().into()
+    }
+
+    fn strip_headers(&mut self) {
+        let names = self.shared.dialect.headers();
+        let headers: &mut HeaderMap = &mut self.head.headers;
+        remove_hop_headers(headers);
+        remove_proxy_headers(headers);
+        headers.remove(AUTHORIZATION);
+        headers.remove(EXPECT);
+        headers.remove(&names.workspace);
+        headers.remove(&names.instance);
+    }
+
+    /// A refusal whose wait is within the bounds and leaves time for another attempt.
+    fn bounded(&self, refusal: Refusal) -> Refusal {
+        let (least, most) = WAIT_BOUNDS;
+        Refusal {
+            wait: refusal.wait.map(|wait| wait.clamp(least, most)),
+            ..refusal
+        }
+    }
+}
+
+enum EndKind {
+    NotRun,
+    MayHaveRun,
+}
+
+/// Whether a reason promises that the request has not run.
+fn end_kind(reason: RefusalReason) -> EndKind {
+    match reason {
+        RefusalReason::TargetFailed | RefusalReason::TargetTimeout => EndKind::MayHaveRun,
+        _ => EndKind::NotRun,
+    }
+}
+
+/// What a caller is told after a further attempt failed. Once a request may have run, it may have.
+fn merge(last: Refusal, reason: RefusalReason, least: Millis, sends: u32) -> Refusal {
+    if sends > 0 && matches!(end_kind(last.reason), EndKind::MayHaveRun) {
+        return last;
+    }
+    match end_kind(reason) {
+        EndKind::NotRun => Refusal::after(reason, least),
+        EndKind::MayHaveRun => Refusal::new(reason),
+    }
+}
--- /dev/null
+++ b/crates/waxwingrail/src/edge/state.rs
@@ -0,0 +1,188 @@
+//! The shared tables of the edge daemon and the order in which they are locked.
+
+use std::collections::{BTreeMap, HashSet};
+use std::net::UdpSocket;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock};
+use std::time::Duration;
+
+use async_executor::Executor;
+use async_io::Async;
+use waxwing_edge::{BudgetRule, Fleet, Place, Plan, Poison, Quota, RetryBudgets, TargetPool};
+use waxwing_http::{Client, CoarseTimer, Dialect};
+use waxwing_records::VmEntry;
+use waxwing_store::{Family, Registry};
+use waxwing_types::{Clock, DomainId, Incarnation, Millis, TargetId};
+
+use super::settings::EdgeSettings;
+
+/// Precision of the deadlines of requests.
+const DEADLINE_TICK: Duration = Duration::from_millis(40);
+
+/// What is known of the store's answers.
+#[derive(Default)]
+pub(crate) struct StoreView {
+    /// Families that could not be read, with the time since when.
+    pub(crate) failing: BTreeMap<Family, Millis>,
+    /// When a family could be read again after a failure.
+    pub(crate) back: Millis,
+    /// Families that were read at least once.
+    pub(crate) read: HashSet<Family>,
+    /// Targets whose entry went while the store was away, with the time at which they are gone.
+    pub(crate) doubtful: BTreeMap<TargetId, Millis>,
+    /// Failure domains that are evacuated.
+    pub(crate) evacuated: HashSet<DomainId>,
+}
+
+/// Everything that the tasks of an edge daemon share.
+///
+/// The tables are locked in the order of their declaration and never held across an await.
+pub(crate) struct Shared {
+    pub(crate) settings: EdgeSettings,
+    pub(crate) own: VmEntry,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) registry: Arc<dyn Registry>,
+    pub(crate) dialect: Arc<dyn Dialect>,
+    pub(crate) executor: Arc<Executor<'static>>,
+    pub(crate) client: Client,
+    pub(crate) timer: CoarseTimer,
+
+    plan: RwLock<Option<Arc<Plan>>>,
+    store: Mutex<StoreView>,
+    fleet: Mutex<Fleet>,
+    targets: Mutex<TargetPool>,
+    quota: Mutex<Quota>,
+    budgets: Mutex<RetryBudgets>,
+    poison: Mutex<Poison>,
+
+    socket: OnceLock<Arc<Async<UdpSocket>>>,
+    pub(crate) running: AtomicUsize,
+    stopping: AtomicBool,
+}
+
+/// What an edge daemon is built from besides its settings.
+pub struct EdgeParts {
+    /// Source of the time.
+    pub clock: Arc<dyn Clock>,
+    /// Entries of the deployment.
+    pub registry: Arc<dyn Registry>,
+    /// How the outer interfaces are spelled.
+    pub dialect: Arc<dyn Dialect>,
+    /// Executor that the worker threads run.
+    pub executor: Arc<Executor<'static>>,
+    /// Connections to targets.
+    pub client: Client,
+    /// Number of this process, higher than that of every earlier process of this VM.
+    pub incarnation: Incarnation,
+}
+
+impl Shared {
+    pub(crate) fn new(settings: EdgeSettings, own: VmEntry, parts: EdgeParts) -> Self {
+        let place = Place {
+            domain: settings.domain.clone(),
+            region: settings.region.clone(),
+            regions: settings.domains.clone(),
+        };
+        let rule = BudgetRule {
+            window: settings.retry_window,
+            permille: settings.retry_permille,
+            slack: settings.retry_slack,
+        };
+        Self {
+            clock: parts.clock,
+            registry: parts.registry,
+            dialect: parts.dialect,
+            timer: CoarseTimer::start(&parts.executor, DEADLINE_TICK),
+            executor: parts.executor,
+            client: parts.client,
+            plan: RwLock::default(),
+            store: Mutex::default(),
+            fleet: Mutex::new(Fleet::new(own.clone())),
+            targets: Mutex::new(TargetPool::new(settings.vm.as_str(), place)),
+            quota: Mutex::default(),
+            budgets: Mutex::new(RetryBudgets::new(rule)),
+            poison: Mutex::default(),
+            socket: OnceLock::new(),
+            running: AtomicUsize::new(0),
+            stopping: AtomicBool::new(false),
+            own,
+            settings,
+        }
+    }
+
+    pub(crate) fn now(&self) -> Millis {
+        self.clock.now()
+    }
+
+    /// The deployment in force.
+    pub(crate) fn plan(&self) -> Option<Arc<Plan>> {
+        let plan = self.plan.read().unwrap_or_else(PoisonError::into_inner);
+        plan.clone()
+    }
+
+    /// Puts a deployment in force, unless a newer one is.
+    pub(crate) fn set_plan(&self, plan: Plan) -> bool {
+        let mut present = self.plan.write().unwrap_or_else(PoisonError::into_inner);
+        if present
+            .as_ref()
+            .is_some_and(|p| p.version() >= plan.version())
+        {
+            return false;
+        }
+        *present = Some(Arc::new(plan));
+        true
+    }
+
+    pub(crate) fn store(&self) -> MutexGuard<'_, StoreView> {
+        lock(&self.store)
+    }
+
+    pub(crate) fn fleet(&self) -> MutexGuard<'_, Fleet> {
+        lock(&self.fleet)
+    }
+
+    pub(crate) fn targets(&self) -> MutexGuard<'_, TargetPool> {
+        lock(&self.targets)
+    }
+
+    pub(crate) fn quota(&self) -> MutexGuard<'_, Quota> {
+        lock(&self.quota)
+    }
+
+    pub(crate) fn budgets(&self) -> MutexGuard<'_, RetryBudgets> {
+        lock(&self.budgets)
+    }
+
+    pub(crate) fn poison(&self) -> MutexGuard<'_, Poison> {
+        lock(&self.poison)
+    }
+
+    /// The socket for datagrams, once it is bound.
+    pub(crate) fn socket(&self) -> Option<&Arc<Async<UdpSocket>>> {
+        self.socket.get()
+    }
+
+    /// Sets the socket for datagrams.
+    pub(crate) fn set_socket(&self, socket: Arc<Async<UdpSocket>>) {
+        // Set once, at start.
+        let _ = self.socket.set(socket);
+    }
+
+    /// Whether callers may be sent here.
+    pub(crate) fn is_ready(&self) -> bool {
+        let listed = self.store().read.contains(&Family::Targets);
+        listed && self.plan().is_some() && !self.is_stopping()
+    }
+
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn begin_stop(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+}
+
+fn lock<T>(table: &Mutex<T>) -> MutexGuard<'_, T> {
+    table.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/waxwingrail/src/lib.rs
+++ b/crates/waxwingrail/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod admin;
 mod daemon;
+pub mod edge;
 mod logging;
 mod lookup;
 mod metric;
--- a/crates/waxwingrail/src/logging.rs
+++ b/crates/waxwingrail/src/logging.rs
@@ -3,20 +3,18 @@
 use std::io::{self, Write};
 
 use flexi_logger::{DeferredNow, FlexiLoggerError, LogSpecification, Logger, LoggerHandle};
-use log::Record;
+use log::{LevelFilter, Record};
 
-use crate::settings::{LogFormat, Settings};
+use crate::settings::LogFormat;
 
 /// Starts logging. The handle flushes when it is dropped.
 ///
 /// # Errors
 /// A logger is already set.
-pub fn start(settings: &Settings) -> Result<LoggerHandle, FlexiLoggerError> {
-    let spec = LogSpecification::builder()
-        .default(settings.log_level)
-        .build();
+pub fn start(level: LevelFilter, format: LogFormat) -> Result<LoggerHandle, FlexiLoggerError> {
+    let spec = LogSpecification::builder().default(level).build();
     let logger = Logger::with(spec).log_to_stderr().use_utc();
-    match settings.log_format {
+    match format {
         LogFormat::Text => logger.format(text),
         LogFormat::Json => logger.format(flexi_logger::json_format),
     }
--- a/crates/waxwingrail/src/main.rs
+++ b/crates/waxwingrail/src/main.rs
@@ -1,20 +1,28 @@
 //! The daemon on an entry VM.
 
+use std::ffi::OsString;
 use std::io::Write;
 use std::process::ExitCode;
 
+use waxwingrail::edge::{self, EdgeCommand};
 use waxwingrail::{Command, read_settings, run, start_logging};
 
 /// Exit code for settings that are not valid.
 const USAGE: u8 = 2;
 
 fn main() -> ExitCode {
-    let args = std::env::args_os().skip(1).collect();
+    let mut args: Vec<OsString> = std::env::args_os().skip(1).collect();
+    if args.first().is_some_and(|arg| arg == "edge") {
+        args.remove(0);
+        return run_edge(args);
+    }
     match read_settings(args, |name| std::env::var_os(name)) {
-        Ok(Command::Run(settings)) => match start_logging(&settings) {
-            Ok(_logger) => report(run(settings)),
-            Err(error) => report(Err(error.into())),
-        },
+        Ok(Command::Run(settings)) => {
+            match start_logging(settings.log_level, settings.log_format) {
+                Ok(_logger) => report(run(settings)),
+                Err(error) => report(Err(error.into())),
+            }
+        }
         Ok(Command::Check) => print("the settings are valid\n"),
         Ok(Command::Print(text)) => print(&text),
         Err(findings) => {
@@ -24,6 +32,23 @@
     }
 }
 
+fn run_edge(args: Vec<OsString>) -> ExitCode {
+    match edge::read(args, |name| std::env::var_os(name)) {
+        Ok(EdgeCommand::Run(settings)) => {
+            match start_logging(settings.log_level, settings.log_format) {
+                Ok(_logger) => report(edge::run(settings)),
+                Err(error) => report(Err(error.into())),
+            }
+        }
+        Ok(EdgeCommand::Check) => print("the settings are valid\n"),
+        Ok(EdgeCommand::Print(text)) => print(&text),
+        Err(findings) => {
+            eprintln!("{findings}");
+            ExitCode::from(USAGE)
+        }
+    }
+}
+
 fn report(result: anyhow::Result<()>) -> ExitCode {
     match result {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/waxwingrail/src/run.rs
+++ b/crates/waxwingrail/src/run.rs
@@ -120,7 +120,7 @@
 
 /// A number that is higher for each later process of the VM, which keeps nothing else over a
 /// restart than its wall clock.
-fn incarnation() -> Incarnation {
+pub(crate) fn incarnation() -> Incarnation {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
     let since = since.unwrap_or(Duration::ZERO);
     Incarnation(u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
--- a/crates/waxwingrail/src/settings/mod.rs
+++ b/crates/waxwingrail/src/settings/mod.rs
@@ -1,7 +1,7 @@
 //! Settings from flags and environment variables. All faults are reported together.
 
-mod parse;
-mod table;
+pub(crate) mod parse;
+pub(crate) mod table;
 
 use std::ffi::OsString;
 use std::net::SocketAddr;
@@ -11,6 +11,10 @@
 use waxwing_types::{DomainId, Millis, RegionId, VmId, common_derives};
 
 use parse::Values;
+use table::TABLE;
+
+/// How the daemon is called.
+const USAGE: &str = "waxwingrail [--check] --vm NAME --domain NAME --region NAME --store IP:PORT";
 
 common_derives! {
     copy
@@ -95,16 +99,16 @@
     env: impl Fn(&str) -> Option<OsString>,
 ) -> Result<Command, Findings> {
     let mut findings = Findings::default();
-    let flags = parse::flags(args, &mut findings);
+    let flags = parse::flags(args, TABLE, &mut findings);
     match flags.mode {
-        parse::Mode::Help => return Ok(Command::Print(table::help())),
+        parse::Mode::Help => return Ok(Command::Print(table::help(USAGE, TABLE))),
         parse::Mode::Version => {
             let version = concat!("waxwingrail ", env!("CARGO_PKG_VERSION"), "\n");
             return Ok(Command::Print(version.to_owned()));
         }
         parse::Mode::Check | parse::Mode::Run => {}
     }
-    let mut values = Values::collect(flags.values, env, findings);
+    let mut values = Values::collect(flags.values, TABLE, env, findings);
     let settings = settings(&mut values);
     let mut findings = values.findings;
     let Some(settings) = settings else {
--- a/crates/waxwingrail/src/settings/parse.rs
+++ b/crates/waxwingrail/src/settings/parse.rs
@@ -10,7 +10,7 @@
 use waxwing_types::Millis;
 
 use super::LogFormat;
-use super::table::{Fallback, TABLE, variable};
+use super::table::{Fallback, Setting, variable};
 
 /// Greatest length of a name in bytes, as for the names of records.
 const MAX_NAME_BYTES: usize = 128;
@@ -31,7 +31,11 @@
 }
 
 /// Reads the flags. Goes on after a fault, so that all are found.
-pub(crate) fn flags(args: Vec<OsString>, findings: &mut Findings) -> Flags {
+pub(crate) fn flags(
+    args: Vec<OsString>,
+    table: &'static [Setting],
+    findings: &mut Findings,
+) -> Flags {
     let mut parser = Parser::from_args(args);
     let mut flags = Flags {
         mode: Mode::Run,
@@ -60,14 +64,20 @@
             "version" => flags.mode = Mode::Version,
             "check" if flags.mode == Mode::Run => flags.mode = Mode::Check,
             "check" => {}
-            _ => value(&name, &mut parser, &mut flags, findings),
+            _ => value(&name, table, &mut parser, &mut flags, findings),
         }
     }
 }
 
-fn value(name: &str, parser: &mut Parser, flags: &mut Flags, findings: &mut Findings) {
+fn value(
+    name: &str,
+    table: &'static [Setting],
+    parser: &mut Parser,
+    flags: &mut Flags,
+    findings: &mut Findings,
+) {
     let place = format!("--{name}");
-    let Some(setting) = TABLE.iter().find(|s| s.name == name) else {
+    let Some(setting) = table.iter().find(|s| s.name == name) else {
         findings.add(place, "unknown option");
         // Takes the value that may follow, so that it is not reported a second time.
         parser.optional_value();
@@ -93,6 +103,7 @@
 impl Values {
     pub(crate) fn collect(
         mut flags: BTreeMap<&'static str, OsString>,
+        table: &'static [Setting],
         env: impl Fn(&str) -> Option<OsString>,
         findings: Findings,
     ) -> Self {
@@ -100,7 +111,7 @@
             texts: BTreeMap::new(),
             findings,
         };
-        for setting in TABLE {
+        for setting in table {
             let variable = variable(setting.name);
             let flag = flags.remove(setting.name);
             let given = flag.map(|v| (format!("--{}", setting.name), v));
@@ -173,6 +184,32 @@
         self.number(name, least, MAX_SPAN).map(Millis)
     }
 
+    /// A list of pairs `A=B,...`.
+    pub(crate) fn pairs(&mut self, name: &str) -> Option<Vec<(SmolStr, SmolStr)>> {
+        self.read(name, "NAME=NAME,...", |text| {
+            let pair = |part: &str| {
+                let (one, two) = part.trim().split_once('=')?;
+                (!one.is_empty() && !two.is_empty()).then(|| (one.into(), two.into()))
+            };
+            text.split(',').map(pair).collect()
+        })
+    }
+
+    /// A part between 0 and 10, in thousandths.
+    pub(crate) fn permille(&mut self, name: &str) -> Option<u32> {
+        self.read(name, "a number from 0 to 10", |text| {
+            let number: f64 = text.parse().ok()?;
+            #[allow(
+                clippy::cast_possible_truncation,
+                clippy::cast_sign_loss,
+                reason = "the range is checked"
+            )]
+            (0.0..=10.0)
+                .contains(&number)
+                .then_some((number * 1000.0) as u32)
+        })
+    }
+
     pub(crate) fn workers(&mut self) -> Option<usize> {
         self.read("workers", "auto or 1 to 256", |text| {
             if text == "auto" {
--- a/crates/waxwingrail/src/settings/table.rs
+++ b/crates/waxwingrail/src/settings/table.rs
@@ -20,7 +20,11 @@
     pub(crate) help: &'static str,
 }
 
-const fn required(name: &'static str, unit: &'static str, help: &'static str) -> Setting {
+pub(crate) const fn required(
+    name: &'static str,
+    unit: &'static str,
+    help: &'static str,
+) -> Setting {
     Setting {
         name,
         unit,
@@ -29,7 +33,7 @@
     }
 }
 
-const fn optional(
+pub(crate) const fn optional(
     name: &'static str,
     unit: &'static str,
     text: &'static str,
@@ -78,13 +82,13 @@
 }
 
 /// The text of `--help`.
-pub(crate) fn help() -> String {
-    let mut out = String::from(
-        "Usage: waxwingrail [--check] --vm NAME --domain NAME --region NAME --store IP:PORT [OPTION]...\n\n\
+pub(crate) fn help(usage: &str, table: &[Setting]) -> String {
+    let mut out = format!(
+        "Usage: {usage} [OPTION]...\n\n\
          The daemon on an entry VM. Each option may also be set by the environment variable shown\n\
          beside it; a flag takes precedence.\n\n",
     );
-    for setting in TABLE {
+    for setting in table {
         let fallback = match setting.fallback {
             Fallback::Required => "required".to_owned(),
             Fallback::Text(text) => format!("default {text}"),
