Keep callers in their failure domain and objects at their targets

Cause: callers of a failure domain were spread over the VMs of the region, so targets of domains with more VMs got more requests; a second choice of target was free, so objects were handled at cold targets; tokens of small quotas stayed where they arose; each change of a registration was a store call of its own. Change: the directory names the VMs of the caller's domain; a target that has not handled an object costs extra work; a request that waits for a token asks its neighbours for what they have; changes gather before the next call.

--- a/crates/waxwing_edge/src/fleet.rs
+++ b/crates/waxwing_edge/src/fleet.rs
@@ -35,6 +35,8 @@
             workspace: WorkspaceId,
             /// How many.
             amount: Micros,
+            /// Whether a request waits for them.
+            urgent: bool,
         },
         /// The sender gives tokens, which it has already deducted.
         Give {
@@ -105,25 +107,39 @@
         others.map(|vm| vm.entry.peer).collect()
     }
 
-    /// Addresses of the VMs that callers of a failure domain are to use: those of this VM's region that
-    /// respond, those of the domain first. This VM names itself only while it takes callers.
+    /// Number of VMs of this VM's failure domain, with this one.
+    pub fn near(&self) -> u32 {
+        let others = self.others();
+        let near = others
+            .filter(|vm| vm.entry.domain == self.own.domain)
+            .count();
+        u32::try_from(near + 1).unwrap_or(u32::MAX)
+    }
+
+    /// Addresses of the VMs that callers of a failure domain are to use: those of the domain that
+    /// respond, unless they are less than half of it; then those of the region too. This VM names
+    /// itself only while it takes callers.
     pub fn entries(
         &self,
         now: Millis,
         domain: Option<&DomainId>,
         own_ready: bool,
     ) -> Vec<SocketAddr> {
-        let near = |entry: &VmEntry| Some(&entry.domain) != domain;
-        let mut found: Vec<_> = self
+        let domain = domain.unwrap_or(&self.own.domain);
+        let others = self
             .others()
-            .filter(|vm| vm.entry.region == self.own.region && vm.is_live(now))
-            .map(|vm| (near(&vm.entry), vm.entry.client))
-            .collect();
-        if own_ready {
-            found.push((near(&self.own), self.own.client));
-        }
-        found.sort_unstable();
-        found.into_iter().map(|(_, address)| address).collect()
+            .filter(|vm| vm.entry.region == self.own.region)
+            .map(|vm| (&vm.entry, vm.is_live(now)));
+        let all: Vec<_> = others.chain([(&self.own, own_ready)]).collect();
+        let within = all.iter().filter(|(entry, _)| entry.domain == *domain);
+        let named = within.clone().count();
+        let near: Vec<_> = within.filter(|(_, live)| *live).collect();
+        let found: Vec<_> = if near.is_empty() || near.len() * 2 < named {
+            all.iter().filter(|(_, live)| *live).collect()
+        } else {
+            near
+        };
+        found.into_iter().map(|(entry, _)| entry.client).collect()
     }
 
     fn others(&self) -> impl Iterator<Item = &Vm> {
--- a/crates/waxwing_edge/src/quota.rs
+++ b/crates/waxwing_edge/src/quota.rs
@@ -18,7 +18,11 @@
 /// Part of its burst, in percent, with which a process starts: the rules allow a tenth more than rate
 /// and burst, and every process may start again at the same moment.
 const START_PERCENT: u64 = 20;
-/// Burst in multiples of the part of a VM up to which it stores own tokens.
+/// Pause between two requests for a token that a request waits for.
+const URGENT_PAUSE: Millis = Millis(15);
+/// Part in percent of rate and burst that is handed out. The rules allow a tenth more than both.
+const USED_PERCENT: u64 = 107;
+/// One token.
 const ONE: u64 = Micros::PER_UNIT;
 
 common_derives! {
@@ -55,6 +59,7 @@
     arrivals: u64,
     span: Millis,
     asked: Millis,
+    urgent: Millis,
 }
 
 /// The accounts of all workspaces on one VM.
@@ -102,14 +107,22 @@
         account.short(vms)
     }
 
-    /// Gives tokens to another VM, as many as this one does not need itself.
-    pub fn give(&mut self, now: Millis, workspace: &WorkspaceId, wanted: Micros) -> Micros {
+    /// Gives tokens to another VM: as many as this one does not need itself, or what it has if a request
+    /// waits for them there.
+    pub fn give(
+        &mut self,
+        now: Millis,
+        workspace: &WorkspaceId,
+        wanted: Micros,
+        urgent: bool,
+    ) -> Micros {
         let vms = self.vms.max(1);
         let Some(account) = self.accounts.get_mut(workspace) else {
             return Micros::ZERO;
         };
         account.advance(now, vms);
-        let spare = account.tokens.saturating_sub(account.need(vms));
+        let kept = if urgent { 0 } else { account.need(vms) };
+        let spare = account.tokens.saturating_sub(kept);
         let given = spare.min(wanted.0);
         account.tokens -= given;
         Micros(given)
@@ -141,14 +154,19 @@
         needs
     }
 
-    /// The tokens that this VM wants of one workspace.
+    /// The token that a request waits for, unless it was asked for a moment ago.
     pub fn need_of(&mut self, now: Millis, workspace: &WorkspaceId) -> Option<QuotaNeed> {
         let vms = self.vms.max(1);
         let account = self.accounts.get_mut(workspace)?;
-        let amount = account.ask(now, vms)?;
+        account.advance(now, vms);
+        if now.since(account.urgent) < URGENT_PAUSE {
+            return None;
+        }
+        account.urgent = now;
+        let missing = ONE.saturating_sub(account.tokens);
         Some(QuotaNeed {
             workspace: workspace.clone(),
-            amount,
+            amount: Micros(missing),
         })
     }
 
@@ -163,8 +181,8 @@
             .entry(spec.id.clone())
             .or_insert_with(|| Account::new(now, spec, vms));
         account.advance(now, vms);
-        account.rate = spec.rate;
-        account.burst = spec.burst;
+        account.rate = spec.rate * USED_PERCENT / 100;
+        account.burst = spec.burst * USED_PERCENT / 100;
         account
     }
 }
@@ -174,12 +192,13 @@
         Self {
             tokens: spec.burst * ONE * START_PERCENT / 100 / vms,
             at: now,
-            rate: spec.rate,
-            burst: spec.burst,
+            rate: spec.rate * USED_PERCENT / 100,
+            burst: spec.burst * USED_PERCENT / 100,
             demand: 0,
             arrivals: 0,
             span: now,
             asked: Millis::ZERO,
+            urgent: Millis::ZERO,
         }
     }
 
--- a/crates/waxwing_edge/src/target/mod.rs
+++ b/crates/waxwing_edge/src/target/mod.rs
@@ -75,6 +75,8 @@
     pub tried: &'a [TargetKey],
     /// Time within which the answer is to come.
     pub within: Millis,
+    /// Time within which an answer of the route is in time.
+    pub objective: Millis,
 }
 
 common_derives! {
--- a/crates/waxwing_edge/src/target/pick.rs
+++ b/crates/waxwing_edge/src/target/pick.rs
@@ -8,17 +8,22 @@
 
 /// Salt of the draw by which an object belongs to a region.
 const REGION_SALT: u64 = 0x5245_4749_4f4e;
-/// Time in ms that an answer takes before the service's own average is known.
-const FIRST_WORK: f64 = 100.0;
+/// Part in percent of the objective that an answer takes before the service's own average is known.
+const FIRST_WORK_PERCENT: f64 = 80.0;
 /// Longest wait that a refused caller is told, and the shortest.
 const WAIT_BOUNDS: (u64, u64) = (50, 1000);
+/// Extra work, in multiples of the average, at the second target of an object and at further ones,
+/// which have rarely handled it. Work on an object that a target has just handled is a third.
+const STRANGE: [f64; 2] = [0.8, 1.6];
+/// Extra work, in multiples of the average, at a target that is slow or fails.
+const AVOIDED: f64 = 3.0;
 
 struct Candidate {
     key: TargetKey,
     near: bool,
-    avoided: bool,
     score: u64,
-    room: bool,
+    avoided: bool,
+    /// Expected wait in ms.
     wait: f64,
 }
 
@@ -41,25 +46,26 @@
         }
         let region = self.region_for(group, &open, want, rng);
         let draw = want.object.unwrap_or_else(|| rng.u64(..));
+        #[allow(clippy::cast_precision_loss, reason = "times of requests are short")]
+        let (within, objective) = (want.within.0 as f64, want.objective.0 as f64);
+        let work = match group.work {
+            0.0 => objective * FIRST_WORK_PERCENT / 100.0,
+            work => work,
+        };
         let mut found: Vec<Candidate> = open
             .iter()
             .filter(|key| self.targets[**key].region == region)
-            .map(|key| self.candidate(now, group, *key, draw))
+            .map(|key| self.candidate(now, *key, draw, work))
             .collect();
-        found.sort_unstable_by(|a, b| {
-            let rank = |c: &Candidate| (c.avoided, !c.room, !c.near, std::cmp::Reverse(c.score));
-            rank(a).cmp(&rank(b))
-        });
-        let first = found.iter().find(|c| c.room);
-        let least = || found.iter().min_by(|a, b| a.wait.total_cmp(&b.wait));
-        let Some(chosen) = first.or_else(least) else {
+        found.sort_unstable_by_key(|c| (!c.near, std::cmp::Reverse(c.score)));
+        let costs = found.iter().enumerate().map(|(i, c)| (c, c.cost(i, work)));
+        let Some((chosen, _)) = costs.min_by(|a, b| a.1.total_cmp(&b.1)) else {
             return Pick::Nothing;
         };
-        #[allow(clippy::cast_precision_loss, reason = "a time-out is short")]
-        let within = want.within.0 as f64;
-        if !chosen.room && chosen.wait + work(group) > within {
+        let excess = chosen.wait + work - within;
+        if chosen.wait > 0.0 && excess > 0.0 {
             return Pick::Full {
-                wait: bounded(chosen.wait + work(group) - within),
+                wait: bounded(excess),
             };
         }
         let key = chosen.key;
@@ -93,24 +99,29 @@
         }
     }
 
-    fn candidate(&self, now: Millis, group: &Group, key: TargetKey, draw: u64) -> Candidate {
+    fn candidate(&self, now: Millis, key: TargetKey, draw: u64, work: f64) -> Candidate {
         let target = &self.targets[key];
         Candidate {
             key,
             near: target.near,
-            avoided: target.is_avoided(now, group.work),
+            avoided: target.is_avoided(now, work),
             score: mix64(draw, target.hash),
-            room: target.load(now) + 1.0 <= target.slots(),
-            wait: target.wait(now, work(group)),
+            wait: target.wait(now, work, self.senders),
         }
     }
 }
 
-fn work(group: &Group) -> f64 {
-    if group.work > 0.0 {
-        group.work
-    } else {
-        FIRST_WORK
+impl Candidate {
+    /// Expected time in ms of the request at this target beyond that at an idle one that has just
+    /// handled its object, as the target of a place in the object's order.
+    fn cost(&self, place: usize, work: f64) -> f64 {
+        let strange = match place {
+            0 => 0.0,
+            1 => STRANGE[0],
+            _ => STRANGE[1],
+        };
+        let avoided = if self.avoided { AVOIDED } else { 0.0 };
+        self.wait + (strange + avoided) * work
     }
 }
 
--- a/crates/waxwing_edge/src/target/pool.rs
+++ b/crates/waxwing_edge/src/target/pool.rs
@@ -39,6 +39,8 @@
     vm: u64,
     /// Hashes of the VMs of the region, with this one.
     vms: Vec<u64>,
+    /// VMs of the failure domain, with this one.
+    pub(crate) senders: u32,
 }
 
 /// Queries.
@@ -89,7 +91,7 @@
             if self.is_usable(now, *key) {
                 let room = &mut rooms[target.region];
                 room.slots += target.slots();
-                room.load += target.load(now);
+                room.load += target.load(now, self.senders);
             }
         }
         rooms
@@ -120,12 +122,15 @@
             evacuated: HashSet::new(),
             vm,
             vms: vec![vm],
+            senders: 1,
         }
     }
 
-    /// Adopts the VMs of the region, which share the sends to cold targets.
-    pub fn set_vms<'a>(&mut self, vms: impl Iterator<Item = &'a str>) {
+    /// Adopts the VMs of the region, which share the sends to cold targets, and how many of them are in
+    /// the failure domain.
+    pub fn set_vms<'a>(&mut self, vms: impl Iterator<Item = &'a str>, near: u32) {
         self.vms = vms.map(|vm| hash_bytes(vm.as_bytes())).collect();
+        self.senders = near.max(1);
     }
 
     /// Adopts how the cold targets of a service are spared.
@@ -199,7 +204,7 @@
             return;
         };
         if let Ended::Answered { latency, .. } = ended
-            && target.load(now) <= target.slots()
+            && target.load(now, self.senders) <= target.slots()
             && let Some(group) = self.groups.get_mut(&target.entry.service)
         {
             #[allow(clippy::cast_precision_loss, reason = "latencies are short")]
--- a/crates/waxwing_edge/src/target/state.rs
+++ b/crates/waxwing_edge/src/target/state.rs
@@ -85,21 +85,22 @@
         f64::from(self.slots.max(1))
     }
 
-    /// Requests that the target runs or holds, of all VMs as far as known.
-    pub(crate) fn load(&self, now: Millis) -> f64 {
+    /// Requests that the target runs or holds, of all VMs as far as known. Without a report each of
+    /// `senders` VMs is taken to have as many there as this one.
+    pub(crate) fn load(&self, now: Millis, senders: u32) -> f64 {
         let own = self.inflight;
         let total = match &self.report {
             Some(report) if now.since(report.at) < REPORT_LIFE => {
                 (report.total + own).saturating_sub(report.own).max(own)
             }
-            Some(_) | None => own,
+            Some(_) | None => own * senders,
         };
         f64::from(total)
     }
 
     /// Time in ms that a further request would wait.
-    pub(crate) fn wait(&self, now: Millis, work: f64) -> f64 {
-        let excess = self.load(now) + 1.0 - self.slots();
+    pub(crate) fn wait(&self, now: Millis, work: f64, senders: u32) -> f64 {
+        let excess = self.load(now, senders) + 1.0 - self.slots();
         excess.max(0.0) / self.slots() * work
     }
 
--- a/crates/waxwingrail/src/edge/peers.rs
+++ b/crates/waxwingrail/src/edge/peers.rs
@@ -67,8 +67,12 @@
             incarnation,
             ready,
         } => shared.fleet().on_beat(now, &vm, incarnation, ready),
-        PeerMessage::Ask { workspace, amount } => {
-            let amount = shared.quota().give(now, &workspace, amount);
+        PeerMessage::Ask {
+            workspace,
+            amount,
+            urgent,
+        } => {
+            let amount = shared.quota().give(now, &workspace, amount, urgent);
             if amount > Micros::ZERO {
                 send(shared, &PeerMessage::Give { workspace, amount }, &[from]);
             }
@@ -141,7 +145,13 @@
         for _ in 0..DISTANT_ASKED.min(distant.len()) {
             to.push(distant[fastrand::usize(..distant.len())]);
         }
-        spread(shared, &need.workspace, need.amount, &to);
+        let part = (need.amount.0 * 2 / to.len().max(1) as u64).max(Micros::PER_UNIT / 2);
+        let message = PeerMessage::Ask {
+            workspace: need.workspace,
+            amount: Micros(part),
+            urgent: false,
+        };
+        send(shared, &message, &to);
     }
 }
 
@@ -150,23 +160,15 @@
     let need = shared.quota().need_of(shared.now(), workspace);
     if let Some(need) = need {
         let neighbours = shared.fleet().neighbours();
-        spread(shared, &need.workspace, need.amount, &neighbours);
+        let message = PeerMessage::Ask {
+            workspace: need.workspace,
+            amount: need.amount,
+            urgent: true,
+        };
+        send(shared, &message, &neighbours);
     }
 }
 
-/// Divides an amount over the VMs that are asked.
-fn spread(shared: &Shared, workspace: &WorkspaceId, amount: Micros, to: &[SocketAddr]) {
-    if to.is_empty() {
-        return;
-    }
-    let part = (amount.0 * 2 / to.len() as u64).max(Micros::PER_UNIT / 2);
-    let message = PeerMessage::Ask {
-        workspace: workspace.clone(),
-        amount: Micros(part),
-    };
-    send(shared, &message, to);
-}
-
 /// Tells all VMs of requests that crashed a target.
 pub(crate) fn report_crashes(shared: &Shared, prints: Vec<u64>) {
     if prints.is_empty() {
--- a/crates/waxwingrail/src/edge/request.rs
+++ b/crates/waxwingrail/src/edge/request.rs
@@ -275,6 +275,7 @@
             allowed: &allowed,
             tried,
             within: late.min(ready.deadline).since(now),
+            objective,
         };
         let mut rng = fastrand::Rng::new();
         shared.targets().pick(now, &want, &mut rng)
--- a/crates/waxwingrail/src/edge/watch.rs
+++ b/crates/waxwingrail/src/edge/watch.rs
@@ -83,6 +83,7 @@
             } => {
                 adopt_changes(shared, family, changes);
                 revision = Revision(reached.0.max(revision.0));
+                Timer::after(gather_time(family).duration()).await;
             }
             WatchOutcome::HistoryGone => return End::Relist,
             WatchOutcome::Unreachable(reason) => {
@@ -95,6 +96,15 @@
     }
 }
 
+/// Time for which changes are left to gather before the next call, as each call is priced.
+const fn gather_time(family: Family) -> Millis {
+    match family {
+        Family::Deployment | Family::Evacuations => Millis(200),
+        Family::Targets => Millis(400),
+        Family::Vms => Millis(1000),
+    }
+}
+
 fn note_failure(shared: &Shared, family: Family, reason: &str) {
     let now = shared.now();
     let first = shared.store().failing.insert(family, now).is_none();
@@ -258,11 +268,12 @@
 }
 
 fn count_vms(shared: &Shared) {
-    let (count, near) = {
+    let (count, region, near) = {
         let fleet = shared.fleet();
-        (fleet.len(), fleet.region_ids())
+        (fleet.len(), fleet.region_ids(), fleet.near())
     };
-    shared.targets().set_vms(near.iter().map(VmId::as_str));
+    let names = region.iter().map(VmId::as_str);
+    shared.targets().set_vms(names, near);
     shared.quota().set_vms(count);
 }
 
