--- a/crates/waxwing_http/src/dialect.rs
+++ b/crates/waxwing_http/src/dialect.rs
@@ -54,6 +54,56 @@
     fn directory_answer(&self, addresses: &[SocketAddr], lifetime: Millis) -> String;
 }
 
+/// The product's own spelling.
+#[derive(Debug)]
+pub struct OwnDialect {
+    headers: HeaderNames,
+}
+
+impl Default for OwnDialect {
+    fn default() -> Self {
+        Self {
+            headers: HeaderNames {
+                request_id: HeaderName::from_static("x-request-id"),
+                deadline: HeaderName::from_static("request-timeout-ms"),
+                instance: HeaderName::from_static("x-target"),
+                workspace: HeaderName::from_static("x-workspace"),
+                load: HeaderName::from_static("x-load"),
+                not_run: HeaderName::from_static("x-not-run"),
+                cold: HeaderName::from_static("x-cold-ms"),
+                object: "affinity",
+                scheme: "Bearer",
+            },
+        }
+    }
+}
+
+impl Dialect for OwnDialect {
+    fn headers(&self) -> &HeaderNames {
+        &self.headers
+    }
+
+    fn is_ready_path(&self, path: &str) -> bool {
+        path == "/readyz"
+    }
+
+    fn directory_query(&self, path: &str, query: Option<&str>) -> Option<DirectoryQuery> {
+        (path == "/v1/entries").then(|| DirectoryQuery {
+            domain: query_value(query, "domain").map(DomainId),
+        })
+    }
+
+    fn retry_after(&self, wait: Millis) -> String {
+        wait.0.div_ceil(1000).to_string()
+    }
+
+    fn directory_answer(&self, addresses: &[SocketAddr], lifetime: Millis) -> String {
+        let quoted = addresses.iter().map(|address| format!("\"{address}\""));
+        let list = quoted.collect::<Vec<_>>().join(",");
+        format!("{{\"entries\":[{list}],\"lifetime_ms\":{}}}", lifetime.0)
+    }
+}
+
 /// The value of a parameter of a query that needs no decoding.
 pub fn query_value(query: Option<&str>, name: &str) -> Option<SmolStr> {
     let mut pairs = query?.split('&').filter_map(|pair| pair.split_once('='));
--- /dev/null
+++ b/crates/waxwing_testkit/src/registry.rs
@@ -0,0 +1,180 @@
+//! The registry double in process.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use async_io::Timer;
+use smol_str::SmolStr;
+use waxwing_records::VmEntry;
+use waxwing_store::{
+    Change, Entry, Family, ListOutcome, Pending, Registry, WatchOutcome, WriteOutcome,
+};
+use waxwing_types::{Millis, Revision};
+
+/// Pause between two looks of a waiting watch.
+const LOOK: Millis = Millis(5);
+
+#[derive(Default)]
+struct State {
+    entries: BTreeMap<(Family, SmolStr), Entry>,
+    /// Every change with its revision.
+    history: Vec<(Revision, Family, Change)>,
+    /// Changes at or below this revision are forgotten.
+    forgotten: Revision,
+    revision: Revision,
+    down: bool,
+}
+
+/// The registry double. Clones share one set of entries.
+#[derive(Clone, Default)]
+pub struct MemoryRegistry {
+    state: Arc<Mutex<State>>,
+}
+
+/// Commands.
+impl MemoryRegistry {
+    /// Creates or replaces an entry.
+    pub fn put(&self, family: Family, name: &str, entry: Entry) {
+        self.lock().change(family, name, Some(entry));
+    }
+
+    /// Removes an entry.
+    pub fn remove(&self, family: Family, name: &str) {
+        self.lock().change(family, name, None);
+    }
+
+    /// Removes an entry without a change that watches see, as an expiry during an outage.
+    pub fn expire(&self, family: Family, name: &str) {
+        let mut state = self.lock();
+        state.entries.remove(&(family, name.into()));
+    }
+
+    /// Forgets the history.
+    pub fn forget(&self) {
+        let mut state = self.lock();
+        state.forgotten = state.revision;
+        state.history.clear();
+    }
+
+    /// Starts or ends an outage.
+    pub fn set_down(&self, down: bool) {
+        self.lock().down = down;
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Queries.
+impl MemoryRegistry {
+    /// Whether an entry exists.
+    pub fn contains(&self, family: Family, name: &str) -> bool {
+        self.lock().entries.contains_key(&(family, name.into()))
+    }
+}
+
+impl State {
+    fn change(&mut self, family: Family, name: &str, entry: Option<Entry>) {
+        self.revision = Revision(self.revision.0 + 1);
+        let key = (family, SmolStr::new(name));
+        match &entry {
+            Some(entry) => {
+                self.entries.insert(key, entry.clone());
+            }
+            None => {
+                self.entries.remove(&key);
+            }
+        }
+        let change = Change {
+            name: name.into(),
+            entry,
+        };
+        self.history.push((self.revision, family, change));
+    }
+
+    /// What a watch would answer now, `None` while there is nothing to tell.
+    fn watched(&self, family: Family, after: Revision) -> Option<WatchOutcome> {
+        if self.down {
+            return Some(WatchOutcome::Unreachable("down".into()));
+        }
+        if after < self.forgotten {
+            return Some(WatchOutcome::HistoryGone);
+        }
+        let news = self.history.iter();
+        let news = news.filter(|(at, of, _)| *at > after && *of == family);
+        let changes: Vec<_> = news.map(|(_, _, change)| change.clone()).collect();
+        (!changes.is_empty()).then_some(WatchOutcome::Changed {
+            changes,
+            revision: self.revision,
+        })
+    }
+}
+
+impl Registry for MemoryRegistry {
+    fn list(&self, family: Family, _timeout: Millis) -> Pending<'_, ListOutcome> {
+        Box::pin(async move {
+            let state = self.lock();
+            if state.down {
+                return ListOutcome::Unreachable("down".into());
+            }
+            let entries = state.entries.iter().filter(|((of, _), _)| *of == family);
+            let entries = entries.map(|((_, name), entry)| Change {
+                name: name.clone(),
+                entry: Some(entry.clone()),
+            });
+            ListOutcome::Listed {
+                entries: entries.collect(),
+                revision: state.revision,
+            }
+        })
+    }
+
+    fn watch(
+        &self,
+        family: Family,
+        after: Revision,
+        wait: Millis,
+        _timeout: Millis,
+    ) -> Pending<'_, WatchOutcome> {
+        Box::pin(async move {
+            let mut left = wait;
+            loop {
+                let outcome = self.lock().watched(family, after);
+                if let Some(outcome) = outcome {
+                    return outcome;
+                }
+                if left == Millis::ZERO {
+                    return WatchOutcome::Changed {
+                        changes: Vec::new(),
+                        revision: after,
+                    };
+                }
+                Timer::after(LOOK.duration()).await;
+                left = left - LOOK;
+            }
+        })
+    }
+
+    fn announce<'a>(&'a self, vm: &'a VmEntry, _timeout: Millis) -> Pending<'a, WriteOutcome> {
+        Box::pin(async move {
+            let mut state = self.lock();
+            if state.down {
+                return WriteOutcome::Unreachable("down".into());
+            }
+            state.change(Family::Vms, vm.id.as_str(), Some(Entry::Vm(vm.clone())));
+            WriteOutcome::Updated(state.revision)
+        })
+    }
+
+    fn withdraw<'a>(&'a self, vm: &'a VmEntry, _timeout: Millis) -> Pending<'a, WriteOutcome> {
+        Box::pin(async move {
+            let mut state = self.lock();
+            if state.down {
+                return WriteOutcome::Unreachable("down".into());
+            }
+            state.change(Family::Vms, vm.id.as_str(), None);
+            WriteOutcome::Updated(state.revision)
+        })
+    }
+}
