Refuse rather than start late work at an unfamiliar target; plain quotas

Cause: a request whose own target would be late took a free slot elsewhere, where the work takes three times as long; that slot was then missing for others. Change: the request is refused with the time to come back.

--- a/crates/waxwing_edge/src/mix.rs
+++ b/crates/waxwing_edge/src/mix.rs
@@ -14,10 +14,6 @@
 /// Utilization by which another region must be lower to take requests.
 const GAP: f64 = 0.10;
 
-/// Part of the slots of a small region that is used at first, when its targets are cold and each
-/// request takes longer than later.
-const RESERVE: f64 = 0.8;
-
 /// What is known of a region.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Room {
@@ -51,7 +47,7 @@
         #[allow(clippy::cast_precision_loss, reason = "regions are few")]
         let even = rooms.iter().map(|r| r.slots).sum::<f64>() / rooms.len().max(1) as f64;
         let kept = if even > 0.0 {
-            (rooms[own].slots / even * RESERVE).min(1.0)
+            (rooms[own].slots / even).min(1.0)
         } else {
             1.0
         };
--- a/crates/waxwing_edge/src/quota.rs
+++ b/crates/waxwing_edge/src/quota.rs
@@ -15,16 +15,11 @@
 const AHEAD: Millis = Millis(600);
 /// Pause between two requests for tokens of one workspace.
 const ASK_PAUSE: Millis = Millis(100);
-/// Part of what it may store, in percent, with which a process starts: the rules allow a tenth more than rate
+/// Part of its burst, in percent, with which a process starts: the rules allow a tenth more than rate
 /// and burst, and every process may start again at the same moment.
-const START_PERCENT: u64 = 40;
+const START_PERCENT: u64 = 25;
 /// Pause between two requests for a token that a request waits for.
 const URGENT_PAUSE: Millis = Millis(15);
-/// Part in percent of rate and burst that is handed out. The platform tolerates a tenth more than both.
-const USED_PERCENT: u64 = 107;
-/// Part in percent of the burst that is stored. The rest is added to the rate: a window admits what is
-/// stored at its beginning and what the rate yields in it, and that sum is the limit.
-const STORED_PERCENT: u64 = 40;
 /// One token.
 const ONE: u64 = Micros::PER_UNIT;
 
@@ -67,24 +62,14 @@
 }
 
 /// The accounts of all workspaces on one VM.
+#[derive(Default)]
 pub struct Quota {
-    /// Length of the windows in which rate and burst are counted.
-    window: Millis,
     vms: u64,
     accounts: HashMap<WorkspaceId, Account>,
 }
 
 /// Commands.
 impl Quota {
-    /// Quotas that hold in each window of a length.
-    pub fn new(window: Millis) -> Self {
-        Self {
-            window,
-            vms: 1,
-            accounts: HashMap::new(),
-        }
-    }
-
     /// Adopts the number of VMs over which quotas are divided.
     pub fn set_vms(&mut self, vms: usize) {
         self.vms = (vms as u64).max(1);
@@ -186,7 +171,7 @@
 
     fn account(&mut self, now: Millis, spec: &WorkspaceSpec) -> &mut Account {
         let vms = self.vms.max(1);
-        let (rate, burst) = rate_and_burst(spec, self.window);
+        let (rate, burst) = (spec.rate, spec.burst * ONE);
         if !self.accounts.contains_key(&spec.id) {
             let account = Account::new(now, rate, burst, vms);
             self.accounts.insert(spec.id.clone(), account);
@@ -202,15 +187,6 @@
     }
 }
 
-/// Requests in 1000 s that are handed out, and millionths of requests that are stored at most.
-fn rate_and_burst(spec: &WorkspaceSpec, window: Millis) -> (u64, u64) {
-    let burst = spec.burst * ONE * USED_PERCENT / 100;
-    let stored = burst * STORED_PERCENT / 100;
-    let rate = spec.rate * USED_PERCENT / 100;
-    // Millionths in 1 ms are requests in 1000 s.
-    (rate + (burst - stored) / window.0.max(1), stored)
-}
-
 impl Account {
     fn new(now: Millis, rate: u64, burst: u64, vms: u64) -> Self {
         Self {
--- a/crates/waxwing_edge/src/target/pick.rs
+++ b/crates/waxwing_edge/src/target/pick.rs
@@ -63,18 +63,12 @@
             return Pick::Nothing;
         };
         let excess = chosen.wait + work - within;
-        let late = chosen.wait > 0.0 && excess > 0.0;
-        // A free slot is used even where the work takes longer.
-        let free = found.iter().find(|c| c.wait <= 0.0);
-        let key = match (late, free) {
-            (false, _) => chosen.key,
-            (true, Some(free)) => free.key,
-            (true, None) => {
-                return Pick::Full {
-                    wait: bounded(excess),
-                };
-            }
-        };
+        if chosen.wait > 0.0 && excess > 0.0 {
+            return Pick::Full {
+                wait: bounded(excess),
+            };
+        }
+        let key = chosen.key;
         let target = &mut self.targets[key];
         target.begin(now);
         let view = TargetView {
--- a/crates/waxwingrail/src/edge/settings.rs
+++ b/crates/waxwingrail/src/edge/settings.rs
@@ -35,7 +35,6 @@
     optional("retry-window-s", "s", "10", "window of the budget of repeated requests"),
     optional("retry-ratio", "part", "0.1", "repeated requests for each request, over all VMs"),
     optional("retry-slack", "number", "20", "repeated requests in a window whatever the requests, over all VMs"),
-    optional("quota-window-s", "s", "5", "windows in which the quotas of workspaces hold"),
     optional("lifetime-s", "s", "2", "time for which callers may keep an answer of the directory"),
     optional("grace-s", "s", "6", "time from a stop signal to the end of the process"),
 ];
@@ -63,7 +62,6 @@
         pub retry_window: Millis,
         pub retry_permille: u32,
         pub retry_slack: u32,
-        pub quota_window: Millis,
         pub lifetime: Millis,
         pub grace: Millis,
     }
@@ -132,7 +130,6 @@
     let retry_window = values.number("retry-window-s", 1, 3600);
     let retry_permille = values.permille("retry-ratio");
     let retry_slack = values.number("retry-slack", 0, 1_000_000);
-    let quota_window = values.number("quota-window-s", 1, 3600);
     let lifetime = values.number("lifetime-s", 1, 3600);
     let grace = values.number("grace-s", 1, 3600);
     let domains = domains?.into_iter();
@@ -156,7 +153,6 @@
         retry_window: Millis::from_secs(retry_window?),
         retry_permille: retry_permille?,
         retry_slack: u32::try_from(retry_slack?).ok()?,
-        quota_window: Millis::from_secs(quota_window?),
         lifetime: Millis::from_secs(lifetime?),
         grace: Millis::from_secs(grace?),
     })
--- a/crates/waxwingrail/src/edge/state.rs
+++ b/crates/waxwingrail/src/edge/state.rs
@@ -122,7 +122,7 @@
             store: Mutex::default(),
             fleet: Mutex::new(Fleet::new(own.clone())),
             targets: Mutex::new(TargetPool::new(settings.vm.as_str(), place)),
-            quota: Mutex::new(Quota::new(settings.quota_window)),
+            quota: Mutex::default(),
             budgets: Mutex::new(RetryBudgets::new(rule)),
             poison: Mutex::default(),
             socket: OnceLock::new(),
