Gather unneeded tokens at a keeper in each failure domain

Change: VMs hand tokens that they do not need to the keeper of their domain, by hash of the workspace, every 250 ms; keepers pass them on between domains; own tokens grow on while others are held; an ask that brought nothing is not repeated at once. One family finds out whether the store is back, at most 0.75 s apart; removals wait 1.2 s.

--- a/crates/waxwing_edge/src/fleet.rs
+++ b/crates/waxwing_edge/src/fleet.rs
@@ -5,9 +5,10 @@
 
 use serde::{Deserialize, Serialize};
 use waxwing_records::VmEntry;
-use waxwing_types::{
-    DomainId, Incarnation, Micros, Millis, RegionId, VmId, WorkspaceId, common_derives,
-};
+use waxwing_types::{DomainId, Incarnation, Millis, VmId, WorkspaceId, common_derives};
+
+use crate::QuotaPart;
+use crate::hash::{hash_bytes, mix64};
 
 /// Time without a heartbeat after which a VM is not named to callers. Heartbeats come each second and
 /// datagrams may be lost; the directory may name a dead VM for seven seconds at most.
@@ -29,22 +30,15 @@
             /// Whether it takes callers.
             ready: bool,
         },
-        /// The sender wants tokens.
-        Ask {
-            /// Whose tokens.
-            workspace: WorkspaceId,
-            /// How many.
-            amount: Micros,
+        /// The sender gives tokens, which it has already deducted, and wants others.
+        Quota {
+            /// Tokens that it gives.
+            give: Vec<QuotaPart>,
+            /// Tokens that it wants.
+            ask: Vec<QuotaPart>,
             /// Whether a request waits for them.
             urgent: bool,
         },
-        /// The sender gives tokens, which it has already deducted.
-        Give {
-            /// Whose tokens.
-            workspace: WorkspaceId,
-            /// How many.
-            amount: Micros,
-        },
         /// A request was running when its target crashed.
         Crash {
             /// Its fingerprint.
@@ -53,6 +47,21 @@
     }
 }
 
+/// Parts into which the workspaces are divided, each with a keeper of its own in a failure domain.
+pub const SHARDS: u64 = 4;
+/// VMs of other failure domains of the region that get a heartbeat. They name this VM's domain only if
+/// theirs has no VM left.
+const REGION_LISTENERS: usize = 6;
+
+fn shard(workspace: &WorkspaceId) -> u64 {
+    hash_bytes(workspace.as_str().as_bytes()) % SHARDS
+}
+
+/// Rank of a VM as the keeper of a shard.
+fn rank(vm: &VmId, shard: u64) -> u64 {
+    mix64(hash_bytes(vm.as_str().as_bytes()), shard)
+}
+
 struct Vm {
     entry: VmEntry,
     /// When it registered.
@@ -88,23 +97,65 @@
         others.chain([self.own.id.clone()]).collect()
     }
 
-    /// Addresses for datagrams to the other VMs of a region.
-    pub fn peers_in(&self, region: &RegionId) -> Vec<SocketAddr> {
-        let others = self.others().filter(|vm| vm.entry.region == *region);
-        others.map(|vm| vm.entry.peer).collect()
+    /// Addresses for heartbeats: the other VMs of the failure domain, and a few of the region.
+    pub fn listeners(&self, rng: &mut fastrand::Rng) -> Vec<SocketAddr> {
+        let near = self
+            .others()
+            .filter(|vm| vm.entry.domain == self.own.domain);
+        let mut found: Vec<_> = near.map(|vm| vm.entry.peer).collect();
+        let region = self
+            .others()
+            .filter(|vm| vm.entry.region == self.own.region && vm.entry.domain != self.own.domain);
+        let region: Vec<_> = region.map(|vm| vm.entry.peer).collect();
+        if region.len() <= REGION_LISTENERS {
+            found.extend(region);
+        } else {
+            found.extend((0..REGION_LISTENERS).map(|_| region[rng.usize(..region.len())]));
+        }
+        found
+    }
+
+    /// Whether an address for datagrams is that of a VM of this VM's failure domain.
+    pub fn is_near(&self, peer: SocketAddr) -> bool {
+        let mut near = self
+            .others()
+            .filter(|vm| vm.entry.domain == self.own.domain);
+        near.any(|vm| vm.entry.peer == peer)
     }
 
-    /// Addresses for datagrams to the other VMs of this VM's region.
-    pub fn neighbours(&self) -> Vec<SocketAddr> {
-        self.peers_in(&self.own.region)
+    /// Addresses for datagrams to all other VMs.
+    pub fn everyone(&self) -> Vec<SocketAddr> {
+        self.others().map(|vm| vm.entry.peer).collect()
     }
 
-    /// Addresses for datagrams to the VMs of other regions.
-    pub fn distant(&self) -> Vec<SocketAddr> {
-        let others = self
+    /// The keeper of a workspace's tokens in this VM's failure domain, `None` if it is this VM.
+    pub fn keeper(&self, now: Millis, workspace: &WorkspaceId) -> Option<SocketAddr> {
+        let shard = shard(workspace);
+        let near = self
             .others()
-            .filter(|vm| vm.entry.region != self.own.region);
-        others.map(|vm| vm.entry.peer).collect()
+            .filter(|vm| vm.entry.domain == self.own.domain);
+        let live = near.filter(|vm| vm.is_live(now));
+        let best = live.max_by_key(|vm| rank(&vm.entry.id, shard))?;
+        (rank(&best.entry.id, shard) > rank(&self.own.id, shard)).then_some(best.entry.peer)
+    }
+
+    /// The keepers of a workspace's tokens in the other failure domains, as far as this VM knows, those
+    /// of its region first.
+    pub fn other_keepers(&self, workspace: &WorkspaceId) -> Vec<SocketAddr> {
+        let shard = shard(workspace);
+        let mut best: BTreeMap<&DomainId, &VmEntry> = BTreeMap::new();
+        for vm in self
+            .others()
+            .filter(|vm| vm.entry.domain != self.own.domain)
+        {
+            let present = best.entry(&vm.entry.domain).or_insert(&vm.entry);
+            if rank(&vm.entry.id, shard) > rank(&present.id, shard) {
+                *present = &vm.entry;
+            }
+        }
+        let mut keepers: Vec<_> = best.into_values().collect();
+        keepers.sort_by_key(|entry| entry.region != self.own.region);
+        keepers.into_iter().map(|entry| entry.peer).collect()
     }
 
     /// Number of VMs of this VM's failure domain, with this one.
--- a/crates/waxwing_edge/src/lib.rs
+++ b/crates/waxwing_edge/src/lib.rs
@@ -11,11 +11,11 @@
 mod target;
 
 pub use budget::{BudgetRule, RetryBudgets};
-pub use fleet::{Fleet, PeerMessage};
+pub use fleet::{Fleet, PeerMessage, SHARDS};
 pub use hash::{hash_bytes, mix64};
 pub use plan::{Access, Plan};
 pub use poison::Poison;
-pub use quota::{Admission, Quota, QuotaNeed};
+pub use quota::{Admission, Quota, QuotaNews, QuotaPart, Urgent};
 pub use target::{
     ColdRule, Ended, LoadReport, Pick, Place, TargetKey, TargetPool, TargetView, Want,
 };
--- a/crates/waxwing_edge/src/quota.rs
+++ b/crates/waxwing_edge/src/quota.rs
@@ -1,25 +1,41 @@
 //! Quotas of workspaces over all VMs.
 //!
-//! Each VM holds an equal part of the rate and of the burst, and passes tokens that it does not need to
-//! VMs that ask for them. Tokens are only moved, never made, so the sum over all VMs stays within rate
-//! and burst whatever messages are lost and whichever VMs are cut off.
+//! Each VM holds an equal part of the rate and of the burst. In each failure domain one VM keeps the
+//! tokens of a workspace that the others do not need: they hand them over, and get them back when
+//! requests need them. Tokens are only moved, never made, so the sum over all VMs stays within rate and
+//! burst whatever messages are lost and whichever VMs are cut off or take themselves for the keeper.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
+use serde::{Deserialize, Serialize};
 use waxwing_records::WorkspaceSpec;
 use waxwing_types::{Micros, Millis, WorkspaceId, common_derives};
 
 /// Span over which demand is averaged.
 const DEMAND_SPAN: Millis = Millis(1000);
-/// Demand ahead for which a VM wants to hold tokens.
-const AHEAD: Millis = Millis(600);
-/// Pause between two requests for tokens of one workspace.
-const ASK_PAUSE: Millis = Millis(100);
+/// Demand ahead for which a VM wants to hold tokens. An exchange with the keeper takes up to 0.4 s.
+const AHEAD: Millis = Millis(700);
+/// Pause between two requests for a token that a request waits for.
+const URGENT_PAUSE: Millis = Millis(3);
+/// The same after one that brought nothing: the workspace asks for more than its quota.
+const DRY_PAUSE: Millis = Millis(40);
+/// Exchanges for which a keeper wants to hold what its failure domain spends: tokens of other regions
+/// take about half an exchange to come.
+const KEPT_AHEAD: u64 = 3;
+/// Exchanges for which it holds that back from others.
+const KEPT_BACK: u64 = 1;
 /// Part of its burst, in percent, with which a process starts: the rules allow a tenth more than rate
 /// and burst, and every process may start again at the same moment.
 const START_PERCENT: u64 = 25;
-/// Pause between two requests for a token that a request waits for.
-const URGENT_PAUSE: Millis = Millis(15);
+/// Part in percent of the burst that all VMs store in equal parts until they hand it over; the keepers
+/// store the rest.
+const OWN_PERCENT: u64 = 40;
+/// Tokens below which a VM holds none for its own requests.
+const LEAST_HELD: u64 = 2 * ONE;
+/// Tokens of others that any VM takes over: several answers may come for one request.
+const MOST_HELD: u64 = 4;
+/// Tokens below which a VM does not hand them over.
+const LEAST_MOVED: u64 = ONE / 20;
 /// One token.
 const ONE: u64 = Micros::PER_UNIT;
 
@@ -38,8 +54,21 @@
 }
 
 common_derives! {
-    /// Tokens that a VM wants from others.
-    pub struct QuotaNeed {
+    /// What to do for a request that finds no token.
+    pub enum Urgent {
+        /// Ask for these tokens and wait.
+        Ask(QuotaPart),
+        /// Tokens were asked for a moment ago; wait.
+        Wait,
+        /// The last request for tokens brought nothing.
+        Refuse,
+    }
+}
+
+common_derives! {
+    /// Tokens of one workspace, given or asked for.
+    #[derive(Serialize, Deserialize)]
+    pub struct QuotaPart {
         /// Whose tokens.
         pub workspace: WorkspaceId,
         /// How many.
@@ -47,8 +76,22 @@
     }
 }
 
+common_derives! {
+    /// What a VM tells a keeper.
+    #[derive(Default)]
+    pub struct QuotaNews {
+        /// Tokens that it hands over, which it has already deducted.
+        pub give: Vec<QuotaPart>,
+        /// Tokens that it wants.
+        pub ask: Vec<QuotaPart>,
+    }
+}
+
 struct Account {
-    tokens: u64,
+    /// Tokens of the VM's own part that it has not handed over or spent.
+    own: u64,
+    /// Tokens that others gave.
+    held: u64,
     at: Millis,
     rate: u64,
     /// Millionths.
@@ -57,22 +100,33 @@
     demand: u64,
     arrivals: u64,
     span: Millis,
-    asked: Millis,
     urgent: Millis,
+    /// Whether the last request for a waiting request's token brought nothing so far.
+    pending: bool,
+    /// Whether this VM keeps the tokens of its failure domain.
+    kept: bool,
+    /// Tokens that others of the failure domain asked for and did not get since the last exchange.
+    unmet: u64,
+    /// Tokens that the failure domain spent since the last exchange.
+    served: u64,
+    /// Tokens that it spends between two exchanges, averaged.
+    spent: u64,
 }
 
 /// The accounts of all workspaces on one VM.
 #[derive(Default)]
 pub struct Quota {
     vms: u64,
+    domains: u64,
     accounts: HashMap<WorkspaceId, Account>,
 }
 
 /// Commands.
 impl Quota {
-    /// Adopts the number of VMs over which quotas are divided.
-    pub fn set_vms(&mut self, vms: usize) {
+    /// Adopts the numbers of VMs and failure domains over which quotas are divided.
+    pub fn set_size(&mut self, vms: usize, domains: usize) {
         self.vms = (vms as u64).max(1);
+        self.domains = (domains as u64).max(1);
     }
 
     /// Adopts the quotas of the workspaces, so that tokens exist before the first request.
@@ -87,7 +141,7 @@
         if spec.rate == 0 {
             return Admission::Admitted;
         }
-        let vms = self.vms.max(1);
+        let vms = self.size().vms;
         let account = self.account(now, spec);
         account.arrivals += 1;
         if account.take() {
@@ -98,7 +152,7 @@
 
     /// Takes a token for a request that was counted before.
     pub fn admit_again(&mut self, now: Millis, spec: &WorkspaceSpec) -> Admission {
-        let vms = self.vms.max(1);
+        let vms = self.size().vms;
         let account = self.account(now, spec);
         if account.take() {
             return Admission::Admitted;
@@ -106,112 +160,209 @@
         account.short(vms)
     }
 
-    /// Gives tokens to another VM: as many as this one does not need itself, or what it has if a request
-    /// waits for them there.
-    pub fn give(
-        &mut self,
-        now: Millis,
-        workspace: &WorkspaceId,
-        wanted: Micros,
-        urgent: bool,
-    ) -> Micros {
-        let vms = self.vms.max(1);
+    /// Gives tokens to another VM of the failure domain: what this one does not need itself, or half of
+    /// what it has if its own requests need more.
+    pub fn give(&mut self, now: Millis, workspace: &WorkspaceId, wanted: Micros) -> Micros {
+        let size = self.size();
         let Some(account) = self.accounts.get_mut(workspace) else {
             return Micros::ZERO;
         };
-        account.advance(now, vms);
-        let kept = if urgent { 0 } else { account.need(vms) };
-        let spare = account.tokens.saturating_sub(kept);
+        account.advance(now, size);
+        let tokens = account.tokens();
+        let spare = tokens.saturating_sub(account.need(size)).max(tokens / 2);
         let given = spare.min(wanted.0);
-        account.tokens -= given;
+        account.spend(given);
+        account.served += given;
+        account.unmet += wanted.0.min(ONE).saturating_sub(given);
+        Micros(given)
+    }
+
+    /// Gives tokens to the keeper of another failure domain: what this domain does not need soon.
+    pub fn lend(&mut self, now: Millis, workspace: &WorkspaceId, wanted: Micros) -> Micros {
+        let size = self.size();
+        let Some(account) = self.accounts.get_mut(workspace) else {
+            return Micros::ZERO;
+        };
+        account.advance(now, size);
+        let kept = account.need(size) + account.spent * KEPT_BACK;
+        let given = account.tokens().saturating_sub(kept).min(wanted.0);
+        account.spend(given);
         Micros(given)
     }
 
     /// Takes over tokens that another VM gave.
-    pub fn credit(&mut self, now: Millis, workspace: &WorkspaceId, amount: Micros) {
-        let vms = self.vms.max(1);
-        if let Some(account) = self.accounts.get_mut(workspace) {
-            account.advance(now, vms);
-            let most = (account.burst / vms).max(ONE) * 4;
-            account.tokens = (account.tokens + amount.0).min(most.max(account.tokens));
+    pub fn credit(&mut self, now: Millis, part: &QuotaPart) {
+        let size = self.size();
+        if let Some(account) = self.accounts.get_mut(&part.workspace) {
+            account.advance(now, size);
+            let most = account.kept_most(size).max(account.need(size));
+            let most = most.max(ONE * MOST_HELD).max(account.held);
+            account.held = (account.held + part.amount.0).min(most);
+            account.pending = false;
+        }
+    }
+
+    /// What this VM tells the keeper of each workspace. `keeper` returns the keeper's number, `None` if
+    /// this VM keeps the workspace.
+    pub fn exchange<K: Ord>(
+        &mut self,
+        now: Millis,
+        keeper: impl Fn(&WorkspaceId) -> Option<K>,
+    ) -> BTreeMap<K, QuotaNews> {
+        let size = self.size();
+        let mut news: BTreeMap<K, QuotaNews> = BTreeMap::new();
+        for (workspace, account) in &mut self.accounts {
+            account.advance(now, size);
+            let Some(keeper) = keeper(workspace) else {
+                account.kept = true;
+                continue;
+            };
+            account.kept = false;
+            let need = account.need(size);
+            let part = |amount| QuotaPart {
+                workspace: workspace.clone(),
+                amount: Micros(amount),
+            };
+            let tokens = account.tokens();
+            if tokens > need + LEAST_MOVED {
+                let surplus = tokens - need;
+                account.spend(surplus);
+                news.entry(keeper).or_default().give.push(part(surplus));
+            } else if need > tokens + LEAST_MOVED {
+                let missing = need - tokens;
+                news.entry(keeper).or_default().ask.push(part(missing));
+            }
         }
+        news
     }
 
-    /// The tokens that this VM wants now. Each workspace is returned at most once in [`ASK_PAUSE`].
-    pub fn needs(&mut self, now: Millis) -> Vec<QuotaNeed> {
-        let vms = self.vms.max(1);
-        let mut needs = Vec::new();
+    /// Tokens that this VM wants from the keepers of other failure domains.
+    pub fn shortages(&mut self, now: Millis) -> Vec<QuotaPart> {
+        let size = self.size();
+        let mut parts = Vec::new();
         for (workspace, account) in &mut self.accounts {
-            account.advance(now, vms);
-            if let Some(amount) = account.ask(now, vms) {
-                needs.push(QuotaNeed {
+            account.advance(now, size);
+            let unmet = std::mem::take(&mut account.unmet);
+            let served = std::mem::take(&mut account.served);
+            account.spent = (account.spent * 3 + served) / 4;
+            let wanted = account.need(size) + unmet + account.spent * KEPT_AHEAD;
+            let room = account.kept_most(size).saturating_sub(account.held);
+            let missing = wanted.saturating_sub(account.tokens()).min(room.max(ONE));
+            if account.kept && missing > LEAST_MOVED {
+                parts.push(QuotaPart {
                     workspace: workspace.clone(),
-                    amount,
+                    amount: Micros(missing),
                 });
             }
         }
-        needs
+        parts
     }
 
-    /// The token that a request waits for, unless it was asked for a moment ago.
-    pub fn need_of(&mut self, now: Millis, workspace: &WorkspaceId) -> Option<QuotaNeed> {
-        let vms = self.vms.max(1);
-        let account = self.accounts.get_mut(workspace)?;
-        account.advance(now, vms);
-        if now.since(account.urgent) < URGENT_PAUSE {
-            return None;
+    /// What to do for a request that finds no token.
+    pub fn urgent(&mut self, now: Millis, workspace: &WorkspaceId) -> Urgent {
+        let Some(account) = self.accounts.get_mut(workspace) else {
+            return Urgent::Refuse;
+        };
+        let since = now.since(account.urgent);
+        if since < URGENT_PAUSE {
+            return Urgent::Wait;
+        }
+        if account.pending && since < DRY_PAUSE {
+            return Urgent::Refuse;
         }
         account.urgent = now;
-        let missing = ONE.saturating_sub(account.tokens);
-        Some(QuotaNeed {
+        account.pending = true;
+        Urgent::Ask(QuotaPart {
             workspace: workspace.clone(),
-            amount: Micros(missing),
+            amount: Micros::from_units(1),
         })
     }
 
+    fn size(&self) -> Size {
+        Size {
+            vms: self.vms.max(1),
+            domains: self.domains.max(1),
+        }
+    }
+
     fn account(&mut self, now: Millis, spec: &WorkspaceSpec) -> &mut Account {
-        let vms = self.vms.max(1);
+        let size = self.size();
         let (rate, burst) = (spec.rate, spec.burst * ONE);
         if !self.accounts.contains_key(&spec.id) {
-            let account = Account::new(now, rate, burst, vms);
+            let account = Account::new(now, rate, burst, size);
             self.accounts.insert(spec.id.clone(), account);
         }
         let account = self
             .accounts
             .entry(spec.id.clone())
-            .or_insert_with(|| Account::new(now, rate, burst, vms));
-        account.advance(now, vms);
+            .or_insert_with(|| Account::new(now, rate, burst, size));
+        account.advance(now, size);
         account.rate = rate;
         account.burst = burst;
         account
     }
 }
 
+/// Over how many holders quotas are divided.
+#[derive(Clone, Copy)]
+struct Size {
+    vms: u64,
+    domains: u64,
+}
+
 impl Account {
-    fn new(now: Millis, rate: u64, burst: u64, vms: u64) -> Self {
+    fn new(now: Millis, rate: u64, burst: u64, size: Size) -> Self {
         Self {
-            tokens: burst * START_PERCENT / 100 / vms,
+            own: burst * START_PERCENT / 100 / size.vms,
+            held: 0,
             at: now,
             rate,
             burst,
             demand: 0,
             arrivals: 0,
             span: now,
-            asked: Millis::ZERO,
             urgent: Millis::ZERO,
+            pending: false,
+            kept: false,
+            unmet: 0,
+            served: 0,
+            spent: 0,
+        }
+    }
+
+    /// Most tokens of its own part that the VM stores.
+    fn own_most(&self, size: Size) -> u64 {
+        self.burst * OWN_PERCENT / 100 / size.vms
+    }
+
+    /// Most tokens of others that the VM stores as the keeper of its failure domain.
+    fn kept_most(&self, size: Size) -> u64 {
+        if self.kept {
+            self.burst * (100 - OWN_PERCENT) / 100 / size.domains
+        } else {
+            0
         }
     }
 
-    /// Adds the tokens of the time that passed, up to the VM's part of the burst.
-    fn advance(&mut self, now: Millis, vms: u64) {
+    fn tokens(&self) -> u64 {
+        self.own + self.held
+    }
+
+    /// Takes tokens, those of others first, so that the own part goes on growing.
+    fn spend(&mut self, amount: u64) {
+        let held = amount.min(self.held);
+        self.held -= held;
+        self.own = self.own.saturating_sub(amount - held);
+    }
+
+    /// Adds the tokens of the time that passed, up to what the VM may store.
+    fn advance(&mut self, now: Millis, size: Size) {
         let passed = now.since(self.at);
         self.at = now;
         // A rate for 1000 s is a rate of millionths for each ms.
-        let refill = self.rate * passed.0 / vms;
-        let most = (self.burst / vms).max(ONE);
-        if self.tokens < most {
-            self.tokens = (self.tokens + refill).min(most);
-        }
+        let refill = self.rate * passed.0 / size.vms;
+        let most = self.own_most(size).max(self.own);
+        self.own = (self.own + refill).min(most);
         let span = now.since(self.span);
         if span >= DEMAND_SPAN {
             let demand = self.arrivals * 1_000_000 / span.0;
@@ -222,36 +373,30 @@
     }
 
     fn take(&mut self) -> bool {
-        if self.tokens < ONE {
+        if self.tokens() < ONE {
             return false;
         }
-        self.tokens -= ONE;
+        self.spend(ONE);
+        if self.kept {
+            self.served += ONE;
+        }
         true
     }
 
     fn short(&self, vms: u64) -> Admission {
-        let missing = ONE - self.tokens.min(ONE);
+        let missing = ONE - self.tokens().min(ONE);
         let wait = missing * vms / self.rate.max(1);
         Admission::Short {
             wait: Millis(wait.max(1)),
         }
     }
 
-    /// Tokens that the VM's own requests need soon beyond what its part yields meanwhile.
-    fn need(&self, vms: u64) -> u64 {
+    /// Tokens that the VM's own requests need soon. Few are not held, since parts of a token admit
+    /// nothing here and something at the keeper.
+    fn need(&self, size: Size) -> u64 {
         let present = self.arrivals * 1_000_000 / DEMAND_SPAN.0;
         let demand = self.demand.max(present);
-        let short = demand.saturating_sub(self.rate / vms);
-        (short * AHEAD.0).max(if demand > 0 { ONE } else { 0 })
-    }
-
-    fn ask(&mut self, now: Millis, vms: u64) -> Option<Micros> {
-        let need = self.need(vms);
-        let missing = need.saturating_sub(self.tokens);
-        if missing == 0 || now.since(self.asked) < ASK_PAUSE {
-            return None;
-        }
-        self.asked = now;
-        Some(Micros(missing.max(ONE)))
+        let need = demand.saturating_sub(self.rate / size.vms) * AHEAD.0;
+        if need < LEAST_HELD { 0 } else { need }
     }
 }
--- a/crates/waxwingrail/src/edge/peers.rs
+++ b/crates/waxwingrail/src/edge/peers.rs
@@ -7,7 +7,7 @@
 use async_executor::Task;
 
 use async_io::{Async, Timer};
-use waxwing_edge::PeerMessage;
+use waxwing_edge::{PeerMessage, QuotaPart, Urgent};
 use waxwing_store::WriteOutcome;
 use waxwing_types::{Micros, Millis, WorkspaceId};
 
@@ -15,12 +15,14 @@
 
 /// Period of heartbeats. A VM counts as silent after three and a half of them.
 const BEAT_PERIOD: Duration = Duration::from_secs(1);
-/// Period in which needs of tokens and the parts of regions are looked at.
-const TICK_PERIOD: Duration = Duration::from_millis(200);
+/// Period in which tokens are exchanged and the parts of regions are looked at.
+const TICK_PERIOD: Duration = Duration::from_millis(250);
 /// Greatest datagram.
 const MAX_DATAGRAM: usize = 1200;
-/// VMs of other regions that are asked for tokens at once.
-const DISTANT_ASKED: usize = 3;
+/// Keepers of other failure domains that are asked for tokens at once.
+const KEEPERS_ASKED: usize = 2;
+/// Parts in one datagram, so that it fits one packet.
+const MAX_PARTS: usize = 16;
 /// Pauses between attempts to register, doubled up to the greatest.
 const REGISTER_PAUSES: (Millis, Millis) = (Millis(100), Millis(1600));
 
@@ -67,20 +69,40 @@
             incarnation,
             ready,
         } => shared.fleet().on_beat(now, &vm, incarnation, ready),
-        PeerMessage::Ask {
-            workspace,
-            amount,
-            urgent,
-        } => {
-            let amount = shared.quota().give(now, &workspace, amount, urgent);
+        PeerMessage::Quota { give, ask, urgent } => {
+            on_quota(shared, now, &give, (ask, urgent), from);
+        }
+        PeerMessage::Crash { print } => shared.poison().on_crash(now, print),
+    }
+}
+
+fn on_quota(
+    shared: &Shared,
+    now: Millis,
+    given: &[QuotaPart],
+    (asked, urgent): (Vec<QuotaPart>, bool),
+    from: SocketAddr,
+) {
+    let mut give = Vec::new();
+    {
+        let near = urgent || shared.fleet().is_near(from);
+        let mut quota = shared.quota();
+        for part in given {
+            quota.credit(now, part);
+        }
+        for part in asked {
+            let amount = if near {
+                quota.give(now, &part.workspace, part.amount)
+            } else {
+                quota.lend(now, &part.workspace, part.amount)
+            };
             if amount > Micros::ZERO {
-                send(shared, &PeerMessage::Give { workspace, amount }, &[from]);
+                give.push(QuotaPart { amount, ..part });
             }
         }
-        PeerMessage::Give { workspace, amount } => {
-            shared.quota().credit(now, &workspace, amount);
-        }
-        PeerMessage::Crash { print } => shared.poison().on_crash(now, print),
+    }
+    if !give.is_empty() {
+        send_parts(shared, give, Vec::new(), from);
     }
 }
 
@@ -116,8 +138,8 @@
         incarnation: shared.own.incarnation,
         ready: shared.is_ready(),
     };
-    let neighbours = shared.fleet().neighbours();
-    send(shared, &message, &neighbours);
+    let listeners = shared.fleet().listeners(&mut fastrand::Rng::new());
+    send(shared, &message, &listeners);
 }
 
 async fn tick(shared: Arc<Shared>) {
@@ -126,47 +148,77 @@
         let now = shared.now();
         shared.targets().tick(now);
         super::watch::settle(&shared, now);
-        ask(&shared, now);
+        exchange(&shared, now);
     }
 }
 
-/// Asks for the tokens that are needed soon.
-fn ask(shared: &Shared, now: Millis) {
-    let needs = shared.quota().needs(now);
-    if needs.is_empty() {
-        return;
-    }
-    let (neighbours, distant) = {
+/// Exchanges tokens with the keepers of the failure domain, and as a keeper with those of others.
+fn exchange(shared: &Shared, now: Millis) {
+    let (news, shortages) = {
         let fleet = shared.fleet();
-        (fleet.neighbours(), fleet.distant())
+        let mut quota = shared.quota();
+        let news = quota.exchange(now, |workspace| fleet.keeper(now, workspace));
+        let shortages = quota.shortages(now);
+        let shortages = shortages.into_iter().map(|part| {
+            let keepers = fleet.other_keepers(&part.workspace);
+            (part, keepers)
+        });
+        (news, shortages.collect::<Vec<_>>())
     };
-    for need in needs {
-        let mut to = neighbours.clone();
-        for _ in 0..DISTANT_ASKED.min(distant.len()) {
-            to.push(distant[fastrand::usize(..distant.len())]);
+    for (keeper, news) in news {
+        send_parts(shared, news.give, news.ask, keeper);
+    }
+    for (part, mut keepers) in shortages {
+        // The first one is the nearest, any other may have what the region lacks.
+        if let [_, others @ ..] = &mut keepers[..] {
+            fastrand::shuffle(others);
         }
-        let part = (need.amount.0 * 2 / to.len().max(1) as u64).max(Micros::PER_UNIT / 2);
-        let message = PeerMessage::Ask {
-            workspace: need.workspace,
-            amount: Micros(part),
-            urgent: false,
-        };
-        send(shared, &message, &to);
+        keepers.truncate(KEEPERS_ASKED);
+        let amount = Micros(part.amount.0 / keepers.len().max(1) as u64);
+        for keeper in keepers {
+            let part = QuotaPart {
+                amount,
+                ..part.clone()
+            };
+            send_parts(shared, Vec::new(), vec![part], keeper);
+        }
+    }
+}
+
+/// Sends parts in as many datagrams as they need.
+fn send_parts(shared: &Shared, mut give: Vec<QuotaPart>, mut ask: Vec<QuotaPart>, to: SocketAddr) {
+    while !give.is_empty() || !ask.is_empty() {
+        let later_give = give.split_off(give.len().min(MAX_PARTS));
+        let later_ask = ask.split_off(ask.len().min(MAX_PARTS - give.len()));
+        let urgent = false;
+        send(shared, &PeerMessage::Quota { give, ask, urgent }, &[to]);
+        (give, ask) = (later_give, later_ask);
     }
 }
 
-/// Asks the neighbours for a token that a request waits for.
-pub(crate) fn ask_for(shared: &Shared, workspace: &WorkspaceId) {
-    let need = shared.quota().need_of(shared.now(), workspace);
-    if let Some(need) = need {
-        let neighbours = shared.fleet().neighbours();
-        let message = PeerMessage::Ask {
-            workspace: need.workspace,
-            amount: need.amount,
+/// Asks for a token that a request waits for: the keeper of the failure domain first, then one of
+/// another. Returns whether it is worth the wait.
+pub(crate) fn ask_for(shared: &Shared, workspace: &WorkspaceId, again: bool) -> bool {
+    let now = shared.now();
+    let part = match shared.quota().urgent(now, workspace) {
+        Urgent::Ask(part) => part,
+        Urgent::Wait => return true,
+        Urgent::Refuse => return false,
+    };
+    let keeper = {
+        let fleet = shared.fleet();
+        let near = fleet.keeper(now, workspace).filter(|_| !again);
+        near.or_else(|| fleet.other_keepers(workspace).first().copied())
+    };
+    if let Some(keeper) = keeper {
+        let message = PeerMessage::Quota {
+            give: Vec::new(),
+            ask: vec![part],
             urgent: true,
         };
-        send(shared, &message, &neighbours);
+        send(shared, &message, &[keeper]);
     }
+    true
 }
 
 /// Tells all VMs of requests that crashed a target.
@@ -174,12 +226,7 @@
     if prints.is_empty() {
         return;
     }
-    let to = {
-        let fleet = shared.fleet();
-        let mut to = fleet.neighbours();
-        to.extend(fleet.distant());
-        to
-    };
+    let to = shared.fleet().everyone();
     for print in prints {
         send(shared, &PeerMessage::Crash { print }, &to);
     }
--- a/crates/waxwingrail/src/edge/request.rs
+++ b/crates/waxwingrail/src/edge/request.rs
@@ -130,11 +130,13 @@
     async fn admit(&self, workspace: &WorkspaceSpec) -> Result<(), Refusal> {
         let shared = self.shared;
         let mut admission = shared.quota().admit(shared.now(), workspace);
-        for pause in TOKEN_PAUSES {
+        for (i, pause) in TOKEN_PAUSES.into_iter().enumerate() {
             let Admission::Short { .. } = admission else {
                 return Ok(());
             };
-            peers::ask_for(shared, &workspace.id);
+            if !peers::ask_for(shared, &workspace.id, i > 0) && i == 0 {
+                break;
+            }
             Timer::after(pause).await;
             admission = shared.quota().admit_again(shared.now(), workspace);
         }
--- a/crates/waxwingrail/src/edge/state.rs
+++ b/crates/waxwingrail/src/edge/state.rs
@@ -18,9 +18,10 @@
 
 /// Precision of the deadlines of requests.
 const DEADLINE_TICK: Duration = Duration::from_millis(20);
-/// Time after the return of the store within which entries that expired meanwhile come back. The
-/// platform states about two seconds.
-const ENTRIES_BACK: Millis = Millis(2100);
+/// Time after this VM reached the store again within which entries that expired meanwhile come back. The
+/// platform states about two seconds from its return; a VM that was cut off must know after 4 s what
+/// left meanwhile, and may need 1.5 s to notice.
+const ENTRIES_BACK: Millis = Millis(1200);
 
 /// What is known of the store's answers.
 #[derive(Default)]
@@ -46,6 +47,17 @@
         back.map_or(Millis::ZERO, |back| *back + ENTRIES_BACK)
     }
 
+    /// Whether a family's next call has to wait until another one has reached the store: one call at a
+    /// time finds out whether it is back.
+    pub(crate) fn waits(&self, family: Family) -> bool {
+        let prober = if self.failing.contains(&Family::Targets) {
+            Some(&Family::Targets)
+        } else {
+            self.failing.first()
+        };
+        prober.is_some_and(|prober| *prober != family)
+    }
+
     /// Takes the targets whose time to come back is over.
     pub(crate) fn take_gone(&mut self, now: Millis) -> Vec<TargetId> {
         let over = self.doubtful.iter().filter(|(_, until)| now >= **until);
--- a/crates/waxwingrail/src/edge/watch.rs
+++ b/crates/waxwingrail/src/edge/watch.rs
@@ -17,7 +17,11 @@
 const WATCH_WAIT: Millis = Millis::from_secs(30);
 /// Pauses after failed calls, doubled up to the greatest. Bounds on configuration count from 4 s after
 /// the end of an outage.
-const PAUSES: (Millis, Millis) = (Millis(60), Millis(1000));
+const PAUSES: (Millis, Millis) = (Millis(60), Millis(500));
+/// Longest time for which a family leaves it to another one to find out whether the store is back.
+const WAIT_FOR_OTHER: Millis = Millis::from_secs(4);
+/// Pause between two looks at whether it is.
+const LOOK: Millis = Millis(100);
 
 /// Starts a watch of each family.
 pub(crate) fn start(shared: &Arc<Shared>) -> Vec<Task<()>> {
@@ -39,6 +43,11 @@
                 let jitter = Millis(fastrand::u64(0..=pause.0 / 2));
                 Timer::after((pause + jitter).duration()).await;
                 pause = Millis(pause.0 * 2).min(most);
+                let mut waited = Millis::ZERO;
+                while waited < WAIT_FOR_OTHER && shared.store().waits(family) {
+                    Timer::after(LOOK.duration()).await;
+                    waited += LOOK;
+                }
             }
         }
     }
@@ -263,7 +272,8 @@
     };
     let names = region.iter().map(VmId::as_str);
     shared.targets().set_vms(names, near);
-    shared.quota().set_vms(count);
+    let domains = shared.settings.domains.len();
+    shared.quota().set_size(count, domains);
 }
 
 /// Registers this VM again, after its entry was removed.
