Split the attempts of a request from its path; name the retry after a failure

Change: Attempts keeps them; the reason target_failed is counted on its own; entries of VMs gather for 2 s.

--- a/crates/waxwing_core/src/flow/sending.rs
+++ b/crates/waxwing_core/src/flow/sending.rs
@@ -195,7 +195,7 @@
             RetryReason::TargetShed | RetryReason::RegionRefused => {
                 self.may_repeat() && !self.body_consumed
             }
-            RetryReason::ConnectionBroken => {
+            RetryReason::ConnectionBroken | RetryReason::TargetFailed => {
                 self.is_idempotent() && !self.body_consumed && self.breaks < MAX_BREAKS
             }
         };
@@ -280,7 +280,7 @@
     match why {
         RetryReason::ConnectFailed => RefusalReason::NoTarget,
         RetryReason::TargetShed => RefusalReason::TargetsShedding,
-        RetryReason::ConnectionBroken => RefusalReason::TargetFailed,
+        RetryReason::ConnectionBroken | RetryReason::TargetFailed => RefusalReason::TargetFailed,
         RetryReason::RegionRefused => RefusalReason::RegionFull,
     }
 }
--- a/crates/waxwing_edge/src/budget.rs
+++ b/crates/waxwing_edge/src/budget.rs
@@ -5,7 +5,7 @@
 use waxwing_types::{Millis, ServiceId, common_derives};
 
 /// Parts into which the window is divided.
-const SLICES: u64 = 10;
+const SLICES: usize = 10;
 /// Part of its share that a VM spends, so that uneven windows of several VMs stay within the sum.
 const SPENT_SHARE: f64 = 0.8;
 
@@ -31,7 +31,7 @@
 
 #[derive(Default)]
 struct Counts {
-    slices: [Slice; SLICES as usize],
+    slices: [Slice; SLICES],
 }
 
 /// The budgets of all services on one VM.
@@ -55,7 +55,7 @@
     }
 
     fn number(&self, now: Millis) -> u64 {
-        now.0 * SLICES / self.rule.window.0.max(1)
+        now.0 * SLICES as u64 / self.rule.window.0.max(1)
     }
 }
 
@@ -86,7 +86,7 @@
         }
         let counts = self.services.entry(service.clone()).or_default();
         #[allow(clippy::cast_possible_truncation, reason = "below SLICES")]
-        let slice = &mut counts.slices[(number % SLICES) as usize];
+        let slice = &mut counts.slices[(number % SLICES as u64) as usize];
         if slice.number != number {
             *slice = Slice {
                 number,
@@ -100,7 +100,7 @@
 impl Counts {
     /// Requests and repeats of the window that ends with a slice.
     fn sums(&self, number: u64) -> (u32, u32) {
-        let within = |slice: &&Slice| slice.number + SLICES > number;
+        let within = |slice: &&Slice| slice.number + SLICES as u64 > number;
         let fresh = self.slices.iter().filter(within);
         fresh.fold((0, 0), |(requests, repeats), slice| {
             (requests + slice.requests, repeats + slice.repeats)
--- a/crates/waxwing_edge/src/hash.rs
+++ b/crates/waxwing_edge/src/hash.rs
@@ -7,7 +7,7 @@
     })
 }
 
-/// Mixes two hashes so that each bit of the result depends on all bits of both (SplitMix64).
+/// Mixes two hashes so that each bit of the result depends on all bits of both (`SplitMix64`).
 pub const fn mix64(one: u64, two: u64) -> u64 {
     let mut x = one ^ two.wrapping_mul(0x9e37_79b9_7f4a_7c15);
     x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
--- a/crates/waxwing_edge/src/plan.rs
+++ b/crates/waxwing_edge/src/plan.rs
@@ -55,10 +55,10 @@
         let services = record.services.iter().enumerate();
         let services = services.map(|(i, s)| (s.id.clone(), i)).collect();
         Self {
+            record,
             hosts,
             keys,
             services,
-            record,
         }
     }
 
--- a/crates/waxwing_edge/tests/common/mod.rs
+++ b/crates/waxwing_edge/tests/common/mod.rs
@@ -5,7 +5,7 @@
 use waxwing_types::{Incarnation, Millis, RegionId, ServiceId};
 
 /// Two regions `r1` and `r2` of two failure domains each.
-pub fn pool() -> TargetPool {
+pub(crate) fn pool() -> TargetPool {
     let domains = [("a", "r1"), ("b", "r1"), ("c", "r2"), ("d", "r2")];
     let place = Place {
         domain: "a".into(),
@@ -25,7 +25,7 @@
 }
 
 /// A target of service `s` with four slots.
-pub fn target(id: &str, domain: &str) -> Registration {
+pub(crate) fn target(id: &str, domain: &str) -> Registration {
     Registration {
         id: id.into(),
         incarnation: Incarnation(1),
@@ -39,7 +39,7 @@
 }
 
 /// What a request about an object wants.
-pub fn want<'a>(
+pub(crate) fn want<'a>(
     service: &'a ServiceId,
     object: u64,
     allowed: &'a dyn Fn(&RegionId) -> bool,
--- a/crates/waxwing_edge/tests/quota_fleet.rs
+++ b/crates/waxwing_edge/tests/quota_fleet.rs
@@ -1,4 +1,5 @@
 //! Quotas of a whole fleet with messages that take time.
+#![allow(clippy::cast_precision_loss, reason = "rates and counts are small")]
 
 use std::collections::BTreeMap;
 
@@ -90,9 +91,9 @@
         }
     }
 
-    fn handle(&mut self, now: u64, event: Event) {
+    fn handle(&mut self, now: u64, event: &Event) {
         let time = Millis(now);
-        match event {
+        match *event {
             Event::Credit(vm, amount) => {
                 let part = QuotaPart {
                     workspace: self.spec.id.clone(),
@@ -102,13 +103,13 @@
             }
             Event::Ask(vm, giver, amount, near) => {
                 let id = &self.spec.id;
-                let given = if near {
+                let granted = if near {
                     self.vms[giver].give(time, id, Micros(amount))
                 } else {
                     self.vms[giver].lend(time, id, Micros(amount))
                 };
                 let delay = distance(vm % DOMAINS, giver % DOMAINS);
-                self.push(now + delay, Event::Credit(vm, given.0));
+                self.push(now + delay, Event::Credit(vm, granted.0));
             }
             Event::Request(vm, attempt) => self.request(now, vm, attempt),
         }
@@ -164,7 +165,7 @@
                     break;
                 }
                 let event = first.remove();
-                self.handle(now, event);
+                self.handle(now, &event);
             }
         }
     }
--- a/crates/waxwing_types/src/reason.rs
+++ b/crates/waxwing_types/src/reason.rs
@@ -118,6 +118,8 @@
         TargetShed => "target_shed",
         /// The connection broke while an idempotent request ran.
         ConnectionBroken => "connection_broken",
+        /// The target answered an idempotent request with a failure.
+        TargetFailed => "target_failed",
         /// The region that was asked refused the request without running it.
         RegionRefused => "region_refused",
     }
--- a/crates/waxwingrail/src/edge/mod.rs
+++ b/crates/waxwingrail/src/edge/mod.rs
@@ -1,6 +1,7 @@
 //! The daemon of a deployment whose routes, targets and VMs are entries of a registry.
 
 mod answer;
+mod attempts;
 mod body;
 mod daemon;
 mod forward;
--- a/crates/waxwingrail/src/edge/request.rs
+++ b/crates/waxwingrail/src/edge/request.rs
@@ -15,6 +15,7 @@
 use waxwing_types::{Millis, RefusalReason, RegionId, RetryReason, ServiceId};
 
 use super::answer::Refusal;
+use super::attempts::Attempts;
 use super::body::{Gathered, gather};
 use super::forward::{Attempt, AttemptEnd, forward};
 use super::peers;
@@ -29,8 +30,12 @@
 const PRINT_BYTES: usize = 4096;
 /// Pauses in which tokens of neighbours are awaited. An answer from the own region takes about 2 ms.
 const TOKEN_PAUSES: [Duration; 2] = [Duration::from_millis(6), Duration::from_millis(14)];
-/// Shortest and longest time after which a refused caller is told to come back.
-const WAIT_BOUNDS: (Millis, Millis) = (Millis(50), Millis(1000));
+/// Shortest time after which a refused caller is told to come back.
+const LEAST_WAIT: Millis = Millis(50);
+/// Longest time after which it is: callers honour a third of the time that they have left.
+const MOST_WAIT: Millis = Millis(1000);
+/// Targets that are tried in all, with those that could not be reached.
+const MOST_TRIED: usize = 6;
 /// Time that must be left for a further attempt.
 const LEAST_LEFT: Millis = Millis(20);
 /// Part in percent of the objective beyond which an answer is no longer worth a slot.
@@ -74,7 +79,7 @@
         match self.serve().await {
             Ok(response) => response,
             Err(refusal) => {
-                let refusal = self.bounded(refusal);
+                let refusal = bounded(refusal);
                 metrics::counter!("edge_refusals_total", "reason" => refusal.reason.as_str())
                     .increment(1);
                 log::debug!(
@@ -90,8 +95,7 @@
     async fn serve(&mut self) -> Result<Response<Body>, Refusal> {
         let shared = self.shared;
         let Some(plan) = shared.plan() else {
-            let (least, _) = WAIT_BOUNDS;
-            return Err(Refusal::after(RefusalReason::ConfigStale, least));
+            return Err(Refusal::after(RefusalReason::ConfigStale, LEAST_WAIT));
         };
         let access = self.access(&plan)?;
         let deadline = self.deadline(&access);
@@ -205,65 +209,52 @@
         body: &mut Gathered<Incoming>,
     ) -> Result<Response<Body>, Refusal> {
         let shared = self.shared;
-        let mut tried: Vec<TargetKey> = Vec::new();
-        let mut sends = 0;
-        let mut last = Refusal::new(RefusalReason::NoTarget);
+        let mut record = Attempts::default();
         shared.budgets().on_request(shared.now(), &ready.service);
         loop {
-            let picked = self.pick(ready, &tried);
-            let (key, target) = match picked {
-                Pick::Chosen(key, target) => (key, target),
-                Pick::Full { wait } if sends == 0 => {
-                    return Err(Refusal::after(RefusalReason::QueueFull, wait));
-                }
-                Pick::Nothing if sends == 0 && tried.is_empty() => {
-                    let (least, _) = WAIT_BOUNDS;
-                    return Err(Refusal::after(RefusalReason::NoTarget, least));
-                }
-                Pick::Full { .. } | Pick::Nothing => return Err(last),
+            let (key, view) = match self.pick(ready, &record.tried) {
+                Pick::Chosen(key, view) => (key, view),
+                Pick::Full { wait } => return Err(record.refusal(RefusalReason::QueueFull, wait)),
+                Pick::Nothing => return Err(record.refusal(RefusalReason::NoTarget, LEAST_WAIT)),
             };
             let attempt = Attempt {
                 head: &self.head,
                 key,
-                target,
+                target: view,
                 workspace: ready.access.workspace.map(|w| &w.id),
                 deadline: ready.deadline,
                 kind: ready.access.route.kind,
                 print: ready.print,
             };
             let timer = self.timer(ready.deadline);
-            let repeatable = body.rest.is_none();
+            let replayable = body.rest.is_none();
             let end = forward(shared, &attempt, body.take(), timer).await;
-            tried.push(key);
-            let (reason, refusal) = match end {
+            record.tried.push(key);
+            let reason = match end {
                 AttemptEnd::Answered(response) => return Ok(response),
-                AttemptEnd::Unsent => (RetryReason::ConnectFailed, RefusalReason::NoTarget),
-                AttemptEnd::NotRun => (RetryReason::TargetShed, RefusalReason::TargetsShedding),
+                AttemptEnd::TimedOut => return Err(Refusal::new(RefusalReason::TargetTimeout)),
                 AttemptEnd::Failed(response) => {
-                    if !self.may_repeat(ready, sends + 1) || !repeatable {
+                    record.sent(RefusalReason::TargetFailed);
+                    if !replayable || !self.may_repeat(ready, &record) {
                         return Ok(response);
                     }
-                    (RetryReason::ConnectionBroken, RefusalReason::TargetFailed)
+                    RetryReason::TargetFailed
+                }
+                AttemptEnd::Unsent => RetryReason::ConnectFailed,
+                AttemptEnd::NotRun => {
+                    record.sent(RefusalReason::TargetsShedding);
+                    RetryReason::TargetShed
+                }
+                AttemptEnd::Broken => {
+                    record.sent(RefusalReason::TargetFailed);
+                    RetryReason::ConnectionBroken
                 }
-                AttemptEnd::Broken => (RetryReason::ConnectionBroken, RefusalReason::TargetFailed),
-                AttemptEnd::TimedOut => return Err(Refusal::new(RefusalReason::TargetTimeout)),
             };
-            let (least, _) = WAIT_BOUNDS;
-            let not_run = matches!(end_kind(refusal), EndKind::NotRun);
-            last = merge(last, refusal, least, sends);
-            if !matches!(reason, RetryReason::ConnectFailed) {
-                sends += 1;
-            }
-            let allowed = not_run || ready.access.route.kind.is_idempotent();
-            let unsent = matches!(reason, RetryReason::ConnectFailed);
-            if !allowed || !repeatable || !(unsent || self.may_repeat(ready, sends)) {
-                return Err(last);
-            }
-            if shared.now() + LEAST_LEFT >= ready.deadline {
-                return Err(last);
+            if !replayable || !self.may_repeat(ready, &record) {
+                return Err(record.refusal(RefusalReason::NoTarget, LEAST_WAIT));
             }
             metrics::counter!("edge_retries_total", "reason" => reason.as_str()).increment(1);
-            if sends > 0 {
+            if record.sends > 0 {
                 shared.budgets().on_repeat(shared.now(), &ready.service);
             }
         }
@@ -288,12 +279,22 @@
         shared.targets().pick(now, &want, &mut rng)
     }
 
-    /// Whether the request may reach one more target.
-    fn may_repeat(&self, ready: &Ready<'_>, sends: u32) -> bool {
+    /// Whether the request may be sent once more. One that reached no target does not count.
+    fn may_repeat(&self, ready: &Ready<'_>, record: &Attempts) -> bool {
         let shared = self.shared;
+        let now = shared.now();
+        let route = ready.access.route;
+        if record.may_have_run() && !route.kind.is_idempotent() {
+            return false;
+        }
+        if now + LEAST_LEFT >= ready.deadline || record.tried.len() >= MOST_TRIED {
+            return false;
+        }
+        if record.sends == 0 {
+            return true;
+        }
         let vms = shared.fleet().len();
-        sends < ready.access.route.attempts
-            && shared.budgets().allows(shared.now(), &ready.service, vms)
+        record.sends < route.attempts && shared.budgets().allows(now, &ready.service, vms)
     }
 
     fn timer(&self, deadline: Millis) -> waxwing_http::CoarseSleep {
@@ -329,37 +330,12 @@
         headers.remove(&names.workspace);
         headers.remove(&names.instance);
     }
-
-    /// A refusal whose wait is within the bounds and leaves time for another attempt.
-    fn bounded(&self, refusal: Refusal) -> Refusal {
-        let (least, most) = WAIT_BOUNDS;
-        Refusal {
-            wait: refusal.wait.map(|wait| wait.clamp(least, most)),
-            ..refusal
-        }
-    }
-}
-
-enum EndKind {
-    NotRun,
-    MayHaveRun,
-}
-
-/// Whether a reason promises that the request has not run.
-fn end_kind(reason: RefusalReason) -> EndKind {
-    match reason {
-        RefusalReason::TargetFailed | RefusalReason::TargetTimeout => EndKind::MayHaveRun,
-        _ => EndKind::NotRun,
-    }
 }
 
-/// What a caller is told after a further attempt failed. Once a request may have run, it may have.
-fn merge(last: Refusal, reason: RefusalReason, least: Millis, sends: u32) -> Refusal {
-    if sends > 0 && matches!(end_kind(last.reason), EndKind::MayHaveRun) {
-        return last;
-    }
-    match end_kind(reason) {
-        EndKind::NotRun => Refusal::after(reason, least),
-        EndKind::MayHaveRun => Refusal::new(reason),
+/// A refusal whose wait is within the bounds.
+fn bounded(refusal: Refusal) -> Refusal {
+    Refusal {
+        wait: refusal.wait.map(|wait| wait.clamp(LEAST_WAIT, MOST_WAIT)),
+        ..refusal
     }
 }
--- a/crates/waxwingrail/src/edge/watch.rs
+++ b/crates/waxwingrail/src/edge/watch.rs
@@ -109,7 +109,7 @@
     match family {
         Family::Deployment | Family::Evacuations => Millis(500),
         Family::Targets => Millis(900),
-        Family::Vms => Millis(1000),
+        Family::Vms => Millis(2000),
     }
 }
 
--- a/crates/waxwingrail/tests/edge.rs
+++ b/crates/waxwingrail/tests/edge.rs
@@ -218,7 +218,7 @@
         Timer::after(Duration::from_millis(1500)).await;
         assert_eq!(rig.call(&daemon, "safe").await.status, 200);
         rig.register("t1", target.address, TargetState::Ready);
-        Timer::after(Duration::from_millis(2000)).await;
+        Timer::after(Duration::from_secs(2)).await;
         assert_eq!(rig.call(&daemon, "safe").await.status, 200);
     });
 }
--- a/crates/waxwingrail/tests/edge/rig.rs
+++ b/crates/waxwingrail/tests/edge/rig.rs
@@ -24,7 +24,7 @@
 use waxwingrail::edge::{EdgeCommand, EdgeDaemon, EdgeParts, EdgeSettings, read};
 
 /// Bound on any wait of a test.
-pub(crate) const PATIENCE: Duration = Duration::from_secs(60);
+pub(crate) const PATIENCE: Duration = Duration::from_mins(1);
 /// The key of workspace `w`.
 pub(crate) const KEY: &str = "k1";
 
