Let the keeper add the parts of the VMs that it hears

Ruled out: lost datagrams; too little stored by keepers. Change: the keeper adds the parts of the VMs whose heartbeats it hears; a VM that does not hear its keeper adds its own.

--- a/crates/waxwing_edge/src/fleet.rs
+++ b/crates/waxwing_edge/src/fleet.rs
@@ -7,8 +7,8 @@
 use waxwing_records::VmEntry;
 use waxwing_types::{DomainId, Incarnation, Millis, VmId, WorkspaceId, common_derives};
 
-use crate::QuotaPart;
 use crate::hash::{hash_bytes, mix64};
+use crate::{Keeper, QuotaPart};
 
 /// Time without a heartbeat after which a VM is not named to callers. Heartbeats come each second and
 /// datagrams may be lost; the directory may name a dead VM for seven seconds at most.
@@ -128,15 +128,22 @@
         self.others().map(|vm| vm.entry.peer).collect()
     }
 
-    /// The keeper of a workspace's tokens in this VM's failure domain, `None` if it is this VM.
-    pub fn keeper(&self, now: Millis, workspace: &WorkspaceId) -> Option<SocketAddr> {
+    /// The keeper of a workspace's tokens in this VM's failure domain.
+    pub fn keeper(&self, now: Millis, workspace: &WorkspaceId) -> Keeper<SocketAddr> {
         let shard = shard(workspace);
         let near = self
             .others()
             .filter(|vm| vm.entry.domain == self.own.domain);
-        let live = near.filter(|vm| vm.is_live(now));
-        let best = live.max_by_key(|vm| rank(&vm.entry.id, shard))?;
-        (rank(&best.entry.id, shard) > rank(&self.own.id, shard)).then_some(best.entry.peer)
+        let live: Vec<_> = near.filter(|vm| vm.is_live(now)).collect();
+        let best = live.iter().max_by_key(|vm| rank(&vm.entry.id, shard));
+        match best {
+            Some(best) if rank(&best.entry.id, shard) > rank(&self.own.id, shard) => {
+                Keeper::Other(best.entry.peer)
+            }
+            Some(_) | None => Keeper::Own {
+                parts: live.len() + 1,
+            },
+        }
     }
 
     /// The keepers of a workspace's tokens in the other failure domains, as far as this VM knows, those
--- a/crates/waxwing_edge/src/lib.rs
+++ b/crates/waxwing_edge/src/lib.rs
@@ -15,7 +15,7 @@
 pub use hash::{hash_bytes, mix64};
 pub use plan::{Access, Plan};
 pub use poison::Poison;
-pub use quota::{Admission, Quota, QuotaNews, QuotaPart, Urgent};
+pub use quota::{Admission, Keeper, Quota, QuotaNews, QuotaPart, Urgent};
 pub use target::{
     ColdRule, Ended, LoadReport, Pick, Place, TargetKey, TargetPool, TargetView, Want,
 };
--- a/crates/waxwing_edge/src/quota.rs
+++ b/crates/waxwing_edge/src/quota.rs
@@ -1,9 +1,10 @@
 //! Quotas of workspaces over all VMs.
 //!
-//! Each VM holds an equal part of the rate and of the burst. In each failure domain one VM keeps the
-//! tokens of a workspace that the others do not need: they hand them over, and get them back when
-//! requests need them. Tokens are only moved, never made, so the sum over all VMs stays within rate and
-//! burst whatever messages are lost and whichever VMs are cut off or take themselves for the keeper.
+//! Each VM has an equal part of the rate and of the burst. In each failure domain one VM keeps the tokens
+//! of a workspace: it adds the parts of the VMs that it hears, and gives tokens to VMs whose requests need
+//! them. A VM that hears its keeper adds nothing itself; one that does not adds its own part. Tokens that
+//! are moved are never made, so the sum over all VMs stays within rate and burst whatever messages are
+//! lost, but for a part that both sides add for as long as only one of them hears the other.
 
 use std::collections::{BTreeMap, HashMap};
 
@@ -22,14 +23,13 @@
 /// Exchanges for which a keeper wants to hold what its failure domain spends: tokens of other regions
 /// take about half an exchange to come.
 const KEPT_AHEAD: u64 = 3;
+/// Tokens that a keeper wants to hold while its failure domain spends any.
+const KEPT_LEAST: u64 = 2 * ONE;
 /// Exchanges for which it holds that back from others.
 const KEPT_BACK: u64 = 1;
 /// Part of its burst, in percent, with which a process starts: the rules allow a tenth more than rate
 /// and burst, and every process may start again at the same moment.
 const START_PERCENT: u64 = 25;
-/// Part in percent of the burst that all VMs store in equal parts until they hand it over; the keepers
-/// store the rest.
-const OWN_PERCENT: u64 = 40;
 /// Tokens below which a VM holds none for its own requests.
 const LEAST_HELD: u64 = 2 * ONE;
 /// Tokens of others that any VM takes over: several answers may come for one request.
@@ -76,6 +76,19 @@
     }
 }
 
+common_derives! {
+    /// Who keeps the tokens of a workspace in a failure domain.
+    pub enum Keeper<K> {
+        /// This VM, for a number of VMs with itself.
+        Own {
+            /// Number of VMs whose parts it adds.
+            parts: usize,
+        },
+        /// Another VM, which this one hears.
+        Other(K),
+    }
+}
+
 common_derives! {
     /// What a VM tells a keeper.
     #[derive(Default)]
@@ -103,6 +116,9 @@
     urgent: Millis,
     /// Whether the last request for a waiting request's token brought nothing so far.
     pending: bool,
+    /// Number of VMs whose parts this VM adds: itself until it knows the keeper, none while it hears
+    /// one, those that it hears as the keeper.
+    parts: u64,
     /// Whether this VM keeps the tokens of its failure domain.
     kept: bool,
     /// Tokens that others of the failure domain asked for and did not get since the last exchange.
@@ -117,16 +133,14 @@
 #[derive(Default)]
 pub struct Quota {
     vms: u64,
-    domains: u64,
     accounts: HashMap<WorkspaceId, Account>,
 }
 
 /// Commands.
 impl Quota {
-    /// Adopts the numbers of VMs and failure domains over which quotas are divided.
-    pub fn set_size(&mut self, vms: usize, domains: usize) {
+    /// Adopts the number of VMs over which quotas are divided.
+    pub fn set_vms(&mut self, vms: usize) {
         self.vms = (vms as u64).max(1);
-        self.domains = (domains as u64).max(1);
     }
 
     /// Adopts the quotas of the workspaces, so that tokens exist before the first request.
@@ -141,7 +155,7 @@
         if spec.rate == 0 {
             return Admission::Admitted;
         }
-        let vms = self.size().vms;
+        let vms = self.divisor();
         let account = self.account(now, spec);
         account.arrivals += 1;
         if account.take() {
@@ -152,7 +166,7 @@
 
     /// Takes a token for a request that was counted before.
     pub fn admit_again(&mut self, now: Millis, spec: &WorkspaceSpec) -> Admission {
-        let vms = self.size().vms;
+        let vms = self.divisor();
         let account = self.account(now, spec);
         if account.take() {
             return Admission::Admitted;
@@ -163,13 +177,13 @@
     /// Gives tokens to another VM of the failure domain: what this one does not need itself, or half of
     /// what it has if its own requests need more.
     pub fn give(&mut self, now: Millis, workspace: &WorkspaceId, wanted: Micros) -> Micros {
-        let size = self.size();
+        let vms = self.divisor();
         let Some(account) = self.accounts.get_mut(workspace) else {
             return Micros::ZERO;
         };
-        account.advance(now, size);
+        account.advance(now, vms);
         let tokens = account.tokens();
-        let spare = tokens.saturating_sub(account.need(size)).max(tokens / 2);
+        let spare = tokens.saturating_sub(account.need(vms)).max(tokens / 2);
         let given = spare.min(wanted.0);
         account.spend(given);
         account.served += given;
@@ -179,12 +193,12 @@
 
     /// Gives tokens to the keeper of another failure domain: what this domain does not need soon.
     pub fn lend(&mut self, now: Millis, workspace: &WorkspaceId, wanted: Micros) -> Micros {
-        let size = self.size();
+        let vms = self.divisor();
         let Some(account) = self.accounts.get_mut(workspace) else {
             return Micros::ZERO;
         };
-        account.advance(now, size);
-        let kept = account.need(size) + account.spent * KEPT_BACK;
+        account.advance(now, vms);
+        let kept = account.need(vms) + account.spent * KEPT_BACK;
         let given = account.tokens().saturating_sub(kept).min(wanted.0);
         account.spend(given);
         Micros(given)
@@ -192,33 +206,39 @@
 
     /// Takes over tokens that another VM gave.
     pub fn credit(&mut self, now: Millis, part: &QuotaPart) {
-        let size = self.size();
+        let vms = self.divisor();
         if let Some(account) = self.accounts.get_mut(&part.workspace) {
-            account.advance(now, size);
-            let most = account.kept_most(size).max(account.need(size));
-            let most = most.max(ONE * MOST_HELD).max(account.held);
-            account.held = (account.held + part.amount.0).min(most);
+            account.advance(now, vms);
+            let most = account.need(vms).max(ONE * MOST_HELD).max(account.held);
+            let room = account.own_most(vms).saturating_sub(account.own);
+            let kept = part.amount.0.min(if account.kept { room } else { 0 });
+            account.own += kept;
+            account.held = (account.held + part.amount.0 - kept).min(most);
             account.pending = false;
         }
     }
 
-    /// What this VM tells the keeper of each workspace. `keeper` returns the keeper's number, `None` if
-    /// this VM keeps the workspace.
+    /// What this VM tells the keeper of each workspace.
     pub fn exchange<K: Ord>(
         &mut self,
         now: Millis,
-        keeper: impl Fn(&WorkspaceId) -> Option<K>,
+        keeper: impl Fn(&WorkspaceId) -> Keeper<K>,
     ) -> BTreeMap<K, QuotaNews> {
-        let size = self.size();
+        let vms = self.divisor();
         let mut news: BTreeMap<K, QuotaNews> = BTreeMap::new();
         for (workspace, account) in &mut self.accounts {
-            account.advance(now, size);
-            let Some(keeper) = keeper(workspace) else {
-                account.kept = true;
-                continue;
+            account.advance(now, vms);
+            let keeper = match keeper(workspace) {
+                Keeper::Own { parts } => {
+                    account.kept = true;
+                    account.parts = parts as u64;
+                    continue;
+                }
+                Keeper::Other(keeper) => keeper,
             };
             account.kept = false;
-            let need = account.need(size);
+            account.parts = 0;
+            let need = account.need(vms);
             let part = |amount| QuotaPart {
                 workspace: workspace.clone(),
                 amount: Micros(amount),
@@ -238,16 +258,19 @@
 
     /// Tokens that this VM wants from the keepers of other failure domains.
     pub fn shortages(&mut self, now: Millis) -> Vec<QuotaPart> {
-        let size = self.size();
+        let vms = self.divisor();
         let mut parts = Vec::new();
         for (workspace, account) in &mut self.accounts {
-            account.advance(now, size);
+            account.advance(now, vms);
             let unmet = std::mem::take(&mut account.unmet);
             let served = std::mem::take(&mut account.served);
             account.spent = (account.spent * 3 + served) / 4;
-            let wanted = account.need(size) + unmet + account.spent * KEPT_AHEAD;
-            let room = account.kept_most(size).saturating_sub(account.held);
-            let missing = wanted.saturating_sub(account.tokens()).min(room.max(ONE));
+            let least = if account.spent > 0 { KEPT_LEAST } else { 0 };
+            let wanted = (unmet + account.spent * KEPT_AHEAD).max(least) + account.need(vms);
+            let room = account.own_most(vms).saturating_sub(account.tokens());
+            let missing = wanted
+                .saturating_sub(account.tokens())
+                .min(room.max(KEPT_LEAST));
             if account.kept && missing > LEAST_MOVED {
                 parts.push(QuotaPart {
                     workspace: workspace.clone(),
@@ -278,42 +301,33 @@
         })
     }
 
-    fn size(&self) -> Size {
-        Size {
-            vms: self.vms.max(1),
-            domains: self.domains.max(1),
-        }
+    /// Number of VMs over which quotas are divided.
+    fn divisor(&self) -> u64 {
+        self.vms.max(1)
     }
 
     fn account(&mut self, now: Millis, spec: &WorkspaceSpec) -> &mut Account {
-        let size = self.size();
+        let vms = self.divisor();
         let (rate, burst) = (spec.rate, spec.burst * ONE);
         if !self.accounts.contains_key(&spec.id) {
-            let account = Account::new(now, rate, burst, size);
+            let account = Account::new(now, rate, burst, vms);
             self.accounts.insert(spec.id.clone(), account);
         }
         let account = self
             .accounts
             .entry(spec.id.clone())
-            .or_insert_with(|| Account::new(now, rate, burst, size));
-        account.advance(now, size);
+            .or_insert_with(|| Account::new(now, rate, burst, vms));
+        account.advance(now, vms);
         account.rate = rate;
         account.burst = burst;
         account
     }
 }
 
-/// Over how many holders quotas are divided.
-#[derive(Clone, Copy)]
-struct Size {
-    vms: u64,
-    domains: u64,
-}
-
 impl Account {
-    fn new(now: Millis, rate: u64, burst: u64, size: Size) -> Self {
+    fn new(now: Millis, rate: u64, burst: u64, vms: u64) -> Self {
         Self {
-            own: burst * START_PERCENT / 100 / size.vms,
+            own: burst * START_PERCENT / 100 / vms,
             held: 0,
             at: now,
             rate,
@@ -323,6 +337,7 @@
             span: now,
             urgent: Millis::ZERO,
             pending: false,
+            parts: 1,
             kept: false,
             unmet: 0,
             served: 0,
@@ -330,18 +345,9 @@
         }
     }
 
-    /// Most tokens of its own part that the VM stores.
-    fn own_most(&self, size: Size) -> u64 {
-        self.burst * OWN_PERCENT / 100 / size.vms
-    }
-
-    /// Most tokens of others that the VM stores as the keeper of its failure domain.
-    fn kept_most(&self, size: Size) -> u64 {
-        if self.kept {
-            self.burst * (100 - OWN_PERCENT) / 100 / size.domains
-        } else {
-            0
-        }
+    /// Most tokens that the VM stores of the parts that it adds.
+    fn own_most(&self, vms: u64) -> u64 {
+        self.burst * self.parts / vms
     }
 
     fn tokens(&self) -> u64 {
@@ -356,12 +362,12 @@
     }
 
     /// Adds the tokens of the time that passed, up to what the VM may store.
-    fn advance(&mut self, now: Millis, size: Size) {
+    fn advance(&mut self, now: Millis, vms: u64) {
         let passed = now.since(self.at);
         self.at = now;
         // A rate for 1000 s is a rate of millionths for each ms.
-        let refill = self.rate * passed.0 / size.vms;
-        let most = self.own_most(size).max(self.own);
+        let refill = self.rate * passed.0 * self.parts / vms;
+        let most = self.own_most(vms).max(self.own);
         self.own = (self.own + refill).min(most);
         let span = now.since(self.span);
         if span >= DEMAND_SPAN {
@@ -393,10 +399,10 @@
 
     /// Tokens that the VM's own requests need soon. Few are not held, since parts of a token admit
     /// nothing here and something at the keeper.
-    fn need(&self, size: Size) -> u64 {
+    fn need(&self, vms: u64) -> u64 {
         let present = self.arrivals * 1_000_000 / DEMAND_SPAN.0;
         let demand = self.demand.max(present);
-        let need = demand.saturating_sub(self.rate / size.vms) * AHEAD.0;
+        let need = demand.saturating_sub(self.rate * self.parts / vms) * AHEAD.0;
         if need < LEAST_HELD { 0 } else { need }
     }
 }
--- a/crates/waxwingrail/src/edge/peers.rs
+++ b/crates/waxwingrail/src/edge/peers.rs
@@ -7,7 +7,7 @@
 use async_executor::Task;
 
 use async_io::{Async, Timer};
-use waxwing_edge::{PeerMessage, QuotaPart, Urgent};
+use waxwing_edge::{Keeper, PeerMessage, QuotaPart, Urgent};
 use waxwing_store::WriteOutcome;
 use waxwing_types::{Micros, Millis, WorkspaceId};
 
@@ -207,8 +207,12 @@
     };
     let keeper = {
         let fleet = shared.fleet();
-        let near = fleet.keeper(now, workspace).filter(|_| !again);
-        near.or_else(|| fleet.other_keepers(workspace).first().copied())
+        match fleet.keeper(now, workspace) {
+            Keeper::Other(keeper) if !again => Some(keeper),
+            Keeper::Other(_) | Keeper::Own { .. } => {
+                fleet.other_keepers(workspace).first().copied()
+            }
+        }
     };
     if let Some(keeper) = keeper {
         let message = PeerMessage::Quota {
--- a/crates/waxwingrail/src/edge/watch.rs
+++ b/crates/waxwingrail/src/edge/watch.rs
@@ -272,8 +272,7 @@
     };
     let names = region.iter().map(VmId::as_str);
     shared.targets().set_vms(names, near);
-    let domains = shared.settings.domains.len();
-    shared.quota().set_size(count, domains);
+    shared.quota().set_vms(count);
 }
 
 /// Registers this VM again, after its entry was removed.
