--- a/crates/waxwing_edge/src/target/state.rs
+++ b/crates/waxwing_edge/src/target/state.rs
@@ -49,6 +49,8 @@
     faults: f64,
     /// Time of the last sample.
     seen: Millis,
+    /// Time of the last answer.
+    answered: Millis,
     cold: Millis,
     cold_tokens: u64,
     cold_at: Millis,
@@ -134,6 +136,7 @@
             latency: 0.0,
             faults: 0.0,
             seen: Millis::ZERO,
+            answered: Millis::ZERO,
             cold_tokens: 0,
             cold_at: now,
         }
@@ -176,6 +179,7 @@
         match ended {
             Ended::Answered { latency, sound } => {
                 self.breaks = 0;
+                self.answered = now;
                 self.sample(now, sound);
                 #[allow(clippy::cast_precision_loss, reason = "latencies are short")]
                 let latency = latency.0 as f64;
@@ -186,6 +190,7 @@
             }
             Ended::Shed => {
                 self.breaks = 0;
+                self.answered = now;
                 self.sample(now, false);
             }
             Ended::Misdirected => self.out = Millis::MAX,
@@ -194,6 +199,8 @@
                 let doublings = (self.breaks - BREAKS - 1).min(EJECT_DOUBLINGS);
                 self.out = now + Millis(EJECT_BASE.0 << doublings);
             }
+            // A target that answers others is busy, not down: its slots are still worth using.
+            Ended::TimedOut if now.since(self.answered) < RETRIAL => {}
             Ended::Broken | Ended::TimedOut => {
                 self.breaks += 1;
                 self.sample(now, false);
--- a/crates/waxwing_edge/tests/target.rs
+++ b/crates/waxwing_edge/tests/target.rs
@@ -122,6 +122,38 @@
     );
 }
 
+/// Guards against a service that loses its slots because its targets are too busy to answer all requests
+/// in time.
+#[test]
+fn a_busy_target_is_not_taken_for_one_that_is_down() {
+    let mut pool = pool();
+    pool.adopt(NOW, target("t1", "a"));
+    let keys: Vec<_> = (0..5).map(|_| chosen(&mut pool, 1).0).collect();
+    let answered = Ended::Answered {
+        latency: Millis(300),
+        sound: true,
+    };
+    pool.ended(NOW, keys[0], answered);
+    for key in &keys[1..] {
+        pool.ended(NOW + Millis(500), *key, Ended::TimedOut);
+    }
+    let first = pick(&mut pool, NOW + Millis(510), 1);
+    assert_matches!(first, Pick::Chosen(..));
+    assert_matches!(pick(&mut pool, NOW + Millis(510), 1), Pick::Chosen(..));
+}
+
+/// Guards against requests that go on to a target that went silent.
+#[test]
+fn a_silent_target_is_left_out() {
+    let mut pool = pool();
+    pool.adopt(NOW, target("t1", "a"));
+    let keys: Vec<_> = (0..4).map(|_| chosen(&mut pool, 1).0).collect();
+    for key in keys {
+        pool.ended(NOW + Millis(500), key, Ended::TimedOut);
+    }
+    assert_matches!(pick(&mut pool, NOW + Millis(510), 1), Pick::Nothing);
+}
+
 /// Guards against homes that are ignored when no target at home is usable.
 #[test]
 fn a_request_with_homes_is_not_sent_elsewhere() {
