Mend what a second reading of the edge daemon found

A target whose entry becomes unreadable went on getting requests, though such an entry names none to use. The bounds of a refusal's wait stood twice; the socket was set after the tables were built; a request held its body in an option that is always full; maps were looked up twice; records, header names and queries that nothing reads stood in the interfaces; quota.rs held the account and the exchange of tokens. Ruled out: the tables of status by reason (core and edge promise different things); the flags and derives that look alike. Change: one waxwing_http::exchange with its two errors; the target of an unreadable entry is removed (a_target_whose_entry_becomes_unreadable_is_left_out failed first); the rest removed, joined or split, without a change of behaviour.

--- a/crates/waxwing_edge/src/budget.rs
+++ b/crates/waxwing_edge/src/budget.rs
@@ -81,9 +81,6 @@
 
     fn slice(&mut self, now: Millis, service: &ServiceId) -> &mut Slice {
         let number = self.number(now);
-        if !self.services.contains_key(service) {
-            self.services.insert(service.clone(), Counts::default());
-        }
         let counts = self.services.entry(service.clone()).or_default();
         #[allow(clippy::cast_possible_truncation, reason = "below SLICES")]
         let slice = &mut counts.slices[(number % SLICES as u64) as usize];
--- a/crates/waxwing_edge/src/fleet.rs
+++ b/crates/waxwing_edge/src/fleet.rs
@@ -48,7 +48,7 @@
 }
 
 /// Parts into which the workspaces are divided, each with a keeper of its own in a failure domain.
-pub const SHARDS: u64 = 4;
+const SHARDS: u64 = 4;
 /// VMs of other failure domains of the region that get a heartbeat. They name this VM's domain only if
 /// theirs has no VM left.
 const REGION_LISTENERS: usize = 6;
@@ -79,15 +79,10 @@
 /// Queries.
 impl Fleet {
     /// Number of VMs that are registered, with this one.
-    pub fn len(&self) -> usize {
+    pub fn count(&self) -> usize {
         self.vms.len() + usize::from(!self.vms.contains_key(&self.own.id))
     }
 
-    /// Whether no other VM is known.
-    pub fn is_empty(&self) -> bool {
-        self.len() == 1
-    }
-
     /// The VMs of this VM's region, with this one.
     pub fn region_ids(&self) -> Vec<VmId> {
         let others = self
--- a/crates/waxwing_edge/src/lib.rs
+++ b/crates/waxwing_edge/src/lib.rs
@@ -11,7 +11,7 @@
 mod target;
 
 pub use budget::{BudgetRule, RetryBudgets};
-pub use fleet::{Fleet, PeerMessage, SHARDS};
+pub use fleet::{Fleet, PeerMessage};
 pub use hash::{hash_bytes, mix64};
 pub use plan::{Access, Plan};
 pub use poison::Poison;
--- a/crates/waxwing_edge/src/poison.rs
+++ b/crates/waxwing_edge/src/poison.rs
@@ -42,11 +42,6 @@
         let suspect = self.suspects.get(&print);
         suspect.is_some_and(|s| s.crashes >= CRASHES && now.since(s.at) < LIFETIME)
     }
-
-    /// Whether any request was seen at a crash.
-    pub fn is_empty(&self) -> bool {
-        self.suspects.is_empty()
-    }
 }
 
 /// Commands.
--- a/crates/waxwing_edge/src/quota.rs
+++ b/crates/waxwing_edge/src/quota/mod.rs
@@ -6,16 +6,16 @@
 //! are moved are never made, so the sum over all VMs stays within rate and burst whatever messages are
 //! lost, but for a part that both sides add for as long as only one of them hears the other.
 
+mod account;
+
 use std::collections::{BTreeMap, HashMap};
 
 use serde::{Deserialize, Serialize};
 use waxwing_records::WorkspaceSpec;
 use waxwing_types::{Micros, Millis, WorkspaceId, common_derives};
 
-/// Span over which demand is averaged.
-const DEMAND_SPAN: Millis = Millis(1000);
-/// Demand ahead for which a VM wants to hold tokens. An exchange with the keeper takes up to 0.4 s.
-const AHEAD: Millis = Millis(700);
+use account::{Account, ONE};
+
 /// Pause between two requests for a token that a request waits for.
 const URGENT_PAUSE: Millis = Millis(3);
 /// The same after one that brought nothing: the workspace asks for more than its quota.
@@ -27,17 +27,10 @@
 const KEPT_LEAST: u64 = 2 * ONE;
 /// Exchanges for which it holds that back from others.
 const KEPT_BACK: u64 = 1;
-/// Part of its burst, in percent, with which a process starts: the rules allow a tenth more than rate
-/// and burst, and every process may start again at the same moment.
-const START_PERCENT: u64 = 25;
-/// Tokens below which a VM holds none for its own requests.
-const LEAST_HELD: u64 = 2 * ONE;
 /// Tokens of others that any VM takes over: several answers may come for one request.
 const MOST_HELD: u64 = 4;
 /// Tokens below which a VM does not hand them over.
 const LEAST_MOVED: u64 = ONE / 20;
-/// One token.
-const ONE: u64 = Micros::PER_UNIT;
 
 common_derives! {
     copy
@@ -100,35 +93,6 @@
     }
 }
 
-struct Account {
-    /// Tokens of the VM's own part that it has not handed over or spent.
-    own: u64,
-    /// Tokens that others gave.
-    held: u64,
-    at: Millis,
-    rate: u64,
-    /// Millionths.
-    burst: u64,
-    /// Requests in 1000 s, averaged.
-    demand: u64,
-    arrivals: u64,
-    span: Millis,
-    urgent: Millis,
-    /// Whether the last request for a waiting request's token brought nothing so far.
-    pending: bool,
-    /// Number of VMs whose parts this VM adds: itself until it knows the keeper, none while it hears
-    /// one, those that it hears as the keeper.
-    parts: u64,
-    /// Whether this VM keeps the tokens of its failure domain.
-    kept: bool,
-    /// Tokens that others of the failure domain asked for and did not get since the last exchange.
-    unmet: u64,
-    /// Tokens that the failure domain spent since the last exchange.
-    served: u64,
-    /// Tokens that it spends between two exchanges, averaged.
-    spent: u64,
-}
-
 /// The accounts of all workspaces on one VM.
 #[derive(Default)]
 pub struct Quota {
@@ -155,13 +119,8 @@
         if spec.rate == 0 {
             return Admission::Admitted;
         }
-        let vms = self.divisor();
-        let account = self.account(now, spec);
-        account.arrivals += 1;
-        if account.take() {
-            return Admission::Admitted;
-        }
-        account.short(vms)
+        self.account(now, spec).arrivals += 1;
+        self.admit_again(now, spec)
     }
 
     /// Takes a token for a request that was counted before.
@@ -309,10 +268,6 @@
     fn account(&mut self, now: Millis, spec: &WorkspaceSpec) -> &mut Account {
         let vms = self.divisor();
         let (rate, burst) = (spec.rate, spec.burst * ONE);
-        if !self.accounts.contains_key(&spec.id) {
-            let account = Account::new(now, rate, burst, vms);
-            self.accounts.insert(spec.id.clone(), account);
-        }
         let account = self
             .accounts
             .entry(spec.id.clone())
@@ -323,86 +278,3 @@
         account
     }
 }
-
-impl Account {
-    fn new(now: Millis, rate: u64, burst: u64, vms: u64) -> Self {
-        Self {
-            own: burst * START_PERCENT / 100 / vms,
-            held: 0,
-            at: now,
-            rate,
-            burst,
-            demand: 0,
-            arrivals: 0,
-            span: now,
-            urgent: Millis::ZERO,
-            pending: false,
-            parts: 1,
-            kept: false,
-            unmet: 0,
-            served: 0,
-            spent: 0,
-        }
-    }
-
-    /// Most tokens that the VM stores of the parts that it adds.
-    fn own_most(&self, vms: u64) -> u64 {
-        self.burst * self.parts / vms
-    }
-
-    fn tokens(&self) -> u64 {
-        self.own + self.held
-    }
-
-    /// Takes tokens, those of others first, so that the own part goes on growing.
-    fn spend(&mut self, amount: u64) {
-        let held = amount.min(self.held);
-        self.held -= held;
-        self.own = self.own.saturating_sub(amount - held);
-    }
-
-    /// Adds the tokens of the time that passed, up to what the VM may store.
-    fn advance(&mut self, now: Millis, vms: u64) {
-        let passed = now.since(self.at);
-        self.at = now;
-        // A rate for 1000 s is a rate of millionths for each ms.
-        let refill = self.rate * passed.0 * self.parts / vms;
-        let most = self.own_most(vms).max(self.own);
-        self.own = (self.own + refill).min(most);
-        let span = now.since(self.span);
-        if span >= DEMAND_SPAN {
-            let demand = self.arrivals * 1_000_000 / span.0;
-            self.demand = u64::midpoint(self.demand, demand);
-            self.arrivals = 0;
-            self.span = now;
-        }
-    }
-
-    fn take(&mut self) -> bool {
-        if self.tokens() < ONE {
-            return false;
-        }
-        self.spend(ONE);
-        if self.kept {
-            self.served += ONE;
-        }
-        true
-    }
-
-    fn short(&self, vms: u64) -> Admission {
-        let missing = ONE - self.tokens().min(ONE);
-        let wait = missing * vms / self.rate.max(1);
-        Admission::Short {
-            wait: Millis(wait.max(1)),
-        }
-    }
-
-    /// Tokens that the VM's own requests need soon. Few are not held, since parts of a token admit
-    /// nothing here and something at the keeper.
-    fn need(&self, vms: u64) -> u64 {
-        let present = self.arrivals * 1_000_000 / DEMAND_SPAN.0;
-        let demand = self.demand.max(present);
-        let need = demand.saturating_sub(self.rate * self.parts / vms) * AHEAD.0;
-        if need < LEAST_HELD { 0 } else { need }
-    }
-}
--- a/crates/waxwing_edge/src/target/pick.rs
+++ b/crates/waxwing_edge/src/target/pick.rs
@@ -10,8 +10,6 @@
 const REGION_SALT: u64 = 0x5245_4749_4f4e;
 /// Part in percent of the objective that an answer takes before the service's own average is known.
 const FIRST_WORK_PERCENT: f64 = 80.0;
-/// Longest wait that a refused caller is told, and the shortest.
-const WAIT_BOUNDS: (u64, u64) = (50, 1000);
 /// Extra work, in multiples of the average, at the second target of an object and at further ones,
 /// which have rarely handled it. Work on an object that a target has just handled is a third.
 const STRANGE: [f64; 2] = [0.8, 1.6];
@@ -65,7 +63,7 @@
         let excess = chosen.wait + work - within;
         if chosen.wait > 0.0 && excess > 0.0 {
             return Pick::Full {
-                wait: bounded(excess),
+                wait: millis(excess),
             };
         }
         let key = chosen.key;
@@ -125,12 +123,12 @@
     }
 }
 
+/// A time in whole milliseconds.
 #[allow(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
     reason = "the cast saturates"
 )]
-fn bounded(wait: f64) -> Millis {
-    let (least, most) = WAIT_BOUNDS;
-    Millis((wait as u64).clamp(least, most))
+fn millis(ms: f64) -> Millis {
+    Millis(ms as u64)
 }
--- a/crates/waxwing_edge/src/target/pool.rs
+++ b/crates/waxwing_edge/src/target/pool.rs
@@ -45,21 +45,6 @@
 
 /// Queries.
 impl TargetPool {
-    /// Number of targets.
-    pub fn len(&self) -> usize {
-        self.targets.len()
-    }
-
-    /// Whether there is no target.
-    pub fn is_empty(&self) -> bool {
-        self.targets.is_empty()
-    }
-
-    /// Requests of this VM at all targets.
-    pub fn inflight(&self) -> u32 {
-        self.targets.values().map(|t| t.inflight).sum()
-    }
-
     /// Part of a service's requests that goes to a region.
     pub fn part(&self, service: &ServiceId, region: &RegionId) -> Option<f64> {
         let region = self.regions.iter().position(|r| r == region)?;
@@ -153,7 +138,7 @@
                 target.update(now, entry);
                 return;
             }
-            self.remove(&entry.id.clone());
+            self.remove(&entry.id);
         }
         let region = self.region_of(&entry.domain);
         let near = entry.domain == self.place.domain;
@@ -227,6 +212,12 @@
     /// Moves the parts of the regions and counts the sends to cold targets. To be called a few times a
     /// second.
     pub fn tick(&mut self, now: Millis) {
+        self.refill_cold(now);
+        self.adjust_mixes(now);
+    }
+
+    /// Counts the requests that this VM may send to cold targets.
+    fn refill_cold(&mut self, now: Millis) {
         let senders: Vec<(TargetKey, bool)> = self
             .targets
             .iter()
@@ -245,6 +236,9 @@
                 target.refill(now, used, count);
             }
         }
+    }
+
+    fn adjust_mixes(&mut self, now: Millis) {
         let services: Vec<ServiceId> = self.groups.keys().cloned().collect();
         for service in services {
             let Some(group) = self.groups.get(&service) else {
--- a/crates/waxwing_http/src/dialect.rs
+++ b/crates/waxwing_http/src/dialect.rs
@@ -21,8 +21,6 @@
     pub load: HeaderName,
     /// Says that the request was not run.
     pub not_run: HeaderName,
-    /// Milliseconds for which the target stays cold.
-    pub cold: HeaderName,
     /// Cookie that names the object of a request.
     pub object: &'static str,
     /// Scheme of keys in `Authorization`.
@@ -70,7 +68,6 @@
                 workspace: HeaderName::from_static("x-workspace"),
                 load: HeaderName::from_static("x-load"),
                 not_run: HeaderName::from_static("x-not-run"),
-                cold: HeaderName::from_static("x-cold-ms"),
                 object: "affinity",
                 scheme: "Bearer",
             },
--- a/crates/waxwing_http/src/exchange.rs
+++ b/crates/waxwing_http/src/exchange.rs
@@ -4,32 +4,58 @@
 
 use futures_lite::future;
 use http_body_util::BodyExt;
-use hyper::{Request, StatusCode};
+use hyper::{Request, Response};
 use waxwing_types::Millis;
 
-use crate::{Body, Client};
+use crate::{Body, Client, SendError};
 
-/// Sends a request and reads its whole answer within a time.
+/// Why there is no whole answer, with the reason.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ExchangeError {
+    /// Nothing was sent.
+    Unsent(String),
+    /// The request may have taken effect.
+    Sent(String),
+}
+
+impl ExchangeError {
+    /// The reason.
+    pub fn reason(self) -> String {
+        match self {
+            Self::Unsent(reason) | Self::Sent(reason) => reason,
+        }
+    }
+}
+
+/// Sends a request and reads its whole answer of at most `max` bytes within a time.
 ///
 /// # Errors
-/// The reason for which there is no whole answer.
+/// See [`ExchangeError`].
 pub async fn exchange(
     client: &Client,
     address: SocketAddr,
     request: Request<Body>,
     timeout: Millis,
     max: usize,
-) -> Result<(StatusCode, Vec<u8>), String> {
+) -> Result<Response<Vec<u8>>, ExchangeError> {
     let answer = async {
-        let response = client.send(address, request).await;
-        let response = response.map_err(|e| e.to_string())?;
-        let status = response.status();
-        let body = read(response.into_body(), max).await?;
-        Ok((status, body))
+        let response = match client.send(address, request).await {
+            Ok(response) => response,
+            Err(error @ (SendError::Connect(_) | SendError::NotSent(_))) => {
+                return Err(ExchangeError::Unsent(error.to_string()));
+            }
+            Err(error @ SendError::Broken(_)) => {
+                return Err(ExchangeError::Sent(error.to_string()));
+            }
+        };
+        let (head, body) = response.into_parts();
+        let body = read(body, max).await.map_err(ExchangeError::Sent)?;
+        Ok(Response::from_parts(head, body))
     };
+    // The time may be over between sending and answering, so a write counts as sent.
     let expired = async {
         async_io::Timer::after(timeout.duration()).await;
-        Err(format!("no answer within {timeout}"))
+        Err(ExchangeError::Sent(format!("no answer within {timeout}")))
     };
     future::or(answer, expired).await
 }
--- a/crates/waxwing_http/src/lib.rs
+++ b/crates/waxwing_http/src/lib.rs
@@ -17,7 +17,7 @@
 pub use client::{Client, ClientLimits, SendError};
 pub use coarse::{CoarseSleep, CoarseTimer};
 pub use dialect::{Dialect, DirectoryQuery, HeaderNames, OwnDialect, query_value};
-pub use exchange::exchange;
+pub use exchange::{ExchangeError, exchange};
 pub use hop::{remove_hop_headers, remove_proxy_headers};
 pub use problem::{Problem, json};
 pub use server::{Handler, Server, ServerLimits};
--- a/crates/waxwing_records/src/deployment.rs
+++ b/crates/waxwing_records/src/deployment.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
-use waxwing_types::{DomainId, Millis, RegionId, ServiceId, WorkspaceId, common_derives};
+use waxwing_types::{Millis, RegionId, ServiceId, WorkspaceId, common_derives};
 
 use crate::Findings;
 
@@ -208,12 +208,3 @@
         }
     }
 }
-
-common_derives! {
-    /// A request of the operator that targets of a failure domain get nothing more.
-    #[derive(Serialize, Deserialize)]
-    pub struct Evacuation {
-        /// The failure domain.
-        pub domain: DomainId,
-    }
-}
--- a/crates/waxwing_records/src/lib.rs
+++ b/crates/waxwing_records/src/lib.rs
@@ -18,7 +18,7 @@
 
 pub use blocks::{Block, Blocks};
 pub use deployment::{
-    Backend, CallerLimits, Deployment, Evacuation, HostRoute, RunKind, ServiceSpec, WorkspaceSpec,
+    Backend, CallerLimits, Deployment, HostRoute, RunKind, ServiceSpec, WorkspaceSpec,
 };
 pub use document::{Document, Kind, MAX_RECORD_BYTES, Record, RecordName};
 pub use finding::{Finding, Findings};
--- a/crates/waxwing_store/src/http.rs
+++ b/crates/waxwing_store/src/http.rs
@@ -2,12 +2,10 @@
 
 use std::net::SocketAddr;
 
-use futures_lite::future;
-use http_body_util::BodyExt;
 use hyper::header::{ETAG, IF_MATCH, IF_NONE_MATCH};
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Method, Request, StatusCode};
 use smol_str::SmolStr;
-use waxwing_http::{Body, Client, SendError, empty, full};
+use waxwing_http::{Body, Client, ExchangeError, empty, exchange, full};
 use waxwing_types::{Millis, Revision};
 
 use crate::wire::{ChangesBody, VmsBody, etag, parse_etag};
@@ -32,22 +30,6 @@
     body: Vec<u8>,
 }
 
-/// Why there is no response.
-enum Failure {
-    /// Nothing was sent.
-    Unsent(String),
-    /// The request may have taken effect.
-    Sent(String),
-}
-
-impl Failure {
-    fn reason(self) -> String {
-        match self {
-            Self::Unsent(reason) | Self::Sent(reason) => reason,
-        }
-    }
-}
-
 impl HttpStore {
     /// The store at `address`, over the connections of `client`.
     pub fn new(client: Client, address: SocketAddr) -> Self {
@@ -58,24 +40,16 @@
         &self,
         request: Result<Request<Body>, hyper::http::Error>,
         timeout: Millis,
-    ) -> Result<Answer, Failure> {
-        let request = request.map_err(|e| Failure::Unsent(e.to_string()))?;
-        let answer = async {
-            let response = self.client.send(self.address, request).await;
-            match response {
-                Ok(response) => read_answer(response).await,
-                Err(error @ (SendError::Connect(_) | SendError::NotSent(_))) => {
-                    Err(Failure::Unsent(error.to_string()))
-                }
-                Err(error @ SendError::Broken(_)) => Err(Failure::Sent(error.to_string())),
-            }
-        };
-        // The deadline may pass between sending and answering, so a write counts as sent.
-        let expired = async {
-            async_io::Timer::after(timeout.duration()).await;
-            Err(Failure::Sent(format!("no answer within {timeout}")))
-        };
-        future::or(answer, expired).await
+    ) -> Result<Answer, ExchangeError> {
+        let request = request.map_err(|e| ExchangeError::Unsent(e.to_string()))?;
+        let response =
+            exchange(&self.client, self.address, request, timeout, MAX_BODY_BYTES).await?;
+        let tag = response.headers().get(ETAG);
+        Ok(Answer {
+            status: response.status(),
+            version: tag.and_then(|t| parse_etag(t.to_str().ok()?)),
+            body: response.into_body(),
+        })
     }
 
     async fn write(
@@ -85,8 +59,8 @@
     ) -> WriteOutcome {
         match self.call(request, timeout).await {
             Ok(answer) => write_outcome(&answer),
-            Err(Failure::Unsent(reason)) => WriteOutcome::Unreachable(reason),
-            Err(Failure::Sent(reason)) => WriteOutcome::Unknown(reason),
+            Err(ExchangeError::Unsent(reason)) => WriteOutcome::Unreachable(reason),
+            Err(ExchangeError::Sent(reason)) => WriteOutcome::Unknown(reason),
         }
     }
 
@@ -184,37 +158,6 @@
     format!("/v1/objects/{path}")
 }
 
-async fn read_answer(response: Response<Body>) -> Result<Answer, Failure> {
-    let status = response.status();
-    let tag = response.headers().get(ETAG);
-    let version = tag.and_then(|t| parse_etag(t.to_str().ok()?));
-    let body = read_body(response.into_body()).await?;
-    Ok(Answer {
-        status,
-        version,
-        body,
-    })
-}
-
-/// Reads frame by frame: the compiler cannot show that the future of `waxwing_http::collect` over a
-/// [`Body`] is `Send`.
-async fn read_body(mut body: Body) -> Result<Vec<u8>, Failure> {
-    let mut bytes = Vec::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|e| Failure::Sent(e.to_string()))?;
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        if bytes.len() + data.len() > MAX_BODY_BYTES {
-            return Err(Failure::Sent(format!(
-                "answer exceeds {MAX_BODY_BYTES} bytes"
-            )));
-        }
-        bytes.extend_from_slice(&data);
-    }
-    Ok(bytes)
-}
-
 fn read_outcome(path: &str, answer: Answer) -> ReadOutcome {
     match (answer.status, answer.version) {
         (StatusCode::OK, Some(version)) => ReadOutcome::Found(Object {
--- a/crates/waxwingrail/src/edge/daemon.rs
+++ b/crates/waxwingrail/src/edge/daemon.rs
@@ -8,7 +8,6 @@
 use anyhow::Context as _;
 use async_executor::{Executor, Task};
 use async_io::{Async, Timer};
-
 use async_signal::{Signal, Signals};
 use futures_lite::{StreamExt, future};
 use waxwing_http::{Client, ClientLimits, Handler, Server, ServerLimits};
@@ -52,7 +51,7 @@
     /// # Errors
     /// An address cannot be bound; the error names the setting.
     pub async fn start(settings: EdgeSettings, parts: EdgeParts) -> anyhow::Result<Self> {
-        let socket = Async::<UdpSocket>::bind(settings.peer).map(Arc::new);
+        let socket = Async::<UdpSocket>::bind(settings.peer);
         let socket = socket.with_context(|| format!("--peer {}", settings.peer))?;
         let own = VmEntry {
             id: settings.vm.clone(),
@@ -72,7 +71,7 @@
         };
         let (listen, directory, readiness) =
             (settings.listen, settings.directory, settings.readiness);
-        let shared = Arc::new(Shared::new(settings, own, parts));
+        let shared = Arc::new(Shared::new(settings, own, socket, parts));
         let handler = Arc::new(Readiness(Arc::clone(&shared)));
         let readiness = serve(&shared, "--readiness", readiness, few, handler).await?;
         let handler = Arc::new(Directory(Arc::clone(&shared)));
@@ -80,7 +79,7 @@
         let handler = Arc::new(Callers(Arc::clone(&shared)));
         let callers = serve(&shared, "--listen", listen, limits, handler).await?;
         let mut tasks = watch::start(&shared);
-        tasks.extend(peers::start(&shared, socket));
+        tasks.extend(peers::start(&shared));
         log::info!(
             vm = shared.settings.vm.as_str(), domain = shared.settings.domain.as_str(),
             region = shared.settings.region.as_str(), incarnation = shared.own.incarnation.0,
--- a/crates/waxwingrail/src/edge/listen.rs
+++ b/crates/waxwingrail/src/edge/listen.rs
@@ -44,7 +44,8 @@
         let shared = Arc::clone(&self.0);
         Box::pin(async move {
             let _running = Running::new(&shared);
-            Exchange::new(&shared, request).run().await
+            let (head, body) = request.into_parts();
+            Exchange::new(&shared, head).run(body).await
         })
     }
 }
--- a/crates/waxwingrail/src/edge/peers.rs
+++ b/crates/waxwingrail/src/edge/peers.rs
@@ -1,12 +1,11 @@
 //! Datagrams between VMs: heartbeats, tokens of quotas, and requests that crashed targets.
 
-use std::net::{SocketAddr, UdpSocket};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use async_executor::Task;
-
-use async_io::{Async, Timer};
+use async_io::Timer;
 use waxwing_edge::{Keeper, PeerMessage, QuotaPart, Urgent};
 use waxwing_store::WriteOutcome;
 use waxwing_types::{Micros, Millis, WorkspaceId};
@@ -27,21 +26,20 @@
 const REGISTER_PAUSES: (Millis, Millis) = (Millis(100), Millis(1600));
 
 /// Starts the tasks.
-pub(crate) fn start(shared: &Arc<Shared>, socket: Arc<Async<UdpSocket>>) -> Vec<Task<()>> {
-    shared.set_socket(socket.clone());
+pub(crate) fn start(shared: &Arc<Shared>) -> Vec<Task<()>> {
     let executor = &shared.executor;
     vec![
-        executor.spawn(receive(Arc::clone(shared), socket)),
+        executor.spawn(receive(Arc::clone(shared))),
         executor.spawn(beat(Arc::clone(shared))),
         executor.spawn(tick(Arc::clone(shared))),
         executor.spawn(register(Arc::clone(shared))),
     ]
 }
 
-async fn receive(shared: Arc<Shared>, socket: Arc<Async<UdpSocket>>) {
+async fn receive(shared: Arc<Shared>) {
     let mut buffer = vec![0; MAX_DATAGRAM];
     loop {
-        match socket.recv_from(&mut buffer).await {
+        match shared.socket.recv_from(&mut buffer).await {
             Ok((length, from)) => on_datagram(&shared, &buffer[..length], from),
             Err(error) => {
                 log::warn!(error = error.to_string().as_str(); "datagram not received");
@@ -108,9 +106,6 @@
 
 /// Sends a message to each address. A datagram that cannot be sent at once is lost like others.
 fn send(shared: &Shared, message: &PeerMessage, to: &[SocketAddr]) {
-    let Some(socket) = shared.socket() else {
-        return;
-    };
     let bytes = match serde_json::to_vec(message) {
         Ok(bytes) => bytes,
         Err(error) => {
@@ -119,7 +114,7 @@
         }
     };
     for address in to {
-        if let Err(error) = socket.get_ref().send_to(&bytes, address) {
+        if let Err(error) = shared.socket.get_ref().send_to(&bytes, address) {
             log::debug!(to = address.to_string().as_str(), error = error.to_string().as_str(); "datagram not sent");
         }
     }
--- a/crates/waxwingrail/src/edge/request.rs
+++ b/crates/waxwingrail/src/edge/request.rs
@@ -7,7 +7,7 @@
 use hyper::body::Incoming;
 use hyper::header::{AUTHORIZATION, COOKIE, EXPECT, HOST};
 use hyper::http::request::Parts;
-use hyper::{HeaderMap, Request, Response};
+use hyper::{HeaderMap, Response};
 use smol_str::SmolStr;
 use waxwing_edge::{Access, Admission, Pick, Plan, TargetKey, Want, hash_bytes, mix64};
 use waxwing_http::{Body, remove_hop_headers, remove_proxy_headers};
@@ -45,7 +45,6 @@
 pub(crate) struct Exchange<'a> {
     shared: &'a Arc<Shared>,
     head: Parts,
-    body: Option<Incoming>,
     began: Instant,
     arrived: Millis,
 }
@@ -62,21 +61,20 @@
 }
 
 impl<'a> Exchange<'a> {
-    pub(crate) fn new(shared: &'a Arc<Shared>, request: Request<Incoming>) -> Self {
-        let (head, body) = request.into_parts();
+    /// A request as it arrives, without its body.
+    pub(crate) fn new(shared: &'a Arc<Shared>, head: Parts) -> Self {
         Self {
             shared,
             head,
-            body: Some(body),
             began: Instant::now(),
             arrived: shared.now(),
         }
     }
 
     /// Answers the request.
-    pub(crate) async fn run(mut self) -> Response<Body> {
+    pub(crate) async fn run(mut self, body: Incoming) -> Response<Body> {
         let shared = self.shared;
-        match self.serve().await {
+        match self.serve(body).await {
             Ok(response) => response,
             Err(refusal) => {
                 let refusal = bounded(refusal);
@@ -92,7 +90,7 @@
         }
     }
 
-    async fn serve(&mut self) -> Result<Response<Body>, Refusal> {
+    async fn serve(&mut self, body: Incoming) -> Result<Response<Body>, Refusal> {
         let shared = self.shared;
         let Some(plan) = shared.plan() else {
             return Err(Refusal::after(RefusalReason::ConfigStale, LEAST_WAIT));
@@ -102,9 +100,9 @@
         if let Some(workspace) = access.workspace {
             self.admit(workspace).await?;
         }
-        let mut body = self.read_body(&plan, deadline).await?;
+        let mut body = self.read_body(body, &plan, deadline).await?;
         let ready = self.ready(access, deadline, &body)?;
-        if !shared.poison().is_empty() && shared.poison().holds(shared.now(), ready.print) {
+        if shared.poison().holds(shared.now(), ready.print) {
             return Err(Refusal::new(RefusalReason::Quarantined));
         }
         self.send(&ready, &mut body).await
@@ -151,7 +149,8 @@
     }
 
     async fn read_body(
-        &mut self,
+        &self,
+        body: Incoming,
         plan: &Plan,
         deadline: Millis,
     ) -> Result<Gathered<Incoming>, Refusal> {
@@ -161,9 +160,6 @@
         if announced.is_some_and(|bytes| bytes > limit) {
             return Err(Refusal::new(RefusalReason::TooLarge));
         }
-        let Some(body) = self.body.take() else {
-            return Err(Refusal::new(RefusalReason::BadRequest));
-        };
         let reading = async {
             let gathered = gather(body, HELD_BYTES).await;
             gathered.map_err(|_| Refusal::new(RefusalReason::BadRequest))
@@ -293,7 +289,7 @@
         if record.sends == 0 {
             return true;
         }
-        let vms = shared.fleet().len();
+        let vms = shared.fleet().count();
         record.sends < route.attempts && shared.budgets().allows(now, &ready.service, vms)
     }
 
--- a/crates/waxwingrail/src/edge/state.rs
+++ b/crates/waxwingrail/src/edge/state.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::net::UdpSocket;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Duration;
 
 use async_executor::Executor;
@@ -81,6 +81,8 @@
     pub(crate) executor: Arc<Executor<'static>>,
     pub(crate) client: Client,
     pub(crate) timer: CoarseTimer,
+    /// For datagrams of other VMs.
+    pub(crate) socket: Async<UdpSocket>,
 
     plan: RwLock<Option<Arc<Plan>>>,
     store: Mutex<StoreView>,
@@ -90,7 +92,6 @@
     budgets: Mutex<RetryBudgets>,
     poison: Mutex<Poison>,
 
-    socket: OnceLock<Arc<Async<UdpSocket>>>,
     pub(crate) running: AtomicUsize,
     stopping: AtomicBool,
 }
@@ -112,7 +113,12 @@
 }
 
 impl Shared {
-    pub(crate) fn new(settings: EdgeSettings, own: VmEntry, parts: EdgeParts) -> Self {
+    pub(crate) fn new(
+        settings: EdgeSettings,
+        own: VmEntry,
+        socket: Async<UdpSocket>,
+        parts: EdgeParts,
+    ) -> Self {
         let place = Place {
             domain: settings.domain.clone(),
             region: settings.region.clone(),
@@ -137,9 +143,9 @@
             quota: Mutex::default(),
             budgets: Mutex::new(RetryBudgets::new(rule)),
             poison: Mutex::default(),
-            socket: OnceLock::new(),
             running: AtomicUsize::new(0),
             stopping: AtomicBool::new(false),
+            socket,
             own,
             settings,
         }
@@ -192,17 +198,6 @@
         lock(&self.poison)
     }
 
-    /// The socket for datagrams, once it is bound.
-    pub(crate) fn socket(&self) -> Option<&Arc<Async<UdpSocket>>> {
-        self.socket.get()
-    }
-
-    /// Sets the socket for datagrams.
-    pub(crate) fn set_socket(&self, socket: Arc<Async<UdpSocket>>) {
-        // Set once, at start.
-        let _ = self.socket.set(socket);
-    }
-
     /// Whether callers may be sent here.
     pub(crate) fn is_ready(&self) -> bool {
         let listed = self.store().read.contains(&Family::Targets);
--- a/crates/waxwingrail/src/edge/watch.rs
+++ b/crates/waxwingrail/src/edge/watch.rs
@@ -153,9 +153,6 @@
         }
     }
     adopt_changes(shared, family, entries);
-    if family == Family::Evacuations {
-        put_evacuations(shared, now);
-    }
 }
 
 fn adopt_changes(shared: &Arc<Shared>, family: Family, changes: Vec<Change>) {
@@ -180,6 +177,9 @@
                     reason = reason.as_str();
                     "entry not read"
                 );
+                if family == Family::Targets {
+                    shared.targets().remove(&TargetId(change.name));
+                }
             }
             None => removed(shared, now, family, change.name),
         }
@@ -268,7 +268,7 @@
 fn count_vms(shared: &Shared) {
     let (count, region, near) = {
         let fleet = shared.fleet();
-        (fleet.len(), fleet.region_ids(), fleet.near())
+        (fleet.count(), fleet.region_ids(), fleet.near())
     };
     let names = region.iter().map(VmId::as_str);
     shared.targets().set_vms(names, near);
--- a/crates/waxwingrail/tests/edge.rs
+++ b/crates/waxwingrail/tests/edge.rs
@@ -247,6 +247,22 @@
     });
 }
 
+/// Guards against a target that is used although its entry no longer names one.
+#[test]
+fn a_target_whose_entry_becomes_unreadable_is_left_out() {
+    run(async |rig| {
+        rig.deploy(deployment(1));
+        rig.target("t1", Manner::Well).await;
+        let daemon = rig.ready().await;
+        let unreadable = Entry::Unreadable("no address".into());
+        rig.registry.put(Family::Targets, "t1", unreadable);
+        until("the target is left out", async || {
+            rig.call(&daemon, "safe").await.status == 503
+        })
+        .await;
+    });
+}
+
 /// Guards against a target that left while the history was dropped.
 #[test]
 fn a_family_is_listed_again_when_the_history_is_gone() {
--- a/crates/waxwingrail/tests/edge/rig.rs
+++ b/crates/waxwingrail/tests/edge/rig.rs
@@ -267,7 +267,7 @@
 }
 
 #[derive(Default)]
-struct TargetState_ {
+struct TargetLog {
     got: Vec<Got>,
     open: usize,
 }
@@ -275,17 +275,17 @@
 /// A target double.
 pub(crate) struct Target {
     pub(crate) address: SocketAddr,
-    state: Arc<Mutex<TargetState_>>,
+    state: Arc<Mutex<TargetLog>>,
 }
 
 struct Answering {
     manner: Manner,
-    state: Arc<Mutex<TargetState_>>,
+    state: Arc<Mutex<TargetLog>>,
 }
 
 impl Target {
     async fn start(executor: &Arc<Executor<'static>>, manner: Manner) -> Self {
-        let state: Arc<Mutex<TargetState_>> = Arc::default();
+        let state: Arc<Mutex<TargetLog>> = Arc::default();
         let handler = Arc::new(Answering {
             manner,
             state: Arc::clone(&state),
@@ -309,7 +309,7 @@
     }
 }
 
-struct Open(Arc<Mutex<TargetState_>>);
+struct Open(Arc<Mutex<TargetLog>>);
 
 impl Drop for Open {
     fn drop(&mut self) {
