Give each daemon under test ports that no other test can take

The fixture bound port 0 to learn free ports and released them; until the daemon bound them the system could hand them to another test of the same process. Ruled out: load on the machine (nothing else ran); outgoing connections (7,322 rounds of four ports beside four threads that connect: no port lost). Change: ports below those that the system hands out, counted in the process. No check changed. Conclusion: the race is gone by construction.

--- a/crates/waxwingrail/tests/common/mod.rs
+++ b/crates/waxwingrail/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 use async_executor::Executor;
@@ -23,6 +24,12 @@
 const STORE_TIME: Millis = Millis::from_secs(2);
 /// Greatest body that a test reads.
 const MAX_BODY: usize = 1 << 20;
+/// First port of daemons under test: above those of the quickstart.
+const FIRST_PORT: u16 = 25_000;
+/// Number of ports of daemons under test: the system hands out ports from 32768 on.
+const PORTS: u16 = 7000;
+/// Number of the next port.
+static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
 /// The key of workspace `acme`.
 pub(crate) const KEY: &str = "acme1.secret";
 
@@ -316,7 +323,16 @@
     (status, serde_json::from_slice(&body).unwrap())
 }
 
+/// Addresses that no other test of this process gets. Their ports lie below those that the system hands
+/// out for port 0: between the choice and the daemon's bind another test would be given one of those.
 fn free_addresses() -> [String; 4] {
-    let held = [(); 4].map(|()| TcpListener::bind("127.0.0.1:0").unwrap());
-    held.map(|l| l.local_addr().unwrap().to_string())
+    [(); 4].map(|()| {
+        loop {
+            let port = FIRST_PORT + NEXT_PORT.fetch_add(1, Ordering::Relaxed) % PORTS;
+            let address = SocketAddr::from(([127, 0, 0, 1], port));
+            if TcpListener::bind(address).is_ok() {
+                return address.to_string();
+            }
+        }
+    })
 }
