Go on after SIGHUP; count suspended time in the clock

Cause: the platform sends SIGHUP when settings change, and no handler was set, so the signal's default action ended the process. The clock was the monotonic one, which does not count the time of a suspension, so that heartbeats and ejections of before it seemed fresh after it. Ruled out: reading settings again at SIGHUP: they are flags and environment variables of the process. Change: SIGHUP is logged; the clock is the boot-time clock. A VM that was suspended adds no tokens for that time, because the keepers of other VMs have added its part since they did not hear it. Conclusion: neither SIGHUP nor a suspension ends or deceives a daemon.

--- a/crates/waxwing_edge/src/quota/account.rs
+++ b/crates/waxwing_edge/src/quota/account.rs
@@ -13,6 +13,9 @@
 const START_PERCENT: u64 = 25;
 /// Tokens below which a VM holds none for its own requests.
 const LEAST_HELD: u64 = 2 * ONE;
+/// Longest time for which a VM adds tokens at once. All accounts are looked at four times a second; a longer
+/// pause means that the VM was suspended, and others have added its part meanwhile.
+const MOST_PASSED: Millis = Millis(1500);
 /// One token.
 pub(super) const ONE: u64 = Micros::PER_UNIT;
 
@@ -85,7 +88,7 @@
 
     /// Adds the tokens of the time that passed, up to what the VM may store.
     pub(super) fn advance(&mut self, now: Millis, vms: u64) {
-        let passed = now.since(self.at);
+        let passed = now.since(self.at).min(MOST_PASSED);
         self.at = now;
         // A rate for 1000 s is a rate of millionths for each ms.
         let refill = self.rate * passed.0 * self.parts / vms;
--- a/crates/waxwing_types/src/clock.rs
+++ b/crates/waxwing_types/src/clock.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 use std::ops::{Add, AddAssign, Sub};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use crate::common_derives;
 
@@ -74,17 +74,18 @@
     fn now(&self) -> Millis;
 }
 
-/// Clock of the running process, based on the system's monotonic clock.
+/// Clock of the running process, based on the system's boot-time clock: unlike the monotonic clock it
+/// counts the time in which the machine was suspended, so that leases and heartbeats of that time end.
 #[derive(Debug)]
 pub struct MonotonicClock {
-    origin: Instant,
+    origin: Duration,
 }
 
 impl MonotonicClock {
     /// A clock whose origin is the present moment.
     pub fn new() -> Self {
         Self {
-            origin: Instant::now(),
+            origin: boot_time(),
         }
     }
 }
@@ -97,6 +98,15 @@
 
 impl Clock for MonotonicClock {
     fn now(&self) -> Millis {
-        Millis(u64::try_from(self.origin.elapsed().as_millis()).unwrap_or(u64::MAX))
+        let passed = boot_time().saturating_sub(self.origin);
+        Millis(u64::try_from(passed.as_millis()).unwrap_or(u64::MAX))
     }
 }
+
+/// Time since the machine was started, with its suspensions.
+fn boot_time() -> Duration {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    let secs = u64::try_from(time.tv_sec).unwrap_or_default();
+    let nanos = u32::try_from(time.tv_nsec).unwrap_or_default();
+    Duration::new(secs, nanos)
+}
--- a/crates/waxwingrail/src/edge/daemon.rs
+++ b/crates/waxwingrail/src/edge/daemon.rs
@@ -8,8 +8,7 @@
 use anyhow::Context as _;
 use async_executor::{Executor, Task};
 use async_io::{Async, Timer};
-use async_signal::{Signal, Signals};
-use futures_lite::{StreamExt, future};
+use futures_lite::future;
 use waxwing_http::{Client, ClientLimits, Handler, Server, ServerLimits};
 use waxwing_platform::{PlatformDialect, PlatformRegistry};
 use waxwing_records::VmEntry;
@@ -20,6 +19,7 @@
 use super::state::Shared;
 use super::{peers, watch};
 use crate::run::{Workers, incarnation};
+use crate::signal::StopSignals;
 
 pub use super::state::EdgeParts;
 
@@ -170,7 +170,7 @@
 }
 
 async fn live(settings: EdgeSettings, executor: Arc<Executor<'static>>) -> anyhow::Result<()> {
-    let mut signals = Signals::new([Signal::Term, Signal::Int]).context("signals")?;
+    let mut signals = StopSignals::new()?;
     let store = ClientLimits {
         idle: 8,
         connect: settings.connect_timeout.duration(),
@@ -192,9 +192,7 @@
         incarnation: incarnation(),
     };
     let daemon = EdgeDaemon::start(settings, parts).await?;
-    if let Some(Ok(signal)) = signals.next().await {
-        log::info!(signal:? = signal; "signal received");
-    }
+    signals.wait().await;
     daemon.stop().await;
     Ok(())
 }
--- a/crates/waxwingrail/src/lib.rs
+++ b/crates/waxwingrail/src/lib.rs
@@ -9,6 +9,7 @@
 mod request;
 mod run;
 mod settings;
+mod signal;
 mod state;
 mod task;
 
--- a/crates/waxwingrail/src/run.rs
+++ b/crates/waxwingrail/src/run.rs
@@ -9,14 +9,13 @@
 use anyhow::Context as _;
 use async_channel::{Receiver, Sender};
 use async_executor::Executor;
-use async_signal::{Signal, Signals};
-use futures_lite::StreamExt;
 use waxwing_http::{Client, ClientLimits};
 use waxwing_store::HttpStore;
 use waxwing_types::{Incarnation, MonotonicClock};
 
 use crate::daemon::Daemon;
 use crate::settings::Settings;
+use crate::signal::StopSignals;
 use crate::state::Parts;
 
 /// Worker threads that run an executor until they are stopped.
@@ -95,7 +94,7 @@
     executor: Arc<Executor<'static>>,
     panics: Arc<AtomicU64>,
 ) -> anyhow::Result<()> {
-    let mut signals = Signals::new([Signal::Term, Signal::Int]).context("signals")?;
+    let mut signals = StopSignals::new()?;
     let store = Client::new(Arc::clone(&executor), ClientLimits::default());
     let targets = ClientLimits {
         idle: settings.idle_connections,
@@ -111,9 +110,7 @@
         panics,
     };
     let daemon = Daemon::start(settings, parts).await?;
-    if let Some(Ok(signal)) = signals.next().await {
-        log::info!(signal:? = signal; "signal received");
-    }
+    signals.wait().await;
     daemon.stop().await;
     Ok(())
 }
