Plan the parts of the regions from the slots until the first request

The parts were planned at the first tick and then taken back to the own region by 0.05 a second while nothing was asked, 0.4 in the eight seconds before traffic. The first requests overloaded the region. Change: until the first request for a service its parts follow the slots. They are planned when the list of targets is adopted, not only at the next tick. Debug logs show each send and each answer of a request. Measured: parts_follow_the_slots_until_the_first_request failed before (part 1.0, expected 0.5). Conclusion: the first seconds of the smallest region are served from where there is room.

--- a/crates/waxwing_edge/src/target/mod.rs
+++ b/crates/waxwing_edge/src/target/mod.rs
@@ -60,6 +60,10 @@
         pub id: TargetId,
         /// Its address.
         pub address: SocketAddr,
+        /// Its region.
+        pub region: RegionId,
+        /// Time that the request is expected to wait at it.
+        pub wait: Millis,
     }
 }
 
--- a/crates/waxwing_edge/src/target/pick.rs
+++ b/crates/waxwing_edge/src/target/pick.rs
@@ -29,6 +29,9 @@
 impl TargetPool {
     /// Chooses a target and takes a slot of it.
     pub fn pick(&mut self, now: Millis, want: &Want<'_>, rng: &mut fastrand::Rng) -> Pick {
+        if let Some(group) = self.groups.get_mut(want.service) {
+            group.used = true;
+        }
         let Some(group) = self.groups.get(want.service) else {
             return Pick::Nothing;
         };
@@ -66,12 +69,14 @@
                 wait: millis(excess),
             };
         }
-        let key = chosen.key;
+        let (key, wait) = (chosen.key, millis(chosen.wait));
         let target = &mut self.targets[key];
         target.begin(now);
         let view = TargetView {
             id: target.entry.id.clone(),
             address: target.entry.address,
+            region: target.region_id.clone(),
+            wait,
         };
         Pick::Chosen(key, view)
     }
--- a/crates/waxwing_edge/src/target/pool.rs
+++ b/crates/waxwing_edge/src/target/pool.rs
@@ -22,6 +22,8 @@
 pub(crate) struct Group {
     pub(crate) keys: Vec<TargetKey>,
     pub(crate) mix: Option<Mix>,
+    /// Whether a request for the service came. Until then the parts of the regions follow the slots.
+    pub(crate) used: bool,
     /// Average time in ms from send to answer at a target that has a free slot.
     pub(crate) work: f64,
     pub(crate) cold: ColdRule,
@@ -248,8 +250,8 @@
             let own = self.own_region;
             if let Some(group) = self.groups.get_mut(&service) {
                 match &mut group.mix {
-                    Some(mix) => mix.adjust(now, &rooms),
-                    None => group.mix = Some(Mix::new(now, own, &rooms)),
+                    Some(mix) if group.used => mix.adjust(now, &rooms),
+                    Some(_) | None => group.mix = Some(Mix::new(now, own, &rooms)),
                 }
             }
         }
@@ -259,6 +261,7 @@
         self.groups.entry(service.clone()).or_insert_with(|| Group {
             keys: Vec::new(),
             mix: None,
+            used: false,
             work: 0.0,
             cold: ColdRule {
                 rate: 0,
--- a/crates/waxwing_edge/tests/target.rs
+++ b/crates/waxwing_edge/tests/target.rs
@@ -165,6 +165,27 @@
     assert_matches!(pick, Pick::Nothing);
 }
 
+/// Guards against parts of the regions that are planned from the first few targets of a list, and against
+/// parts that drift to the own region while nothing is asked: the first requests would overload it, and
+/// the correction would exceed the bound on moves.
+#[test]
+fn parts_follow_the_slots_until_the_first_request() {
+    let mut pool = pool();
+    let service = ServiceId::from("s");
+    let own = "r1".into();
+    pool.adopt(NOW, target("t1", "a"));
+    pool.tick(NOW);
+    for id in ["t2", "t3", "t4"] {
+        pool.adopt(NOW, target(id, "c"));
+    }
+    for step in 1..40 {
+        pool.tick(NOW + Millis(step * 200));
+    }
+    // Half of the slots of all regions would be an even part; this region has a quarter.
+    let part = pool.part(&service, &own).expect("a mix");
+    assert!((part - 0.5).abs() < 0.01, "{part}");
+}
+
 /// Guards against a move of traffic between regions that is faster than its bound of 0.15 in 2 s.
 #[test]
 fn the_part_of_a_region_moves_in_small_steps() {
--- a/crates/waxwingrail/src/edge/request.rs
+++ b/crates/waxwingrail/src/edge/request.rs
@@ -75,7 +75,14 @@
     pub(crate) async fn run(mut self, body: Incoming) -> Response<Body> {
         let shared = self.shared;
         match self.serve(body).await {
-            Ok(response) => response,
+            Ok(response) => {
+                log::debug!(
+                    request = self.id().as_str(), status = response.status().as_u16(),
+                    age_ms = shared.now().since(self.arrived).0;
+                    "request answered"
+                );
+                response
+            }
             Err(refusal) => {
                 let refusal = bounded(refusal);
                 metrics::counter!("edge_refusals_total", "reason" => refusal.reason.as_str())
@@ -213,6 +220,13 @@
                 Pick::Full { wait } => return Err(record.refusal(RefusalReason::QueueFull, wait)),
                 Pick::Nothing => return Err(record.refusal(RefusalReason::NoTarget, LEAST_WAIT)),
             };
+            log::debug!(
+                request = self.id().as_str(), service = ready.service.as_str(),
+                target_id = view.id.as_str(), region = view.region.as_str(),
+                wait_ms = view.wait.0, attempt = record.tried.len() + 1,
+                left_ms = ready.deadline.since(shared.now()).0;
+                "request sent"
+            );
             let attempt = Attempt {
                 head: &self.head,
                 key,
--- a/crates/waxwingrail/src/edge/watch.rs
+++ b/crates/waxwingrail/src/edge/watch.rs
@@ -187,7 +187,9 @@
     match family {
         Family::Evacuations => put_evacuations(shared, now),
         Family::Vms => count_vms(shared),
-        Family::Deployment | Family::Targets => {}
+        // Requests may come before the next tick.
+        Family::Targets => shared.targets().tick(now),
+        Family::Deployment => {}
     }
 }
 
