Rename a binding that the linter takes for another

Cause: clippy::similar_names on want and wait in the choice of a target. Change: the binding is called delay. Conclusion: no change of behaviour.

--- a/crates/waxwing_edge/src/target/pick.rs
+++ b/crates/waxwing_edge/src/target/pick.rs
@@ -69,14 +69,14 @@
                 wait: millis(excess),
             };
         }
-        let (key, wait) = (chosen.key, millis(chosen.wait));
+        let (key, delay) = (chosen.key, millis(chosen.wait));
         let target = &mut self.targets[key];
         target.begin(now);
         let view = TargetView {
             id: target.entry.id.clone(),
             address: target.entry.address,
             region: target.region_id.clone(),
-            wait,
+            wait: delay,
         };
         Pick::Chosen(key, view)
     }
