Expect the requests of other VMs from a gamma prior

Cause: without a load report of a target each of the VMs of the failure domain was taken to have as many requests there as this one. With 20 VMs in a domain, one request of this VM counted as 20 at a target of 9 slots, so that its next request for the same object went to a target that had not handled it, and was late. Ruled out: counting only the own requests: the targets would seem idle until they shed. Change: the count of a VM at a target is a Poisson count whose rate is gamma distributed over the targets of the region; the requests of the others are its posterior mean. The mean is kept by region and service in one tally. Conclusion: objects stay at their targets in large fleets; small fleets are as before.

--- a/crates/waxwing_edge/src/target/pick.rs
+++ b/crates/waxwing_edge/src/target/pick.rs
@@ -3,6 +3,7 @@
 use waxwing_types::Millis;
 
 use super::pool::Group;
+use super::state::Crowd;
 use super::{Pick, TargetKey, TargetPool, TargetView, Want};
 use crate::hash::{mix64, unit};
 
@@ -53,10 +54,11 @@
             0.0 => objective * FIRST_WORK_PERCENT / 100.0,
             work => work,
         };
+        let crowd = self.crowd(group, region);
         let mut found: Vec<Candidate> = open
             .iter()
             .filter(|key| self.targets[**key].region == region)
-            .map(|key| self.candidate(now, *key, draw, work))
+            .map(|key| self.candidate(now, *key, draw, work, crowd))
             .collect();
         found.sort_unstable_by_key(|c| (want.bulky && !c.near, std::cmp::Reverse(c.score)));
         let costs = found.iter().enumerate().map(|(i, c)| (c, c.cost(i, work)));
@@ -70,8 +72,8 @@
             };
         }
         let (key, delay) = (chosen.key, millis(chosen.wait));
-        let target = &mut self.targets[key];
-        target.begin(now);
+        self.begin(now, key);
+        let target = &self.targets[key];
         let view = TargetView {
             id: target.entry.id.clone(),
             address: target.entry.address,
@@ -102,14 +104,21 @@
         }
     }
 
-    fn candidate(&self, now: Millis, key: TargetKey, draw: u64, work: f64) -> Candidate {
+    fn candidate(
+        &self,
+        now: Millis,
+        key: TargetKey,
+        draw: u64,
+        work: f64,
+        crowd: Crowd,
+    ) -> Candidate {
         let target = &self.targets[key];
         Candidate {
             key,
             near: target.near,
             avoided: target.is_avoided(now, work),
             score: mix64(draw, target.hash),
-            wait: target.wait(now, work, self.senders),
+            wait: target.wait(now, work, crowd),
         }
     }
 }
--- a/crates/waxwing_edge/src/target/pool.rs
+++ b/crates/waxwing_edge/src/target/pool.rs
@@ -6,7 +6,7 @@
 use waxwing_records::Registration;
 use waxwing_types::{DomainId, Millis, RegionId, ServiceId, TargetId};
 
-use super::state::State;
+use super::state::{Crowd, State};
 use super::{ColdRule, Ended, LoadReport, Place, TargetKey};
 use crate::hash::{hash_bytes, mix64};
 use crate::mix::{Mix, Room};
@@ -18,12 +18,21 @@
 /// Weight of a new sample in the average work of a service.
 const WORK_WEIGHT: f64 = 0.05;
 
+/// The targets of one service in one region.
+#[derive(Clone, Copy, Debug, Default)]
+struct Tally {
+    targets: u32,
+    inflight: u32,
+}
+
 /// The targets of one service.
 pub(crate) struct Group {
     pub(crate) keys: Vec<TargetKey>,
     pub(crate) mix: Option<Mix>,
     /// Whether a request for the service came. Until then the parts of the regions follow the slots.
     pub(crate) used: bool,
+    /// Targets of each region, and requests of this VM at them.
+    regions: Vec<Tally>,
     /// Average time in ms from send to answer at a target that has a free slot.
     pub(crate) work: f64,
     pub(crate) cold: ColdRule,
@@ -71,6 +80,15 @@
         ahead.count() < COLD_SENDERS
     }
 
+    /// What is known of other VMs' requests at the targets of a region.
+    pub(crate) fn crowd(&self, group: &Group, region: usize) -> Crowd {
+        let tally = group.regions[region];
+        Crowd {
+            others: f64::from(self.senders.saturating_sub(1)),
+            mean: f64::from(tally.inflight) / f64::from(tally.targets.max(1)),
+        }
+    }
+
     pub(crate) fn rooms(&self, now: Millis, group: &Group) -> Vec<Room> {
         let mut rooms = vec![Room::default(); self.regions.len()];
         for key in &group.keys {
@@ -78,7 +96,7 @@
             if self.is_usable(now, *key) {
                 let room = &mut rooms[target.region];
                 room.slots += target.slots();
-                room.load += target.load(now, self.senders);
+                room.load += target.load(now, self.crowd(group, target.region));
             }
         }
         rooms
@@ -143,6 +161,7 @@
             self.remove(&entry.id);
         }
         let region = self.region_of(&entry.domain);
+        let place = region.0;
         let near = entry.domain == self.place.domain;
         let hash = hash_bytes(entry.id.as_str().as_bytes());
         let service = entry.service.clone();
@@ -150,7 +169,9 @@
         let target = State::new(now, entry, region, near, hash);
         let key = self.targets.insert(target);
         self.ids.insert(id, key);
-        self.group(&service).keys.push(key);
+        let group = self.group(&service);
+        group.keys.push(key);
+        group.regions[place].targets += 1;
     }
 
     /// Forgets a target, whose entry is gone.
@@ -162,6 +183,9 @@
             && let Some(group) = self.groups.get_mut(&target.entry.service)
         {
             group.keys.retain(|k| *k != key);
+            let tally = &mut group.regions[target.region];
+            tally.targets = tally.targets.saturating_sub(1);
+            tally.inflight = tally.inflight.saturating_sub(target.inflight);
         }
     }
 
@@ -185,14 +209,35 @@
         self.evacuated = evacuated;
     }
 
+    /// A request begins at a target.
+    pub(crate) fn begin(&mut self, now: Millis, key: TargetKey) {
+        if let Some(target) = self.targets.get_mut(key) {
+            target.begin(now);
+            if let Some(group) = self.groups.get_mut(&target.entry.service) {
+                group.regions[target.region].inflight += 1;
+            }
+        }
+    }
+
     /// A request at a target ended.
     pub fn ended(&mut self, now: Millis, key: TargetKey, ended: Ended) {
+        let Some(target) = self.targets.get(key) else {
+            return;
+        };
+        let Some(group) = self.groups.get(&target.entry.service) else {
+            return;
+        };
+        let free = target.load(now, self.crowd(group, target.region)) <= target.slots();
         let Some(target) = self.targets.get_mut(key) else {
             return;
         };
+        let Some(group) = self.groups.get_mut(&target.entry.service) else {
+            return;
+        };
+        let tally = &mut group.regions[target.region];
+        tally.inflight = tally.inflight.saturating_sub(1);
         if let Ended::Answered { latency, .. } = ended
-            && target.load(now, self.senders) <= target.slots()
-            && let Some(group) = self.groups.get_mut(&target.entry.service)
+            && free
         {
             #[allow(clippy::cast_precision_loss, reason = "latencies are short")]
             let latency = latency.0 as f64;
@@ -258,7 +303,9 @@
     }
 
     fn group(&mut self, service: &ServiceId) -> &mut Group {
+        let regions = self.regions.len();
         self.groups.entry(service.clone()).or_insert_with(|| Group {
+            regions: vec![Tally::default(); regions],
             keys: Vec::new(),
             mix: None,
             used: false,
--- a/crates/waxwing_edge/src/target/state.rs
+++ b/crates/waxwing_edge/src/target/state.rs
@@ -24,6 +24,30 @@
 /// Requests to a cold target that this VM may have stored: one, so that VMs do not send at once.
 const COLD_STORE: u64 = 1_000_000;
 
+/// Shape of the gamma distribution that the targets of a region are taken to follow in how much each VM
+/// sends them. Popular objects make targets differ by about their mean.
+const SHAPE: f64 = 1.5;
+
+/// What is known of the requests of other VMs at the targets of a region.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Crowd {
+    /// Other VMs that send to them.
+    pub(crate) others: f64,
+    /// Requests of this VM at one of them, on average.
+    pub(crate) mean: f64,
+}
+
+impl Crowd {
+    /// Requests of the other VMs at a target at which this one has `own`: the posterior mean of a Poisson
+    /// count whose rate is gamma distributed over the targets.
+    fn expected(self, own: u32) -> f64 {
+        if self.mean <= 0.0 {
+            return 0.0;
+        }
+        self.others * (SHAPE + f64::from(own)) / (SHAPE / self.mean + 1.0)
+    }
+}
+
 struct Report {
     at: Millis,
     total: u32,
@@ -87,22 +111,20 @@
         f64::from(self.slots.max(1))
     }
 
-    /// Requests that the target runs or holds, of all VMs as far as known. Without a report each of
-    /// `senders` VMs is taken to have as many there as this one.
-    pub(crate) fn load(&self, now: Millis, senders: u32) -> f64 {
+    /// Requests that the target runs or holds, of all VMs as far as known or expected.
+    pub(crate) fn load(&self, now: Millis, crowd: Crowd) -> f64 {
         let own = self.inflight;
-        let total = match &self.report {
+        match &self.report {
             Some(report) if now.since(report.at) < REPORT_LIFE => {
-                (report.total + own).saturating_sub(report.own).max(own)
+                f64::from((report.total + own).saturating_sub(report.own).max(own))
             }
-            Some(_) | None => own * senders,
-        };
-        f64::from(total)
+            Some(_) | None => f64::from(own) + crowd.expected(own),
+        }
     }
 
     /// Time in ms that a further request would wait.
-    pub(crate) fn wait(&self, now: Millis, work: f64, senders: u32) -> f64 {
-        let excess = self.load(now, senders) + 1.0 - self.slots();
+    pub(crate) fn wait(&self, now: Millis, work: f64, crowd: Crowd) -> f64 {
+        let excess = self.load(now, crowd) + 1.0 - self.slots();
         excess.max(0.0) / self.slots() * work
     }
 
--- a/crates/waxwing_edge/tests/target.rs
+++ b/crates/waxwing_edge/tests/target.rs
@@ -57,6 +57,39 @@
     assert_eq!(ids.len(), 2);
 }
 
+/// The VMs of the failure domain as `count` ones.
+fn set_near(pool: &mut TargetPool, count: u32) {
+    let names: Vec<_> = (0..count).map(|i| format!("vm{i}")).collect();
+    pool.set_vms(names.iter().map(String::as_str), count);
+}
+
+/// Guards against a VM of many that takes its one request at a target for one of each VM, and leaves the
+/// target that knows the object.
+#[test]
+fn a_request_of_one_vm_among_many_does_not_fill_its_target() {
+    let mut pool = pool();
+    set_near(&mut pool, 20);
+    for i in 0..20 {
+        pool.adopt(NOW, target(&format!("t{i}"), "a"));
+    }
+    let ids: HashSet<_> = (0..2).map(|_| chosen(&mut pool, 7).1).collect();
+    assert_eq!(ids.len(), 1);
+}
+
+/// Guards against a VM that takes the targets for idle because it does not know the requests of others.
+#[test]
+fn requests_of_other_vms_are_expected_where_this_one_sends_many() {
+    let mut pool = pool();
+    set_near(&mut pool, 4);
+    for id in ["t1", "t2"] {
+        pool.adopt(NOW, target(id, "a"));
+    }
+    let picks = (0..20).map(|object| pick(&mut pool, NOW, object));
+    let sent = picks.filter(|p| matches!(p, Pick::Chosen(..))).count();
+    // Eight slots and a short queue, of which three other VMs use a part each.
+    assert!(sent < 8, "{sent} requests sent");
+}
+
 /// Guards against requests that are sent although they cannot be answered in time.
 #[test]
 fn a_request_that_would_be_late_is_refused() {
