Cost the store less; wait for tokens of other regions; serve metrics

Each of 121 VMs lists four families in ten pages at start and follows each change with calls of its own. The edge daemon counted, but nobody could read it. Ruled out: watches that may be stale: a target that leaves would be seen seconds late. Change: a new process lists an older state, a tenth of the price, and watches from its revision; it lists the latest state afterwards.

--- a/crates/waxwing_edge/src/fleet.rs
+++ b/crates/waxwing_edge/src/fleet.rs
@@ -144,6 +144,18 @@
     /// The keepers of a workspace's tokens in the other failure domains, as far as this VM knows, those
     /// of its region first.
     pub fn other_keepers(&self, workspace: &WorkspaceId) -> Vec<SocketAddr> {
+        let keepers = self.keepers_elsewhere(workspace);
+        keepers.into_iter().map(|entry| entry.peer).collect()
+    }
+
+    /// The keepers of a workspace's tokens in the other regions, as far as this VM knows.
+    pub fn far_keepers(&self, workspace: &WorkspaceId) -> Vec<SocketAddr> {
+        let keepers = self.keepers_elsewhere(workspace).into_iter();
+        let far = keepers.filter(|entry| entry.region != self.own.region);
+        far.map(|entry| entry.peer).collect()
+    }
+
+    fn keepers_elsewhere(&self, workspace: &WorkspaceId) -> Vec<&VmEntry> {
         let shard = shard(workspace);
         let mut best: BTreeMap<&DomainId, &VmEntry> = BTreeMap::new();
         for vm in self
@@ -157,7 +169,7 @@
         }
         let mut keepers: Vec<_> = best.into_values().collect();
         keepers.sort_by_key(|entry| entry.region != self.own.region);
-        keepers.into_iter().map(|entry| entry.peer).collect()
+        keepers
     }
 
     /// Number of VMs of this VM's failure domain, with this one.
--- a/crates/waxwing_edge/tests/quota_fleet.rs
+++ b/crates/waxwing_edge/tests/quota_fleet.rs
@@ -11,8 +11,8 @@
 /// Time of a message within a region, and to another one.
 const NEAR: u64 = 1;
 const FAR: u64 = 56;
-/// Pauses of a request that waits for a token.
-const PAUSES: [u64; 2] = [6, 20];
+/// Pauses of a request that waits for a token of its failure domain, of its region, and of others.
+const PAUSES: [u64; 3] = [6, 14, 115];
 const EXCHANGE: u64 = 250;
 
 enum Event {
@@ -136,6 +136,17 @@
             return;
         };
         let keeper = vm % DOMAINS;
+        if attempt == PAUSES.len() - 1 {
+            let region = keeper / 2;
+            let far = |i: usize| (region * 2 + 2 + i) % DOMAINS;
+            for giver in [far(self.rng.usize(..2)), far(2 + self.rng.usize(..2))] {
+                let delay = distance(keeper, giver);
+                let one = Micros::from_units(1).0;
+                self.push(now + delay, Event::Ask(vm, giver, one, true));
+            }
+            self.push(now + pause, Event::Request(vm, attempt + 1));
+            return;
+        }
         match self.vms[vm].urgent(time, &self.spec.id) {
             Urgent::Ask(part) => {
                 let near = vm != keeper && attempt == 0;
--- a/crates/waxwing_store/src/registry.rs
+++ b/crates/waxwing_store/src/registry.rs
@@ -68,6 +68,18 @@
     }
 }
 
+common_derives! {
+    copy
+    /// How new a list has to be.
+    pub enum Freshness {
+        /// The newest state of the store.
+        Latest,
+        /// A state of some seconds ago will do, which costs the store less. A watch from its revision brings
+        /// what changed since.
+        Recent,
+    }
+}
+
 common_derives! {
     /// The end of a list.
     pub enum ListOutcome {
@@ -103,7 +115,12 @@
 /// Lists and watches families of entries.
 pub trait Registry: Send + Sync {
     /// All entries of a family.
-    fn list(&self, family: Family, timeout: Millis) -> Pending<'_, ListOutcome>;
+    fn list(
+        &self,
+        family: Family,
+        freshness: Freshness,
+        timeout: Millis,
+    ) -> Pending<'_, ListOutcome>;
 
     /// Changes after a revision. Waits up to `wait` for the first one.
     fn watch(
--- a/crates/waxwing_testkit/src/registry.rs
+++ b/crates/waxwing_testkit/src/registry.rs
@@ -7,7 +7,7 @@
 use smol_str::SmolStr;
 use waxwing_records::VmEntry;
 use waxwing_store::{
-    Change, Entry, Family, ListOutcome, Pending, Registry, WatchOutcome, WriteOutcome,
+    Change, Entry, Family, Freshness, ListOutcome, Pending, Registry, WatchOutcome, WriteOutcome,
 };
 use waxwing_types::{Millis, Revision};
 
@@ -23,6 +23,8 @@
     forgotten: Revision,
     revision: Revision,
     down: bool,
+    /// The lists that were asked for.
+    lists: Vec<(Family, Freshness)>,
 }
 
 /// The registry double. Clones share one set of entries.
@@ -68,6 +70,13 @@
 
 /// Queries.
 impl MemoryRegistry {
+    /// How new the lists of a family had to be, in the order in which they were asked for.
+    pub fn lists(&self, family: Family) -> Vec<Freshness> {
+        let state = self.lock();
+        let lists = state.lists.iter().filter(|(of, _)| *of == family);
+        lists.map(|(_, freshness)| *freshness).collect()
+    }
+
     /// Whether an entry exists.
     pub fn contains(&self, family: Family, name: &str) -> bool {
         self.lock().entries.contains_key(&(family, name.into()))
@@ -112,9 +121,15 @@
 }
 
 impl Registry for MemoryRegistry {
-    fn list(&self, family: Family, _timeout: Millis) -> Pending<'_, ListOutcome> {
+    fn list(
+        &self,
+        family: Family,
+        freshness: Freshness,
+        _timeout: Millis,
+    ) -> Pending<'_, ListOutcome> {
         Box::pin(async move {
-            let state = self.lock();
+            let mut state = self.lock();
+            state.lists.push((family, freshness));
             if state.down {
                 return ListOutcome::Unreachable("down".into());
             }
--- a/crates/waxwingrail/src/edge/daemon.rs
+++ b/crates/waxwingrail/src/edge/daemon.rs
@@ -14,7 +14,7 @@
 use waxwing_records::VmEntry;
 use waxwing_types::{Millis, MonotonicClock};
 
-use super::listen::{Callers, Directory, Readiness};
+use super::listen::{Callers, Directory, Readiness, Scrapes};
 use super::settings::EdgeSettings;
 use super::state::Shared;
 use super::{peers, watch};
@@ -42,6 +42,7 @@
     callers: Server,
     directory: Server,
     readiness: Server,
+    metrics: Server,
     tasks: Vec<Task<()>>,
 }
 
@@ -71,11 +72,14 @@
         };
         let (listen, directory, readiness) =
             (settings.listen, settings.directory, settings.readiness);
+        let metrics = settings.metrics;
         let shared = Arc::new(Shared::new(settings, own, socket, parts));
         let handler = Arc::new(Readiness(Arc::clone(&shared)));
         let readiness = serve(&shared, "--readiness", readiness, few, handler).await?;
         let handler = Arc::new(Directory(Arc::clone(&shared)));
         let directory = serve(&shared, "--directory", directory, few, handler).await?;
+        let handler = Arc::new(Scrapes(Arc::clone(&shared)));
+        let metrics = serve(&shared, "--metrics", metrics, few, handler).await?;
         let handler = Arc::new(Callers(Arc::clone(&shared)));
         let callers = serve(&shared, "--listen", listen, limits, handler).await?;
         let mut tasks = watch::start(&shared);
@@ -83,7 +87,7 @@
         log::info!(
             vm = shared.settings.vm.as_str(), domain = shared.settings.domain.as_str(),
             region = shared.settings.region.as_str(), incarnation = shared.own.incarnation.0,
-            callers = listen.to_string().as_str();
+            callers = listen.to_string().as_str(), metrics = metrics.address().to_string().as_str();
             "edge daemon started"
         );
         Ok(Self {
@@ -91,6 +95,7 @@
             callers,
             directory,
             readiness,
+            metrics,
             tasks,
         })
     }
@@ -110,6 +115,11 @@
         self.readiness.address()
     }
 
+    /// The address for reads of the metrics.
+    pub fn metrics(&self) -> SocketAddr {
+        self.metrics.address()
+    }
+
     /// Stops gracefully: leaves the directory, accepts for the notice time and finishes the running
     /// requests. Returns whether every request was finished in time.
     pub async fn stop(self) -> bool {
--- a/crates/waxwingrail/src/edge/listen.rs
+++ b/crates/waxwingrail/src/edge/listen.rs
@@ -6,12 +6,16 @@
 use std::sync::atomic::Ordering;
 
 use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Request, Response, StatusCode};
-use waxwing_http::{Body, Handler, empty, json};
+use waxwing_http::{Body, Handler, empty, full, json};
 
 use super::request::Exchange;
 use super::state::Shared;
 
+/// Content type of the metrics.
+const PROMETHEUS: HeaderValue = HeaderValue::from_static("text/plain; version=0.0.4");
+
 type Answering = Pin<Box<dyn Future<Output = Response<Body>> + Send>>;
 
 /// Requests of callers.
@@ -23,6 +27,9 @@
 /// Checks of readiness.
 pub(crate) struct Readiness(pub(crate) Arc<Shared>);
 
+/// Reads of the metrics.
+pub(crate) struct Scrapes(pub(crate) Arc<Shared>);
+
 /// Counts a request for as long as it is handled.
 struct Running(Arc<Shared>);
 
@@ -69,6 +76,19 @@
     }
 }
 
+impl Handler for Scrapes {
+    fn handle(self: Arc<Self>, request: Request<Incoming>, _peer: SocketAddr) -> Answering {
+        let response = if request.uri().path() == "/metrics" {
+            let mut response = Response::new(full(self.0.render_metrics()));
+            response.headers_mut().insert(CONTENT_TYPE, PROMETHEUS);
+            response
+        } else {
+            status_only(StatusCode::NOT_FOUND)
+        };
+        Box::pin(std::future::ready(response))
+    }
+}
+
 fn resolve(shared: &Shared, request: &Request<Incoming>) -> Response<Body> {
     let uri = request.uri();
     let Some(query) = shared.dialect.directory_query(uri.path(), uri.query()) else {
--- a/crates/waxwingrail/src/edge/mod.rs
+++ b/crates/waxwingrail/src/edge/mod.rs
@@ -6,6 +6,7 @@
 mod daemon;
 mod forward;
 mod listen;
+mod metric;
 mod peers;
 mod request;
 mod settings;
--- a/crates/waxwingrail/src/edge/peers.rs
+++ b/crates/waxwingrail/src/edge/peers.rs
@@ -16,6 +16,8 @@
 const BEAT_PERIOD: Duration = Duration::from_secs(1);
 /// Period in which tokens are exchanged and the parts of regions are looked at.
 const TICK_PERIOD: Duration = Duration::from_millis(250);
+/// Ticks between two rounds that condense metrics and close idle connections whose time is over.
+const UPKEEP_TICKS: u64 = 20;
 /// Greatest datagram.
 const MAX_DATAGRAM: usize = 1200;
 /// Keepers of other failure domains that are asked for tokens at once.
@@ -138,8 +140,14 @@
 }
 
 async fn tick(shared: Arc<Shared>) {
+    let mut ticks = 0_u64;
     loop {
         Timer::after(TICK_PERIOD).await;
+        ticks += 1;
+        if ticks.is_multiple_of(UPKEEP_TICKS) {
+            shared.metrics.condense();
+            shared.client.prune();
+        }
         let now = shared.now();
         shared.targets().tick(now);
         super::watch::settle(&shared, now);
@@ -220,6 +228,23 @@
     true
 }
 
+/// Asks keepers of other regions for the token of a request that found none in its own region.
+pub(crate) fn ask_far(shared: &Shared, workspace: &WorkspaceId) {
+    let mut keepers = shared.fleet().far_keepers(workspace);
+    fastrand::shuffle(&mut keepers);
+    keepers.truncate(KEEPERS_ASKED);
+    let part = QuotaPart {
+        workspace: workspace.clone(),
+        amount: Micros::from_units(1),
+    };
+    let message = PeerMessage::Quota {
+        give: Vec::new(),
+        ask: vec![part],
+        urgent: true,
+    };
+    send(shared, &message, &keepers);
+}
+
 /// Tells all VMs of requests that crashed a target.
 pub(crate) fn report_crashes(shared: &Shared, prints: Vec<u64>) {
     if prints.is_empty() {
--- a/crates/waxwingrail/src/edge/request.rs
+++ b/crates/waxwingrail/src/edge/request.rs
@@ -18,6 +18,7 @@
 use super::attempts::Attempts;
 use super::body::{Gathered, gather};
 use super::forward::{Attempt, AttemptEnd, forward};
+use super::metric::Outcome;
 use super::peers;
 use super::state::Shared;
 
@@ -30,6 +31,10 @@
 const PRINT_BYTES: usize = 4096;
 /// Pauses in which tokens of neighbours are awaited. An answer from the own region takes about 2 ms.
 const TOKEN_PAUSES: [Duration; 2] = [Duration::from_millis(6), Duration::from_millis(14)];
+/// Pause in which tokens of other regions are awaited. A message there and back takes 112 ms.
+const FAR_TOKEN_PAUSE: Duration = Duration::from_millis(115);
+/// Shortest objective with which it is worth that pause: a refusal is late after an eighth of it.
+const FAR_TOKEN_OBJECTIVE: Millis = Millis(800);
 /// Shortest time after which a refused caller is told to come back.
 const LEAST_WAIT: Millis = Millis(50);
 /// Longest time after which it is: callers honour a third of the time that they have left.
@@ -47,6 +52,8 @@
     head: Parts,
     began: Instant,
     arrived: Millis,
+    /// Name of its route, empty until it is known.
+    route: SmolStr,
 }
 
 /// What a request needs to be sent.
@@ -68,13 +75,22 @@
             head,
             began: Instant::now(),
             arrived: shared.now(),
+            route: SmolStr::default(),
         }
     }
 
     /// Answers the request.
     pub(crate) async fn run(mut self, body: Incoming) -> Response<Body> {
         let shared = self.shared;
-        match self.serve(body).await {
+        let served = self.serve(body).await;
+        let outcome = match &served {
+            Ok(response) if response.status().is_server_error() => Outcome::Failed,
+            Ok(_) => Outcome::Answered,
+            Err(_) => Outcome::Refused,
+        };
+        let secs = self.began.elapsed().as_secs_f64();
+        shared.metrics.ended(&self.route, outcome, secs);
+        match served {
             Ok(response) => {
                 log::debug!(
                     request = self.id().as_str(), status = response.status().as_u16(),
@@ -85,8 +101,7 @@
             }
             Err(refusal) => {
                 let refusal = bounded(refusal);
-                metrics::counter!("edge_refusals_total", "reason" => refusal.reason.as_str())
-                    .increment(1);
+                shared.metrics.refused(refusal.reason);
                 log::debug!(
                     reason = refusal.reason.as_str(), request = self.id().as_str(),
                     path = self.head.uri.path(), age_ms = shared.now().since(self.arrived).0;
@@ -103,9 +118,10 @@
             return Err(Refusal::after(RefusalReason::ConfigStale, LEAST_WAIT));
         };
         let access = self.access(&plan)?;
+        self.route = access.route.name.clone();
         let deadline = self.deadline(&access);
         if let Some(workspace) = access.workspace {
-            self.admit(workspace).await?;
+            self.admit(workspace, access.route.objective).await?;
         }
         let mut body = self.read_body(body, &plan, deadline).await?;
         let ready = self.ready(access, deadline, &body)?;
@@ -135,8 +151,9 @@
         self.arrived + access.route.timeout.min(asked)
     }
 
-    /// Takes a token of the workspace's quota. A neighbour's token is awaited for a moment.
-    async fn admit(&self, workspace: &WorkspaceSpec) -> Result<(), Refusal> {
+    /// Takes a token of the workspace's quota. A neighbour's token is awaited for a moment, then one of
+    /// another region if the objective allows it.
+    async fn admit(&self, workspace: &WorkspaceSpec, objective: Millis) -> Result<(), Refusal> {
         let shared = self.shared;
         let mut admission = shared.quota().admit(shared.now(), workspace);
         for (i, pause) in TOKEN_PAUSES.into_iter().enumerate() {
@@ -144,15 +161,19 @@
                 return Ok(());
             };
             if !peers::ask_for(shared, &workspace.id, i > 0) && i == 0 {
-                break;
+                return refused(admission);
             }
             Timer::after(pause).await;
             admission = shared.quota().admit_again(shared.now(), workspace);
         }
-        match admission {
-            Admission::Admitted => Ok(()),
-            Admission::Short { wait } => Err(Refusal::after(RefusalReason::RateLimited, wait)),
+        if let Admission::Short { .. } = admission
+            && objective >= FAR_TOKEN_OBJECTIVE
+        {
+            peers::ask_far(shared, &workspace.id);
+            Timer::after(FAR_TOKEN_PAUSE).await;
+            admission = shared.quota().admit_again(shared.now(), workspace);
         }
+        refused(admission)
     }
 
     async fn read_body(
@@ -263,7 +284,7 @@
             if !replayable || !self.may_repeat(ready, &record) {
                 return Err(record.refusal(RefusalReason::NoTarget, LEAST_WAIT));
             }
-            metrics::counter!("edge_retries_total", "reason" => reason.as_str()).increment(1);
+            shared.metrics.retried(reason);
             if record.sends > 0 {
                 shared.budgets().on_repeat(shared.now(), &ready.service);
             }
@@ -342,6 +363,14 @@
     }
 }
 
+/// The refusal of a request that found no token.
+fn refused(admission: Admission) -> Result<(), Refusal> {
+    match admission {
+        Admission::Admitted => Ok(()),
+        Admission::Short { wait } => Err(Refusal::after(RefusalReason::RateLimited, wait)),
+    }
+}
+
 /// A refusal whose wait is within the bounds.
 fn bounded(refusal: Refusal) -> Refusal {
     Refusal {
--- a/crates/waxwingrail/src/edge/settings.rs
+++ b/crates/waxwingrail/src/edge/settings.rs
@@ -25,6 +25,7 @@
     required("directory", "IP:port", "address for callers that ask for entry VMs"),
     required("readiness", "IP:port", "address for checks of readiness"),
     required("peer", "IP:port", "address for datagrams of other VMs"),
+    optional("metrics", "IP:port", "127.0.0.1:0", "address for reads of the metrics, /metrics; port 0: any"),
     optional("workers", "threads", "1", "worker threads; auto: one per core"),
     optional("log-level", "level", "info", "error, warn, info, debug or trace"),
     optional("log-format", "format", "text", "text or json"),
@@ -32,6 +33,8 @@
     optional("idle-connections", "number", "24", "idle connections kept to each target"),
     optional("connect-timeout-ms", "ms", "400", "time for opening a connection to a target"),
     optional("store-timeout-ms", "ms", "1500", "time for a call to the store"),
+    optional("apply-ms", "ms", "2500", "time within which a change of the deployment is in force"),
+    optional("drain-ms", "ms", "2500", "time after which a target that leaves gets no request"),
     optional("retry-window-s", "s", "10", "window of the budget of repeated requests"),
     optional("retry-ratio", "part", "0.1", "repeated requests for each request, over all VMs"),
     optional("retry-slack", "number", "20", "repeated requests in a window whatever the requests, over all VMs"),
@@ -52,6 +55,7 @@
         pub directory: SocketAddr,
         pub readiness: SocketAddr,
         pub peer: SocketAddr,
+        pub metrics: SocketAddr,
         pub workers: usize,
         pub log_level: LevelFilter,
         pub log_format: LogFormat,
@@ -59,6 +63,8 @@
         pub idle_connections: usize,
         pub connect_timeout: Millis,
         pub store_timeout: Millis,
+        pub apply_time: Millis,
+        pub drain_time: Millis,
         pub retry_window: Millis,
         pub retry_permille: u32,
         pub retry_slack: u32,
@@ -117,9 +123,15 @@
     let domain = values.name("domain");
     let region = values.name("region");
     let domains = values.pairs("domains");
-    let [store, listen, directory, readiness, peer] =
-        ["store", "listen", "directory", "readiness", "peer"]
-            .map(|name| values.parsed(name, "an IP address and a port"));
+    let [store, listen, directory, readiness, peer, metrics] = [
+        "store",
+        "listen",
+        "directory",
+        "readiness",
+        "peer",
+        "metrics",
+    ]
+    .map(|name| values.parsed(name, "an IP address and a port"));
     let workers = values.workers();
     let log_level = values.parsed("log-level", "error, warn, info, debug or trace");
     let log_format = values.format();
@@ -127,6 +139,8 @@
     let idle_connections = values.size("idle-connections", 0, 10_000);
     let connect_timeout = values.span("connect-timeout-ms", 1);
     let store_timeout = values.span("store-timeout-ms", 1);
+    let apply_time = values.span("apply-ms", 1);
+    let drain_time = values.span("drain-ms", 1);
     let retry_window = values.number("retry-window-s", 1, 3600);
     let retry_permille = values.permille("retry-ratio");
     let retry_slack = values.number("retry-slack", 0, 1_000_000);
@@ -143,6 +157,7 @@
         directory: directory?,
         readiness: readiness?,
         peer: peer?,
+        metrics: metrics?,
         workers: workers?,
         log_level: log_level?,
         log_format: log_format?,
@@ -150,6 +165,8 @@
         idle_connections: idle_connections?,
         connect_timeout: connect_timeout?,
         store_timeout: store_timeout?,
+        apply_time: apply_time?,
+        drain_time: drain_time?,
         retry_window: Millis::from_secs(retry_window?),
         retry_permille: retry_permille?,
         retry_slack: u32::try_from(retry_slack?).ok()?,
--- a/crates/waxwingrail/src/edge/state.rs
+++ b/crates/waxwingrail/src/edge/state.rs
@@ -14,6 +14,7 @@
 use waxwing_store::{Family, Registry};
 use waxwing_types::{Clock, DomainId, Incarnation, Millis, TargetId};
 
+use super::metric::Metrics;
 use super::settings::EdgeSettings;
 
 /// Precision of the deadlines of requests.
@@ -81,6 +82,7 @@
     pub(crate) executor: Arc<Executor<'static>>,
     pub(crate) client: Client,
     pub(crate) timer: CoarseTimer,
+    pub(crate) metrics: Metrics,
     /// For datagrams of other VMs.
     pub(crate) socket: Async<UdpSocket>,
 
@@ -135,6 +137,7 @@
             dialect: parts.dialect,
             timer: CoarseTimer::start(&parts.executor, DEADLINE_TICK),
             executor: parts.executor,
+            metrics: Metrics::new(),
             client: parts.client,
             plan: RwLock::default(),
             store: Mutex::default(),
@@ -204,6 +207,22 @@
         listed && self.plan().is_some() && !self.is_stopping()
     }
 
+    /// The metrics as text, with the present values of the gauges.
+    #[allow(clippy::cast_precision_loss, reason = "metrics are floating point")]
+    pub(crate) fn render_metrics(&self) -> String {
+        let ready = self.is_ready();
+        let version = self.plan().map_or(0, |plan| plan.version());
+        let vms = self.fleet().count();
+        let metrics = &self.metrics;
+        metrics
+            .running
+            .set(self.running.load(Ordering::Relaxed) as f64);
+        metrics.version.set(version as f64);
+        metrics.vms.set(vms as f64);
+        metrics.ready.set(f64::from(u8::from(ready)));
+        metrics.render()
+    }
+
     pub(crate) fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Relaxed)
     }
--- a/crates/waxwingrail/src/edge/watch.rs
+++ b/crates/waxwingrail/src/edge/watch.rs
@@ -7,7 +7,7 @@
 use async_io::Timer;
 use waxwing_edge::{ColdRule, Plan};
 use waxwing_records::Deployment;
-use waxwing_store::{Change, Entry, Family, ListOutcome, WatchOutcome};
+use waxwing_store::{Change, Entry, Family, Freshness, ListOutcome, WatchOutcome};
 use waxwing_types::{DomainId, Millis, Revision, TargetId, VmId};
 
 use super::peers;
@@ -23,6 +23,17 @@
 /// Pause between two looks at whether it is.
 const LOOK: Millis = Millis(100);
 
+/// Part of the bound on configuration that is left for the call that brings a change, on a slow store.
+const APPLY_MARGIN: Millis = Millis(2000);
+/// Part of the bound on targets that leave which is left for that call and for requests on their way.
+const DRAIN_MARGIN: Millis = Millis(1600);
+/// Longest time for which changes gather: targets that join are used this much later.
+const LONGEST_GATHER: Millis = Millis(2000);
+/// Time for which evacuations gather; each second beyond the first that one waits is priced.
+const EVACUATIONS_GATHER: Millis = Millis(500);
+/// Time for which changes of VMs gather: heartbeats tell which of them are live.
+const VMS_GATHER: Millis = Millis(2000);
+
 /// Starts a watch of each family.
 pub(crate) fn start(shared: &Arc<Shared>) -> Vec<Task<()>> {
     let watch = |family| shared.executor.spawn(watch(Arc::clone(shared), family));
@@ -32,8 +43,15 @@
 async fn watch(shared: Arc<Shared>, family: Family) {
     let (least, most) = PAUSES;
     let mut pause = least;
+    // Only a process that knows nothing may start from an older state: it would bring back what it knows
+    // to have left.
+    let mut freshness = Freshness::Recent;
     loop {
-        match follow(&shared, family).await {
+        let end = follow(&shared, family, freshness).await;
+        if shared.store().read.contains(&family) {
+            freshness = Freshness::Latest;
+        }
+        match end {
             End::Relist => pause = least,
             End::Failed { had_answer, reason } => {
                 if had_answer {
@@ -63,9 +81,9 @@
 }
 
 /// Lists a family and follows its changes until a call fails.
-async fn follow(shared: &Arc<Shared>, family: Family) -> End {
+async fn follow(shared: &Arc<Shared>, family: Family, freshness: Freshness) -> End {
     let timeout = shared.settings.store_timeout;
-    let mut revision = match shared.registry.list(family, timeout).await {
+    let mut revision = match shared.registry.list(family, freshness, timeout).await {
         ListOutcome::Listed { entries, revision } => {
             note_success(shared, family);
             adopt_list(shared, family, entries);
@@ -78,6 +96,10 @@
             };
         }
     };
+    if family == Family::Vms {
+        // All VMs may start at once; their entries come with one call.
+        Timer::after(gather_time(shared, family).duration()).await;
+    }
     loop {
         let outcome = shared
             .registry
@@ -90,7 +112,7 @@
             } => {
                 adopt_changes(shared, family, changes);
                 revision = Revision(reached.0.max(revision.0));
-                Timer::after(gather_time(family).duration()).await;
+                Timer::after(gather_time(shared, family).duration()).await;
             }
             WatchOutcome::HistoryGone => return End::Relist,
             WatchOutcome::Unreachable(reason) => {
@@ -103,19 +125,20 @@
     }
 }
 
-/// Time for which changes are left to gather before the next call, as each call is priced. Changes are to
-/// be in force within 2.5 s.
-const fn gather_time(family: Family) -> Millis {
+/// Time for which changes are left to gather before the next call, as each call is priced.
+fn gather_time(shared: &Shared, family: Family) -> Millis {
+    let settings = &shared.settings;
     match family {
-        Family::Deployment | Family::Evacuations => Millis(500),
-        Family::Targets => Millis(900),
-        Family::Vms => Millis(2000),
+        Family::Deployment => (settings.apply_time - APPLY_MARGIN).min(LONGEST_GATHER),
+        Family::Targets => (settings.drain_time - DRAIN_MARGIN).min(LONGEST_GATHER),
+        Family::Evacuations => EVACUATIONS_GATHER,
+        Family::Vms => VMS_GATHER,
     }
 }
 
 fn note_failure(shared: &Shared, family: Family, reason: &str) {
     let first = shared.store().failing.insert(family);
-    metrics::counter!("edge_store_failures_total", "family" => family.as_str()).increment(1);
+    shared.metrics.store_failed(family);
     if first {
         log::warn!(family = family.as_str(), reason = reason; "store not reached");
     }
@@ -170,8 +193,7 @@
             }
             Some(Entry::Vm(entry)) => shared.fleet().adopt(now, entry),
             Some(Entry::Unreadable(reason)) => {
-                metrics::counter!("edge_unreadable_total", "family" => family.as_str())
-                    .increment(1);
+                shared.metrics.unread(family);
                 log::warn!(
                     family = family.as_str(), name = change.name.as_str(),
                     reason = reason.as_str();
--- a/crates/waxwingrail/src/metric.rs
+++ b/crates/waxwingrail/src/metric.rs
@@ -3,7 +3,7 @@
 //! Every counter is registered at start, so that each reason shows as 0 before it first occurs.
 
 use metrics::{Counter, Gauge, Histogram, counter, gauge, histogram, with_local_recorder};
-use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle, PrometheusRecorder};
 use waxwing_types::{RefusalReason, RetryReason};
 
 /// Upper bounds of the histograms' buckets in seconds.
@@ -11,6 +11,16 @@
     0.0001, 0.0003, 0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0, 30.0,
 ];
 
+/// A recorder whose histograms have the buckets of this module.
+pub(crate) fn recorder() -> PrometheusRecorder {
+    let builder = PrometheusBuilder::new();
+    // An empty list of buckets is the only cause of an error, and the list is a constant.
+    let builder = builder
+        .set_buckets(BUCKETS)
+        .unwrap_or_else(|_| PrometheusBuilder::new());
+    builder.build_recorder()
+}
+
 /// The metrics of one daemon.
 pub(crate) struct Metrics {
     handle: PrometheusHandle,
@@ -59,12 +69,7 @@
 impl Metrics {
     /// Registers all metrics in a recorder of their own.
     pub(crate) fn new() -> Self {
-        let builder = PrometheusBuilder::new();
-        // An empty list of buckets is the only cause of an error, and the list is a constant.
-        let builder = builder
-            .set_buckets(BUCKETS)
-            .unwrap_or_else(|_| PrometheusBuilder::new());
-        let recorder = builder.build_recorder();
+        let recorder = recorder();
         let handle = recorder.handle();
         with_local_recorder(&recorder, || Self::register(handle))
     }
--- a/crates/waxwingrail/tests/edge.rs
+++ b/crates/waxwingrail/tests/edge.rs
@@ -11,7 +11,7 @@
 use rig::{KEY, Manner, deployment, request, run, until};
 use waxwing_http::full;
 use waxwing_records::TargetState;
-use waxwing_store::{Entry, Family};
+use waxwing_store::{Entry, Family, Freshness};
 
 /// Guards against a key that a target sees, a workspace that the caller names itself, a target that
 /// cannot tell whether it is meant, and a target that works longer than the caller waits.
@@ -330,3 +330,45 @@
         assert!(target.got().is_empty());
     });
 }
+
+/// Guards against an older state of the store that brings back what a running process knows to have left.
+#[test]
+fn only_a_new_process_starts_from_an_older_state() {
+    run(async |rig| {
+        rig.deploy(deployment(1));
+        rig.target("t1", Manner::Well).await;
+        let _daemon = rig.ready().await;
+        assert_eq!(rig.registry.lists(Family::Targets), [Freshness::Recent]);
+        rig.registry.remove(Family::Targets, "t1");
+        rig.registry.forget();
+        until("the targets are listed again", async || {
+            rig.registry.lists(Family::Targets).len() > 1
+        })
+        .await;
+        let lists = rig.registry.lists(Family::Targets);
+        assert!(lists[1..].iter().all(|f| *f == Freshness::Latest));
+    });
+}
+
+/// Guards against a refusal that nobody counts, and against answers whose times are not kept by route.
+#[test]
+fn metrics_count_refusals_and_answers_by_route() {
+    run(async |rig| {
+        rig.deploy(deployment(1));
+        rig.target("t1", Manner::Well).await;
+        let daemon = rig.ready().await;
+        assert_eq!(rig.call(&daemon, "safe").await.status, 200);
+        assert_eq!(rig.call(&daemon, "unknown").await.status, 404);
+        let (status, text) = rig.get(daemon.metrics(), "/metrics", "").await;
+        assert_eq!(status, 200);
+        let has = |line: &str| text.lines().any(|l| l == line);
+        assert!(
+            has("waxwing_edge_refusals_total{reason=\"route_unknown\"} 1"),
+            "{text}"
+        );
+        assert!(has("waxwing_edge_refusals_total{reason=\"queue_full\"} 0"));
+        let answers = "waxwing_edge_answer_seconds_count{route=\"safe\",outcome=\"answered\"} 1";
+        assert!(has(answers), "{text}");
+        assert!(has("waxwing_edge_ready 1"));
+    });
+}
