Show the entries of the platform's registry with waxwingctl

Cause: the operator's command line read only the product's own store, so that on the platform nobody could see what the VMs read: which entries cannot be read, which targets drain, which version is in force. Ruled out: get and watch over the registry: records and entries differ in name and version. Conclusion: what a VM reads can be seen from outside.

--- a/crates/waxwingctl/src/command/mod.rs
+++ b/crates/waxwingctl/src/command/mod.rs
@@ -1,6 +1,7 @@
 //! The commands.
 
 pub(crate) mod apply;
+pub(crate) mod entries;
 pub(crate) mod explain;
 pub(crate) mod get;
 pub(crate) mod key;
--- a/crates/waxwingctl/src/lib.rs
+++ b/crates/waxwingctl/src/lib.rs
@@ -10,5 +10,5 @@
 mod settings;
 
 pub use exit::Exit;
-pub use run::{main, run};
+pub use run::{Sources, main, run};
 pub use settings::{Command, Explain, Settings, parse};
--- a/crates/waxwingctl/src/run.rs
+++ b/crates/waxwingctl/src/run.rs
@@ -7,10 +7,11 @@
 
 use async_executor::Executor;
 use waxwing_http::{Client, ClientLimits};
+use waxwing_platform::PlatformRegistry;
 use waxwing_records::RecordName;
-use waxwing_store::{HttpStore, Store};
+use waxwing_store::{HttpStore, Registry, Store};
 
-use crate::command::{apply, explain, get, key, status, sweep, watch};
+use crate::command::{apply, entries, explain, get, key, status, sweep, watch};
 use crate::report::Console;
 use crate::{Command, Exit, Settings, parse};
 
@@ -24,6 +25,7 @@
   withdraw KIND NAME       withdraw a record
   get [KIND [NAME]]        print records
   watch [--changes N]      print changes of records as they come; stop after N
+  entries FAMILY [NAME]    print entries of the platform's registry: deployment, targets, evacuations, vms
   status                   print revision in force, its age and VMs of each failure domain
   explain --workspace W --service S --method M --path P
                            ask a daemon how it would treat a request
@@ -33,6 +35,7 @@
 
 Options, with the environment variable that sets them; a flag takes precedence:
   --store IP:PORT          WAXWINGCTL_STORE       address of the store
+  --registry IP:PORT       WAXWINGCTL_REGISTRY    address of the platform's registry, for entries
   --admin IP:PORT          WAXWINGCTL_ADMIN       admin address of a daemon, for explain
   --timeout-ms N           WAXWINGCTL_TIMEOUT_MS  time for one call (default 5000)
   --json                   WAXWINGCTL_JSON=1      print JSON
@@ -59,23 +62,38 @@
     let client = Client::new(Arc::clone(&executor), ClientLimits::default());
     let store = settings
         .store
-        .map(|address| HttpStore::new(client, address));
-    let store = store.as_ref().map(|s| s as &dyn Store);
-    async_io::block_on(executor.run(run(&executor, &settings, store, out, err)))
+        .map(|address| HttpStore::new(client.clone(), address));
+    let registry = settings
+        .registry
+        .map(|address| PlatformRegistry::new(client, address));
+    let sources = Sources {
+        store: store.as_ref().map(|s| s as &dyn Store),
+        registry: registry.as_ref().map(|r| r as &dyn Registry),
+    };
+    async_io::block_on(executor.run(run(&executor, &settings, sources, out, err)))
+}
+
+/// Where commands read and write, as far as settings name it.
+#[derive(Clone, Copy, Default)]
+pub struct Sources<'a> {
+    /// The product's own store.
+    pub store: Option<&'a dyn Store>,
+    /// The entries of a deployment on the platform.
+    pub registry: Option<&'a dyn Registry>,
 }
 
-/// Runs a command against a store.
+/// Runs a command against a store or a registry.
 pub async fn run(
     executor: &Arc<Executor<'static>>,
     settings: &Settings,
-    store: Option<&dyn Store>,
+    sources: Sources<'_>,
     out: &mut dyn Write,
     err: &mut dyn Write,
 ) -> Exit {
     let json = settings.json;
     let mut console = Console { json, out, err };
     let timeout = settings.timeout;
-    match (&settings.command, store, settings.admin) {
+    match (&settings.command, sources.store, settings.admin) {
         (Command::Help, _, _) => {
             let _ = write!(console.out, "{USAGE}{}", codes());
             Exit::Done
@@ -86,6 +104,12 @@
         (Command::Explain(question), _, Some(admin)) => {
             explain::explain(&mut console, executor, admin, question, timeout).await
         }
+        (Command::Entries(family, name), _, _) => {
+            let Some(registry) = sources.registry else {
+                return console.fail(Exit::Usage, &["--registry: missing".into()]);
+            };
+            entries::entries(&mut console, registry, *family, name.as_deref(), timeout).await
+        }
         (command, Some(store), _) => with_store(&mut console, settings, command, store).await,
         (_, None, _) => console.fail(Exit::Usage, &["--store or --admin: missing".into()]),
     }
@@ -109,7 +133,7 @@
         Command::Watch(limit) => watch::watch(console, store, *limit, timeout).await,
         Command::Status => status::status(console, store, unix_secs(), timeout).await,
         Command::Sweep(hours) => sweep::sweep(console, store, *hours, unix_secs(), timeout).await,
-        Command::Explain(_) | Command::KeyNew(..) | Command::Help => {
+        Command::Explain(_) | Command::Entries(..) | Command::KeyNew(..) | Command::Help => {
             console.fail(Exit::Usage, &["--admin: missing".into()])
         }
     }
--- a/crates/waxwingctl/src/settings.rs
+++ b/crates/waxwingctl/src/settings.rs
@@ -6,6 +6,7 @@
 
 use lexopt::{Arg, Parser, ValueExt};
 use waxwing_records::{Kind, RecordName};
+use waxwing_store::Family;
 use waxwing_types::{Millis, common_derives};
 
 /// Shortest time for which idempotency records are kept (design page, section 5).
@@ -38,6 +39,8 @@
         Get(Option<Kind>, Option<String>),
         /// Print changes as they come; stop after this many.
         Watch(Option<u64>),
+        /// Print the entries of a family of the platform's registry, or the one of a name.
+        Entries(Family, Option<String>),
         /// Print the state of the failure domains.
         Status,
         /// Ask a daemon how it would treat a request.
@@ -58,6 +61,8 @@
         pub command: Command,
         /// Address of the store.
         pub store: Option<SocketAddr>,
+        /// Address of the platform's registry.
+        pub registry: Option<SocketAddr>,
         /// Admin address of a daemon.
         pub admin: Option<SocketAddr>,
         /// Time for one call.
@@ -80,6 +85,7 @@
 /// Flags that take a value, and the commands that take them.
 const FLAGS: &[(&str, &[&str])] = &[
     ("store", &[]),
+    ("registry", &["entries"]),
     ("admin", &[]),
     ("timeout-ms", &[]),
     ("workspace", &["explain", "key"]),
@@ -107,11 +113,17 @@
         command(&mut raw)
     };
     let store = raw.setting("store", "WAXWINGCTL_STORE", &env);
+    let registry = raw.setting("registry", "WAXWINGCTL_REGISTRY", &env);
     let admin = raw.setting("admin", "WAXWINGCTL_ADMIN", &env);
     let timeout = raw.setting("timeout-ms", "WAXWINGCTL_TIMEOUT_MS", &env);
     let json = raw.json || env("WAXWINGCTL_JSON").is_some_and(|v| v == "1");
     if !raw.help {
-        raw.check_addresses(&word, store.is_some(), admin.is_some());
+        let missing = [
+            ("store", store.is_none()),
+            ("registry", registry.is_none()),
+            ("admin", admin.is_none()),
+        ];
+        raw.check_addresses(&word, missing);
     }
     if timeout == Some(0) {
         raw.faults.push("--timeout-ms: expected at least 1".into());
@@ -120,6 +132,7 @@
         Some(command) if raw.faults.is_empty() => Ok(Settings {
             command,
             store,
+            registry,
             admin,
             timeout: timeout.map_or(TIMEOUT, Millis),
             json,
@@ -158,6 +171,10 @@
             .kind(kind)
             .map(|kind| Command::Get(Some(kind), Some((*name).to_owned()))),
         ["watch"] => Some(Command::Watch(raw.number("changes"))),
+        ["entries", family] => raw.family(family).map(|f| Command::Entries(f, None)),
+        ["entries", family, name] => raw
+            .family(family)
+            .map(|family| Command::Entries(family, Some((*name).to_owned()))),
         ["status"] => Some(Command::Status),
         ["explain"] => raw.explain(),
         ["sweep"] => raw.sweep(),
@@ -227,6 +244,17 @@
         kind
     }
 
+    fn family(&mut self, name: &str) -> Option<Family> {
+        let family = Family::ALL.into_iter().find(|f| f.as_str() == name);
+        if family.is_none() {
+            let known = Family::ALL.map(Family::as_str).join(", ");
+            self.faults.push(format!(
+                "\"{name}\": unknown family, expected one of {known}"
+            ));
+        }
+        family
+    }
+
     fn required(&mut self, name: &str) -> Option<String> {
         let value = self.flag(name).map(str::to_owned);
         if value.is_none() {
@@ -288,12 +316,14 @@
     }
 
     /// Reports the address that the command needs and nothing sets.
-    fn check_addresses(&mut self, command: &str, has_store: bool, has_admin: bool) {
-        let (name, missing) = match command {
-            "apply" | "withdraw" | "get" | "watch" | "status" | "sweep" => ("store", !has_store),
-            "explain" => ("admin", !has_admin),
+    fn check_addresses(&mut self, command: &str, missing: [(&str, bool); 3]) {
+        let name = match command {
+            "apply" | "withdraw" | "get" | "watch" | "status" | "sweep" => "store",
+            "entries" => "registry",
+            "explain" => "admin",
             _ => return,
         };
+        let missing = missing.contains(&(name, true));
         let flag = format!("--{name}");
         let faulty = self.faults.iter().any(|f| f.starts_with(&flag));
         if missing && !faulty {
--- a/crates/waxwingctl/tests/commands.rs
+++ b/crates/waxwingctl/tests/commands.rs
@@ -9,17 +9,17 @@
 
 use async_executor::Executor;
 use async_io::{Timer, block_on};
-use common::{TempFile, ctl, ctl_async, value_at, workspace};
+use common::{Ran, TempFile, ctl, ctl_async, ctl_sources, value_at, workspace};
 use futures_lite::future;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use serde_json::{Value, json};
 use waxwing_http::{Body, Handler, Server, ServerLimits};
-use waxwing_records::{Document, KeyHash, Record};
-use waxwing_store::{Condition, Store};
-use waxwing_testkit::MemoryStore;
+use waxwing_records::{CallerLimits, Deployment, Document, KeyHash, Record, WorkspaceSpec};
+use waxwing_store::{Condition, Entry, Family, Store};
+use waxwing_testkit::{MemoryRegistry, MemoryStore};
 use waxwing_types::Millis;
-use waxwingctl::{Exit, parse, run};
+use waxwingctl::{Exit, Sources, parse, run};
 
 fn put(store: &MemoryStore, path: &str, value: &str) {
     let value = value.as_bytes().to_vec();
@@ -196,7 +196,7 @@
         );
         let settings = parse(line.split(' ').map(Into::into), |_| None).unwrap();
         let (mut out, mut err) = (Vec::new(), Vec::new());
-        let exit = run(&executor, &settings, None, &mut out, &mut err).await;
+        let exit = run(&executor, &settings, Sources::default(), &mut out, &mut err).await;
         assert_eq!(exit, Exit::Done);
         let expected = "limits: workspace/w\n\
                         query: workspace=w&service=s&method=GET&path=/a%3Fb%3D1%26c\n\
@@ -234,3 +234,71 @@
         assert!(out.contains(&format!("  {}  {}\n", exit.number(), exit.meaning())));
     }
 }
+
+fn entries(registry: &MemoryRegistry, line: &str) -> Ran {
+    let sources = Sources {
+        store: None,
+        registry: Some(registry),
+    };
+    block_on(ctl_sources(sources, line))
+}
+
+fn deployment() -> Entry {
+    Entry::Deployment(Deployment {
+        schema: 1,
+        version: 7,
+        routes: Vec::new(),
+        services: Vec::new(),
+        workspaces: Some(vec![WorkspaceSpec {
+            id: "w".into(),
+            keys: vec!["secret-1".into(), "secret-2".into()],
+            rank: 0,
+            rate: 0,
+            burst: 0,
+            homes: Vec::new(),
+        }]),
+        limits: CallerLimits {
+            header_bytes: 1,
+            body_bytes: 1,
+            header_time: Millis(1),
+            idle_time: Millis(1),
+        },
+    })
+}
+
+/// Guards against keys that end in a terminal or a log.
+#[test]
+fn a_deployment_is_shown_without_its_keys() {
+    let registry = MemoryRegistry::default();
+    registry.put(Family::Deployment, "main", deployment());
+    let shown = entries(&registry, "entries deployment --json");
+    assert_eq!(shown.exit, Exit::Done);
+    assert!(!shown.out.contains("secret"), "{}", shown.out);
+    let value: Value = serde_json::from_str(&shown.out).unwrap();
+    assert_eq!(value[0]["entry"]["version"], json!(7));
+    assert_eq!(value[0]["entry"]["workspaces"][0]["keys"], json!(2));
+}
+
+/// Guards against an entry that cannot be read and is left out, and an absent one that seems to be shown.
+#[test]
+fn entries_that_cannot_be_read_are_shown_with_the_reason() {
+    let registry = MemoryRegistry::default();
+    registry.put(
+        Family::Targets,
+        "t1",
+        Entry::Unreadable("no address".into()),
+    );
+    let shown = entries(&registry, "entries targets t1");
+    assert!(shown.out.contains("no address"), "{}", shown.out);
+    assert_eq!(entries(&registry, "entries targets t2").exit, Exit::Absent);
+    registry.set_down(true);
+    assert_eq!(entries(&registry, "entries targets").exit, Exit::Failed);
+}
+
+/// Guards against a family that is not known and a flag that another command takes.
+#[test]
+fn faults_of_the_command_line_are_reported_together() {
+    let args = "entries nonsense --changes 1".split(' ').map(Into::into);
+    let faults = parse(args, |_| None).unwrap_err();
+    assert_eq!(faults.len(), 3, "{faults:?}");
+}
--- a/crates/waxwingctl/tests/common/mod.rs
+++ b/crates/waxwingctl/tests/common/mod.rs
@@ -10,7 +10,7 @@
 use waxwing_store::{ReadOutcome, Store};
 use waxwing_testkit::MemoryStore;
 use waxwing_types::Millis;
-use waxwingctl::{Exit, parse, run};
+use waxwingctl::{Exit, Sources, parse, run};
 
 /// What a command printed and how it ended.
 pub(crate) struct Ran {
@@ -21,13 +21,23 @@
 
 /// Runs a command line, split at spaces.
 pub(crate) async fn ctl_async(store: &dyn Store, line: &str) -> Ran {
+    let sources = Sources {
+        store: Some(store),
+        registry: None,
+    };
+    ctl_sources(sources, line).await
+}
+
+/// As [`ctl_async`], against any sources.
+pub(crate) async fn ctl_sources(sources: Sources<'_>, line: &str) -> Ran {
     let args = line.split(' ').map(Into::into);
-    let env = |name: &str| (name == "WAXWINGCTL_STORE").then(|| "127.0.0.1:1".to_owned());
+    let set = ["WAXWINGCTL_STORE", "WAXWINGCTL_REGISTRY"];
+    let env = |name: &str| set.contains(&name).then(|| "127.0.0.1:1".to_owned());
     let (mut out, mut err) = (Vec::new(), Vec::new());
     let exit = match parse(args, env) {
         Ok(settings) => {
             let executor = Arc::new(Executor::new());
-            run(&executor, &settings, Some(store), &mut out, &mut err).await
+            run(&executor, &settings, sources, &mut out, &mut err).await
         }
         Err(faults) => panic!("{faults:?}"),
     };
--- a/crates/waxwingctl/tests/examples.rs
+++ b/crates/waxwingctl/tests/examples.rs
@@ -8,7 +8,7 @@
 use async_io::block_on;
 use waxwing_records::{Document, Kind, Record, split_records};
 use waxwing_testkit::MemoryStore;
-use waxwingctl::{Exit, parse, run};
+use waxwingctl::{Exit, Sources, parse, run};
 
 const KINDS: [&str; 6] = [
     "blocks",
@@ -43,7 +43,11 @@
         let settings = parse(line.split(' ').map(Into::into), |_| None).unwrap();
         let executor = Arc::new(Executor::new());
         let (mut out, mut err) = (Vec::new(), Vec::new());
-        let exit = block_on(run(&executor, &settings, Some(&store), &mut out, &mut err));
+        let sources = Sources {
+            store: Some(&store),
+            registry: None,
+        };
+        let exit = block_on(run(&executor, &settings, sources, &mut out, &mut err));
         let (out, err) = (
             String::from_utf8(out).unwrap(),
             String::from_utf8(err).unwrap(),
