--- a/crates/waxwingrail/src/edge/request.rs
+++ b/crates/waxwingrail/src/edge/request.rs
@@ -54,6 +54,8 @@
     arrived: Millis,
     /// Name of its route, empty until it is known.
     route: SmolStr,
+    /// Its workspace, empty until it is known and where none is needed.
+    workspace: SmolStr,
 }
 
 /// What a request needs to be sent.
@@ -76,6 +78,7 @@
             began: Instant::now(),
             arrived: shared.now(),
             route: SmolStr::default(),
+            workspace: SmolStr::default(),
         }
     }
 
@@ -93,7 +96,8 @@
         match served {
             Ok(response) => {
                 log::debug!(
-                    request = self.id().as_str(), status = response.status().as_u16(),
+                    request = self.id().as_str(), route = self.route.as_str(),
+                    workspace = self.workspace.as_str(), status = response.status().as_u16(),
                     age_ms = shared.now().since(self.arrived).0;
                     "request answered"
                 );
@@ -104,7 +108,9 @@
                 shared.metrics.refused(refusal.reason);
                 log::debug!(
                     reason = refusal.reason.as_str(), request = self.id().as_str(),
-                    path = self.head.uri.path(), age_ms = shared.now().since(self.arrived).0;
+                    route = self.route.as_str(), workspace = self.workspace.as_str(),
+                    path = self.head.uri.path(), age_ms = shared.now().since(self.arrived).0,
+                    retry_ms = refusal.wait.map_or(0, |wait| wait.0);
                     "request refused"
                 );
                 refusal.response(shared)
@@ -119,6 +125,9 @@
         };
         let access = self.access(&plan)?;
         self.route = access.route.name.clone();
+        if let Some(workspace) = access.workspace {
+            self.workspace = workspace.id.0.clone();
+        }
         let deadline = self.deadline(&access);
         if let Some(workspace) = access.workspace {
             self.admit(workspace, access.route.objective).await?;
