Watch within the store's history; do not register a second time at start

A list of an older state lacks the VM's own entry, which made each VM register a second time, two calls. Ruled out: heartbeats of targets: they change no entry that the watch tells. Measured: only_the_latest_list_makes_a_vm_register_again.

--- a/crates/waxwingrail/src/edge/settings.rs
+++ b/crates/waxwingrail/src/edge/settings.rs
@@ -33,6 +33,7 @@
     optional("idle-connections", "number", "24", "idle connections kept to each target"),
     optional("connect-timeout-ms", "ms", "400", "time for opening a connection to a target"),
     optional("store-timeout-ms", "ms", "1500", "time for a call to the store"),
+    optional("history-s", "s", "20", "time for which the store keeps its history"),
     optional("apply-ms", "ms", "2500", "time within which a change of the deployment is in force"),
     optional("drain-ms", "ms", "2500", "time after which a target that leaves gets no request"),
     optional("retry-window-s", "s", "10", "window of the budget of repeated requests"),
@@ -63,6 +64,7 @@
         pub idle_connections: usize,
         pub connect_timeout: Millis,
         pub store_timeout: Millis,
+        pub history: Millis,
         pub apply_time: Millis,
         pub drain_time: Millis,
         pub retry_window: Millis,
@@ -139,6 +141,7 @@
     let idle_connections = values.size("idle-connections", 0, 10_000);
     let connect_timeout = values.span("connect-timeout-ms", 1);
     let store_timeout = values.span("store-timeout-ms", 1);
+    let history = values.number("history-s", 3, 3600);
     let apply_time = values.span("apply-ms", 1);
     let drain_time = values.span("drain-ms", 1);
     let retry_window = values.number("retry-window-s", 1, 3600);
@@ -165,6 +168,7 @@
         idle_connections: idle_connections?,
         connect_timeout: connect_timeout?,
         store_timeout: store_timeout?,
+        history: Millis::from_secs(history?),
         apply_time: apply_time?,
         drain_time: drain_time?,
         retry_window: Millis::from_secs(retry_window?),
--- a/crates/waxwingrail/src/edge/state.rs
+++ b/crates/waxwingrail/src/edge/state.rs
@@ -1,5 +1,8 @@
 //! The shared tables of the edge daemon and the order in which they are locked.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::net::UdpSocket;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -11,7 +14,7 @@
 use waxwing_edge::{BudgetRule, Fleet, Place, Plan, Poison, Quota, RetryBudgets, TargetPool};
 use waxwing_http::{Client, CoarseTimer, Dialect};
 use waxwing_records::VmEntry;
-use waxwing_store::{Family, Registry};
+use waxwing_store::{Family, Freshness, Registry};
 use waxwing_types::{Clock, DomainId, Incarnation, Millis, TargetId};
 
 use super::metric::Metrics;
@@ -48,6 +51,12 @@
         back.map_or(Millis::ZERO, |back| *back + ENTRIES_BACK)
     }
 
+    /// Whether this VM has to register again after a list of VMs, which may name it. A list of an older state may
+    /// be older than the registration.
+    pub(crate) fn must_register(&self, freshness: Freshness, named: bool) -> bool {
+        self.registered && !named && freshness == Freshness::Latest
+    }
+
     /// Whether a family's next call has to wait until another one has reached the store: one call at a
     /// time finds out whether it is back.
     pub(crate) fn waits(&self, family: Family) -> bool {
--- a/crates/waxwingrail/src/edge/watch.rs
+++ b/crates/waxwingrail/src/edge/watch.rs
@@ -14,7 +14,10 @@
 use super::state::Shared;
 
 /// Longest wait of a watch; the platform takes no longer one.
-const WATCH_WAIT: Millis = Millis::from_secs(30);
+const LONGEST_WAIT: Millis = Millis::from_secs(30);
+/// Time by which a watch ends before the history from its revision on may be gone: the family would have to be
+/// listed again, in several pages.
+const HISTORY_MARGIN: Millis = Millis::from_secs(2);
 /// Pauses after failed calls, doubled up to the greatest. Bounds on configuration count from 4 s after
 /// the end of an outage.
 const PAUSES: (Millis, Millis) = (Millis(60), Millis(500));
@@ -86,7 +89,7 @@
     let mut revision = match shared.registry.list(family, freshness, timeout).await {
         ListOutcome::Listed { entries, revision } => {
             note_success(shared, family);
-            adopt_list(shared, family, entries);
+            adopt_list(shared, family, freshness, entries);
             revision
         }
         ListOutcome::Unreachable(reason) => {
@@ -96,15 +99,13 @@
             };
         }
     };
+    let wait = (shared.settings.history - HISTORY_MARGIN).min(LONGEST_WAIT);
     if family == Family::Vms {
         // All VMs may start at once; their entries come with one call.
         Timer::after(gather_time(shared, family).duration()).await;
     }
     loop {
-        let outcome = shared
-            .registry
-            .watch(family, revision, WATCH_WAIT, timeout)
-            .await;
+        let outcome = shared.registry.watch(family, revision, wait, timeout).await;
         match outcome {
             WatchOutcome::Changed {
                 changes,
@@ -154,7 +155,7 @@
     }
 }
 
-fn adopt_list(shared: &Arc<Shared>, family: Family, entries: Vec<Change>) {
+fn adopt_list(shared: &Arc<Shared>, family: Family, freshness: Freshness, entries: Vec<Change>) {
     let now = shared.now();
     let names: Vec<_> = entries.iter().map(|e| e.name.clone()).collect();
     match family {
@@ -170,7 +171,8 @@
         Family::Vms => {
             let listed: Vec<_> = names.into_iter().map(VmId).collect();
             shared.fleet().keep(&listed);
-            if shared.store().registered && !listed.contains(&shared.own.id) {
+            let own_listed = listed.contains(&shared.own.id);
+            if shared.store().must_register(freshness, own_listed) {
                 reannounce(shared);
             }
         }
