--- a/crates/waxwingrail/src/edge/watch.rs
+++ b/crates/waxwingrail/src/edge/watch.rs
@@ -16,7 +16,7 @@
 /// Longest wait of a watch; the platform takes no longer one.
 const LONGEST_WAIT: Millis = Millis::from_secs(30);
 /// Time by which a watch ends before the history from its revision on may be gone: the family would have to be
-/// listed again, in several pages.
+/// listed again, which is a call more.
 const HISTORY_MARGIN: Millis = Millis::from_secs(2);
 /// Pauses after failed calls, doubled up to the greatest. Bounds on configuration count from 4 s after
 /// the end of an outage.
