Watch an older state beside one reader a failure domain; leave full regions

Cause: (1) each VM watched the newest state of each family. (2) A part of a service's requests that goes to another region was only withdrawn when the own region was nearly idle, so VMs went on sending to a region whose targets were full while their own had room; requests with homes there were refused meanwhile. Parts also came home below 40 % utilization, and each move meets targets that do not know the objects.

Ruled out: a cache of the registry that VMs read from each other: a transport and a copy of the store's state more, for the same saving. Watching only an older state: the platform lets it be seconds late, the bound on targets that leave is 2.5 s.

Change: (1) the registry's watch takes a freshness. One VM of each failure domain, by hash of those that are heard, watches the newest state and tells the VMs of the region the revisions of the last changes (News). The others watch an older state, a tenth of the price, and read the newest one if that does not reach what they were told within 0.4 s, or if no reader was heard for 3.5 s. A process reads an older state for its first 2.5 s, until it knows the others. (2) The fullest region with a part gives it to the least busy one; a part comes home below 20 %.

--- a/crates/waxwing_edge/src/fleet.rs
+++ b/crates/waxwing_edge/src/fleet.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 use waxwing_records::VmEntry;
-use waxwing_types::{DomainId, Incarnation, Millis, VmId, WorkspaceId, common_derives};
+use waxwing_types::{DomainId, Incarnation, Millis, Revision, VmId, WorkspaceId, common_derives};
 
 use crate::hash::{hash_bytes, mix64};
 use crate::{Keeper, QuotaPart};
@@ -39,6 +39,11 @@
             /// Whether a request waits for them.
             urgent: bool,
         },
+        /// How far the sender has followed the entries of each family.
+        News {
+            /// Revisions of the last changes, in the order of the families.
+            seen: Vec<Revision>,
+        },
         /// A request was running when its target crashed.
         Crash {
             /// Its fingerprint.
@@ -49,6 +54,8 @@
 
 /// Parts into which the workspaces are divided, each with a keeper of its own in a failure domain.
 const SHARDS: u64 = 4;
+/// What stands for the reader in the draw by which keepers are chosen.
+const READER: u64 = SHARDS;
 /// VMs of other failure domains of the region that get a heartbeat. They name this VM's domain only if
 /// theirs has no VM left.
 const REGION_LISTENERS: usize = 6;
@@ -118,6 +125,25 @@
         near.any(|vm| vm.entry.peer == peer)
     }
 
+    /// Addresses of the other VMs of the region.
+    pub fn neighbours(&self) -> Vec<SocketAddr> {
+        let region = self
+            .others()
+            .filter(|vm| vm.entry.region == self.own.region);
+        region.map(|vm| vm.entry.peer).collect()
+    }
+
+    /// Whether this VM reads the newest state of the store for its failure domain, and tells the others
+    /// what changed. A VM that hears no other does.
+    pub fn is_reader(&self, now: Millis) -> bool {
+        let near = self
+            .others()
+            .filter(|vm| vm.entry.domain == self.own.domain);
+        let mut live = near.filter(|vm| vm.is_live(now));
+        let own = rank(&self.own.id, READER);
+        live.all(|vm| rank(&vm.entry.id, READER) < own)
+    }
+
     /// Addresses for datagrams to all other VMs.
     pub fn everyone(&self) -> Vec<SocketAddr> {
         self.others().map(|vm| vm.entry.peer).collect()
--- a/crates/waxwing_edge/src/mix.rs
+++ b/crates/waxwing_edge/src/mix.rs
@@ -7,11 +7,11 @@
 
 /// Part that may move in 1 s. The rules allow 0.15 in 2 s.
 const STEP: f64 = 0.05;
-/// Utilization of the own region above which requests are sent out.
+/// Utilization of a region above which its part moves to the least busy one.
 const HIGH: f64 = 0.60;
 /// Utilization of the own region below which requests are taken back.
-const LOW: f64 = 0.40;
-/// Utilization by which another region must be lower to take requests.
+const LOW: f64 = 0.20;
+/// Utilization by which a region must be lower to take requests of another.
 const GAP: f64 = 0.10;
 
 /// What is known of a region.
@@ -68,29 +68,31 @@
         }
     }
 
-    /// Moves the parts towards even utilization, by at most [`STEP`] a second.
+    /// Moves the parts away from the fullest region, own or not, or home where there is room; by at most
+    /// [`STEP`] a second.
     pub(crate) fn adjust(&mut self, now: Millis, rooms: &[Room]) {
         #[allow(clippy::cast_precision_loss, reason = "a period is short")]
         let step = STEP * (now.since(self.moved).0.min(1000) as f64) / 1000.0;
         self.moved = now;
-        let own = rooms[self.own].utilization();
-        if own > HIGH {
-            let best = self.others().min_by(|a, b| {
-                let (a, b) = (rooms[*a].utilization(), rooms[*b].utilization());
-                a.total_cmp(&b)
-            });
-            if let Some(best) = best
-                && rooms[best].utilization() + GAP < own
-            {
-                self.shift(self.own, best, step);
-            }
-        } else if own < LOW {
-            let worst = self.others().filter(|i| self.parts[*i] > 0.0);
-            let worst = worst.max_by(|a, b| {
-                let (a, b) = (rooms[*a].utilization(), rooms[*b].utilization());
-                a.total_cmp(&b)
-            });
-            if let Some(worst) = worst {
+        let load = |i: &usize| rooms[*i].utilization();
+        let by_load = |a: &usize, b: &usize| load(a).total_cmp(&load(b));
+        // The own region is the first, which both searches prefer among equals.
+        let all = || std::iter::once(self.own).chain(self.others());
+        let least = all().min_by(by_load);
+        // The part of a region that lost its targets stays, so that it is used again once they are back.
+        let fullest = all()
+            .filter(|i| self.parts[*i] > 0.0 && (*i == self.own || rooms[*i].slots > 0.0))
+            .max_by(|a, b| by_load(a, b).then_with(|| (*a == self.own).cmp(&(*b == self.own))));
+        if let (Some(least), Some(fullest)) = (least, fullest)
+            && load(&fullest) > HIGH
+            && load(&least) + GAP < load(&fullest)
+        {
+            self.shift(fullest, least, step);
+            return;
+        }
+        if load(&self.own) < LOW {
+            let used = self.others().filter(|i| self.parts[*i] > 0.0);
+            if let Some(worst) = used.max_by(by_load) {
                 self.shift(worst, self.own, step);
             }
         }
--- a/crates/waxwing_edge/tests/target.rs
+++ b/crates/waxwing_edge/tests/target.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 
 use assert_matches::assert_matches;
 use common::{pool, target, want};
@@ -247,3 +247,48 @@
     }
     assert!(parts[99] < parts[0], "{parts:?}");
 }
+
+/// Guards against requests that go on to another region whose targets are full, while those of the own
+/// region are neither busy nor idle: requests with homes there are refused meanwhile.
+#[test]
+fn a_part_leaves_a_full_region_while_the_own_one_has_room() {
+    let mut pool = pool();
+    let service = ServiceId::from("s");
+    let other = "r2".into();
+    for (id, domain) in [("t1", "a"), ("t2", "c"), ("t3", "c"), ("t4", "c")] {
+        pool.adopt(NOW, target(id, domain));
+    }
+    pool.tick(NOW);
+    let report = |running, waiting| LoadReport {
+        running,
+        waiting,
+        slots: 4,
+    };
+    // One object after the other, until each target holds a request.
+    let mut keys = HashMap::new();
+    for object in 0..100 {
+        let (key, id) = chosen(&mut pool, object);
+        if keys.insert(id, key).is_some() {
+            pool.ended(NOW, key, Ended::Abandoned);
+        }
+    }
+    assert_eq!(keys.len(), 4);
+    let before = pool.part(&service, &other).expect("a mix");
+    for step in 0..40 {
+        let now = NOW + Millis(step * 200);
+        for (id, key) in &keys {
+            let load = if id == "t1" {
+                report(2, 0)
+            } else {
+                report(4, 8)
+            };
+            pool.reported(now, *key, load);
+        }
+        pool.tick(now);
+    }
+    let after = pool.part(&service, &other).expect("a mix");
+    assert!(
+        before > 0.4 && after < 0.2,
+        "{before} before, {after} after"
+    );
+}
--- a/crates/waxwing_store/src/registry.rs
+++ b/crates/waxwing_store/src/registry.rs
@@ -69,8 +69,8 @@
 }
 
 common_derives! {
-    copy
-    /// How new a list has to be.
+    key
+    /// How new an answer has to be.
     pub enum Freshness {
         /// The newest state of the store.
         Latest,
@@ -122,11 +122,13 @@
         timeout: Millis,
     ) -> Pending<'_, ListOutcome>;
 
-    /// Changes after a revision. Waits up to `wait` for the first one.
+    /// Changes after a revision. Waits up to `wait` for the first one. Of an older state, changes may come
+    /// seconds late.
     fn watch(
         &self,
         family: Family,
         after: Revision,
+        freshness: Freshness,
         wait: Millis,
         timeout: Millis,
     ) -> Pending<'_, WatchOutcome>;
--- a/crates/waxwing_testkit/src/registry.rs
+++ b/crates/waxwing_testkit/src/registry.rs
@@ -25,6 +25,10 @@
     down: bool,
     /// The lists that were asked for.
     lists: Vec<(Family, Freshness)>,
+    /// The watches that were asked for.
+    watches: Vec<(Family, Freshness)>,
+    /// Revision beyond which an older state shows nothing.
+    lag: Option<Revision>,
 }
 
 /// The registry double. Clones share one set of entries.
@@ -58,6 +62,12 @@
         state.history.clear();
     }
 
+    /// Holds the older state at the present revision, or lets it follow the newest one.
+    pub fn set_lag(&self, lag: bool) {
+        let mut state = self.lock();
+        state.lag = lag.then_some(state.revision);
+    }
+
     /// Starts or ends an outage.
     pub fn set_down(&self, down: bool) {
         self.lock().down = down;
@@ -77,6 +87,13 @@
         lists.map(|(_, freshness)| *freshness).collect()
     }
 
+    /// How new the watches of a family had to be, in the order in which they were asked for.
+    pub fn watches(&self, family: Family) -> Vec<Freshness> {
+        let state = self.lock();
+        let watches = state.watches.iter().filter(|(of, _)| *of == family);
+        watches.map(|(_, freshness)| *freshness).collect()
+    }
+
     /// Whether an entry exists.
     pub fn contains(&self, family: Family, name: &str) -> bool {
         self.lock().entries.contains_key(&(family, name.into()))
@@ -103,19 +120,28 @@
     }
 
     /// What a watch would answer now, `None` while there is nothing to tell.
-    fn watched(&self, family: Family, after: Revision) -> Option<WatchOutcome> {
+    fn watched(
+        &self,
+        family: Family,
+        after: Revision,
+        freshness: Freshness,
+    ) -> Option<WatchOutcome> {
         if self.down {
             return Some(WatchOutcome::Unreachable("down".into()));
         }
         if after < self.forgotten {
             return Some(WatchOutcome::HistoryGone);
         }
+        let reached = match (freshness, self.lag) {
+            (Freshness::Recent, Some(lag)) => lag,
+            (Freshness::Recent, None) | (Freshness::Latest, _) => self.revision,
+        };
         let news = self.history.iter();
-        let news = news.filter(|(at, of, _)| *at > after && *of == family);
+        let news = news.filter(|(at, of, _)| *at > after && *at <= reached && *of == family);
         let changes: Vec<_> = news.map(|(_, _, change)| change.clone()).collect();
         (!changes.is_empty()).then_some(WatchOutcome::Changed {
             changes,
-            revision: self.revision,
+            revision: reached,
         })
     }
 }
@@ -149,13 +175,15 @@
         &self,
         family: Family,
         after: Revision,
+        freshness: Freshness,
         wait: Millis,
         _timeout: Millis,
     ) -> Pending<'_, WatchOutcome> {
         Box::pin(async move {
+            self.lock().watches.push((family, freshness));
             let mut left = wait;
             loop {
-                let outcome = self.lock().watched(family, after);
+                let outcome = self.lock().watched(family, after, freshness);
                 if let Some(outcome) = outcome {
                     return outcome;
                 }
--- a/crates/waxwingrail/src/edge/mod.rs
+++ b/crates/waxwingrail/src/edge/mod.rs
@@ -7,6 +7,7 @@
 mod forward;
 mod listen;
 mod metric;
+mod news;
 mod peers;
 mod request;
 mod settings;
--- a/crates/waxwingrail/src/edge/peers.rs
+++ b/crates/waxwingrail/src/edge/peers.rs
@@ -72,6 +72,7 @@
         PeerMessage::Quota { give, ask, urgent } => {
             on_quota(shared, now, &give, (ask, urgent), from);
         }
+        PeerMessage::News { seen } => shared.news().heard(now, &seen),
         PeerMessage::Crash { print } => shared.poison().on_crash(now, print),
     }
 }
@@ -124,12 +125,37 @@
 
 async fn beat(shared: Arc<Shared>) {
     loop {
-        send_beat(&shared);
+        let listeners = send_beat(&shared);
+        let answered = shared.store().failing.is_empty();
+        if answered && shared.fleet().is_reader(shared.now()) {
+            send_news(&shared, &listeners);
+        }
         Timer::after(BEAT_PERIOD).await;
     }
 }
 
-fn send_beat(shared: &Shared) {
+/// Tells the VMs of the region what the reader of this failure domain has seen.
+pub(crate) fn spread_news(shared: &Shared) {
+    let neighbours = {
+        let fleet = shared.fleet();
+        if fleet.is_reader(shared.now()) {
+            fleet.neighbours()
+        } else {
+            Vec::new()
+        }
+    };
+    send_news(shared, &neighbours);
+}
+
+fn send_news(shared: &Shared, to: &[SocketAddr]) {
+    if !to.is_empty() {
+        let seen = shared.news().seen();
+        send(shared, &PeerMessage::News { seen }, to);
+    }
+}
+
+/// Returns the addresses to which the heartbeat was sent.
+fn send_beat(shared: &Shared) -> Vec<SocketAddr> {
     let message = PeerMessage::Beat {
         vm: shared.own.id.clone(),
         incarnation: shared.own.incarnation,
@@ -137,6 +163,7 @@
     };
     let listeners = shared.fleet().listeners(&mut fastrand::Rng::new());
     send(shared, &message, &listeners);
+    listeners
 }
 
 async fn tick(shared: Arc<Shared>) {
@@ -151,6 +178,7 @@
         let now = shared.now();
         shared.targets().tick(now);
         super::watch::settle(&shared, now);
+        super::watch::wake(&shared, now);
         exchange(&shared, now);
     }
 }
--- a/crates/waxwingrail/src/edge/state.rs
+++ b/crates/waxwingrail/src/edge/state.rs
@@ -18,6 +18,7 @@
 use waxwing_types::{Clock, DomainId, Incarnation, Millis, TargetId};
 
 use super::metric::Metrics;
+use super::news::News;
 use super::settings::EdgeSettings;
 
 /// Precision of the deadlines of requests.
@@ -97,6 +98,7 @@
 
     plan: RwLock<Option<Arc<Plan>>>,
     store: Mutex<StoreView>,
+    news: Mutex<News>,
     fleet: Mutex<Fleet>,
     targets: Mutex<TargetPool>,
     quota: Mutex<Quota>,
@@ -141,7 +143,6 @@
             slack: settings.retry_slack,
         };
         Self {
-            clock: parts.clock,
             registry: parts.registry,
             dialect: parts.dialect,
             timer: CoarseTimer::start(&parts.executor, DEADLINE_TICK),
@@ -150,6 +151,7 @@
             client: parts.client,
             plan: RwLock::default(),
             store: Mutex::default(),
+            news: Mutex::new(News::new(parts.clock.now())),
             fleet: Mutex::new(Fleet::new(own.clone())),
             targets: Mutex::new(TargetPool::new(settings.vm.as_str(), place)),
             quota: Mutex::default(),
@@ -160,6 +162,7 @@
             socket,
             own,
             settings,
+            clock: parts.clock,
         }
     }
 
@@ -190,6 +193,10 @@
         lock(&self.store)
     }
 
+    pub(crate) fn news(&self) -> MutexGuard<'_, News> {
+        lock(&self.news)
+    }
+
     pub(crate) fn fleet(&self) -> MutexGuard<'_, Fleet> {
         lock(&self.fleet)
     }
--- a/crates/waxwingrail/src/edge/watch.rs
+++ b/crates/waxwingrail/src/edge/watch.rs
@@ -3,13 +3,16 @@
 use std::collections::HashSet;
 use std::sync::Arc;
 
+use async_channel::Receiver;
 use async_executor::Task;
 use async_io::Timer;
+use futures_lite::future;
 use waxwing_edge::{ColdRule, Plan};
 use waxwing_records::Deployment;
 use waxwing_store::{Change, Entry, Family, Freshness, ListOutcome, WatchOutcome};
 use waxwing_types::{DomainId, Millis, Revision, TargetId, VmId};
 
+use super::news::Mode;
 use super::peers;
 use super::state::Shared;
 
@@ -44,13 +47,14 @@
 }
 
 async fn watch(shared: Arc<Shared>, family: Family) {
+    let woken = shared.news().follow(family);
     let (least, most) = PAUSES;
     let mut pause = least;
     // Only a process that knows nothing may start from an older state: it would bring back what it knows
     // to have left.
     let mut freshness = Freshness::Recent;
     loop {
-        let end = follow(&shared, family, freshness).await;
+        let end = follow(&shared, family, freshness, &woken).await;
         if shared.store().read.contains(&family) {
             freshness = Freshness::Latest;
         }
@@ -84,12 +88,19 @@
 }
 
 /// Lists a family and follows its changes until a call fails.
-async fn follow(shared: &Arc<Shared>, family: Family, freshness: Freshness) -> End {
+async fn follow(
+    shared: &Arc<Shared>,
+    family: Family,
+    freshness: Freshness,
+    woken: &Receiver<()>,
+) -> End {
     let timeout = shared.settings.store_timeout;
     let mut revision = match shared.registry.list(family, freshness, timeout).await {
         ListOutcome::Listed { entries, revision } => {
             note_success(shared, family);
             adopt_list(shared, family, freshness, entries);
+            // A list of the newest state stands for changes whose history is gone.
+            note_reached(shared, family, revision, freshness == Freshness::Latest);
             revision
         }
         ListOutcome::Unreachable(reason) => {
@@ -99,24 +110,58 @@
             };
         }
     };
-    let wait = (shared.settings.history - HISTORY_MARGIN).min(LONGEST_WAIT);
+    let longest = (shared.settings.history - HISTORY_MARGIN).min(LONGEST_WAIT);
     if family == Family::Vms {
         // All VMs may start at once; their entries come with one call.
         Timer::after(gather_time(shared, family).duration()).await;
     }
     loop {
-        let outcome = shared.registry.watch(family, revision, wait, timeout).await;
+        let reader = shared.fleet().is_reader(shared.now());
+        let now = shared.now();
+        let mode = {
+            let mut news = shared.news();
+            let mode = news.mode(now, family, reader);
+            news.began(now, family, mode);
+            mode
+        };
+        let wait = match mode {
+            Mode::Newest | Mode::Older => longest,
+            Mode::Settling(left) => left.min(longest),
+            Mode::CatchUp => Millis::ZERO,
+        };
+        // One that came after the end of the last watch does not concern this one.
+        while woken.try_recv().is_ok() {}
+        let watch = shared
+            .registry
+            .watch(family, revision, mode.freshness(), wait, timeout);
+        let watch = async { Some(watch.await) };
+        let Some(outcome) = future::or(watch, async { woken.recv().await.ok().and(None) }).await
+        else {
+            shared.news().ended(family, None);
+            continue;
+        };
         match outcome {
             WatchOutcome::Changed {
                 changes,
                 revision: reached,
             } => {
+                let changed = !changes.is_empty();
                 adopt_changes(shared, family, changes);
                 revision = Revision(reached.0.max(revision.0));
-                Timer::after(gather_time(shared, family).duration()).await;
+                if mode == Mode::CatchUp {
+                    shared.news().caught_up(family);
+                }
+                note_reached(shared, family, revision, changed);
+                if changed {
+                    Timer::after(gather_time(shared, family).duration()).await;
+                }
+            }
+            WatchOutcome::HistoryGone => {
+                shared.news().ended(family, None);
+                return End::Relist;
             }
-            WatchOutcome::HistoryGone => return End::Relist,
             WatchOutcome::Unreachable(reason) => {
+                shared.news().ended(family, None);
                 return End::Failed {
                     had_answer: true,
                     reason,
@@ -126,6 +171,22 @@
     }
 }
 
+/// Gives up watches that are to be replaced by ones of the newest state.
+pub(crate) fn wake(shared: &Shared, now: Millis) {
+    let reader = shared.fleet().is_reader(now);
+    let woken = shared.news().wake(now, reader);
+    for family in woken {
+        log::debug!(family = family.as_str(), reader = reader; "watch replaced");
+    }
+}
+
+/// Notes how far a family is known, and tells the neighbours of changes.
+fn note_reached(shared: &Shared, family: Family, revision: Revision, changed: bool) {
+    if shared.news().ended(family, Some((revision, changed))) {
+        peers::spread_news(shared);
+    }
+}
+
 /// Time for which changes are left to gather before the next call, as each call is priced.
 fn gather_time(shared: &Shared, family: Family) -> Millis {
     let settings = &shared.settings;
--- a/crates/waxwingrail/tests/edge/rig.rs
+++ b/crates/waxwingrail/tests/edge/rig.rs
@@ -1,4 +1,5 @@
 //! Fixtures: edge daemons in this process, with doubles of registry and targets over loopback.
+#![allow(dead_code, reason = "each test file uses a part")]
 
 use std::net::SocketAddr;
 use std::pin::Pin;
