Ask a keeper for the tokens of many workspaces with one datagram

Keepers sent one datagram for each workspace and keeper asked, four times a second. Ruled out: a longer period of the exchange, which refuses more requests inside their rate. Change: what is asked of one keeper goes into as few datagrams as it fits. Most of the bytes are requests.

--- a/crates/waxwingrail/src/edge/peers.rs
+++ b/crates/waxwingrail/src/edge/peers.rs
@@ -1,5 +1,6 @@
 //! Datagrams between VMs: heartbeats, tokens of quotas, and requests that crashed targets.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -199,6 +200,7 @@
     for (keeper, news) in news {
         send_parts(shared, news.give, news.ask, keeper);
     }
+    let mut asks: BTreeMap<SocketAddr, Vec<QuotaPart>> = BTreeMap::new();
     for (part, mut keepers) in shortages {
         // The first one is the nearest, any other may have what the region lacks.
         if let [_, others @ ..] = &mut keepers[..] {
@@ -211,9 +213,13 @@
                 amount,
                 ..part.clone()
             };
-            send_parts(shared, Vec::new(), vec![part], keeper);
+            asks.entry(keeper).or_default().push(part);
         }
     }
+    // One keeper keeps the tokens of many workspaces: a datagram for each would double the bytes.
+    for (keeper, ask) in asks {
+        send_parts(shared, Vec::new(), ask, keeper);
+    }
 }
 
 /// Sends parts in as many datagrams as they need.
