Simplify the fleet's filters and the end of a watch; one fixture for its tests

Cause: found on reading the change again. Ruled out: moving News to waxwing_edge. It is keyed by the registry's families and wakes watches, and the crate of decisions has no dependency on the store. Change: near_vms and region_vms; ask_urgently; ended and reached; fixtures served and await_no_target. Measured: behaviour is meant to stay as it is but for exact ties between two full regions.

--- a/crates/waxwing_edge/src/fleet.rs
+++ b/crates/waxwing_edge/src/fleet.rs
@@ -92,22 +92,16 @@
 
     /// The VMs of this VM's region, with this one.
     pub fn region_ids(&self) -> Vec<VmId> {
-        let others = self
-            .others()
-            .filter(|vm| vm.entry.region == self.own.region);
-        let others = others.map(|vm| vm.entry.id.clone());
+        let others = self.region_vms().map(|vm| vm.entry.id.clone());
         others.chain([self.own.id.clone()]).collect()
     }
 
     /// Addresses for heartbeats: the other VMs of the failure domain, and a few of the region.
     pub fn listeners(&self, rng: &mut fastrand::Rng) -> Vec<SocketAddr> {
-        let near = self
-            .others()
-            .filter(|vm| vm.entry.domain == self.own.domain);
-        let mut found: Vec<_> = near.map(|vm| vm.entry.peer).collect();
+        let mut found: Vec<_> = self.near_vms().map(|vm| vm.entry.peer).collect();
         let region = self
-            .others()
-            .filter(|vm| vm.entry.region == self.own.region && vm.entry.domain != self.own.domain);
+            .region_vms()
+            .filter(|vm| vm.entry.domain != self.own.domain);
         let region: Vec<_> = region.map(|vm| vm.entry.peer).collect();
         if region.len() <= REGION_LISTENERS {
             found.extend(region);
@@ -119,27 +113,18 @@
 
     /// Whether an address for datagrams is that of a VM of this VM's failure domain.
     pub fn is_near(&self, peer: SocketAddr) -> bool {
-        let mut near = self
-            .others()
-            .filter(|vm| vm.entry.domain == self.own.domain);
-        near.any(|vm| vm.entry.peer == peer)
+        self.near_vms().any(|vm| vm.entry.peer == peer)
     }
 
     /// Addresses of the other VMs of the region.
     pub fn neighbours(&self) -> Vec<SocketAddr> {
-        let region = self
-            .others()
-            .filter(|vm| vm.entry.region == self.own.region);
-        region.map(|vm| vm.entry.peer).collect()
+        self.region_vms().map(|vm| vm.entry.peer).collect()
     }
 
     /// Whether this VM reads the newest state of the store for its failure domain, and tells the others
     /// what changed. A VM that hears no other does.
     pub fn is_reader(&self, now: Millis) -> bool {
-        let near = self
-            .others()
-            .filter(|vm| vm.entry.domain == self.own.domain);
-        let mut live = near.filter(|vm| vm.is_live(now));
+        let mut live = self.near_vms().filter(|vm| vm.is_live(now));
         let own = rank(&self.own.id, READER);
         live.all(|vm| rank(&vm.entry.id, READER) < own)
     }
@@ -152,10 +137,7 @@
     /// The keeper of a workspace's tokens in this VM's failure domain.
     pub fn keeper(&self, now: Millis, workspace: &WorkspaceId) -> Keeper<SocketAddr> {
         let shard = shard(workspace);
-        let near = self
-            .others()
-            .filter(|vm| vm.entry.domain == self.own.domain);
-        let live: Vec<_> = near.filter(|vm| vm.is_live(now)).collect();
+        let live: Vec<_> = self.near_vms().filter(|vm| vm.is_live(now)).collect();
         let best = live.iter().max_by_key(|vm| rank(&vm.entry.id, shard));
         match best {
             Some(best) if rank(&best.entry.id, shard) > rank(&self.own.id, shard) => {
@@ -200,11 +182,7 @@
 
     /// Number of VMs of this VM's failure domain, with this one.
     pub fn near(&self) -> u32 {
-        let others = self.others();
-        let near = others
-            .filter(|vm| vm.entry.domain == self.own.domain)
-            .count();
-        u32::try_from(near + 1).unwrap_or(u32::MAX)
+        u32::try_from(self.near_vms().count() + 1).unwrap_or(u32::MAX)
     }
 
     /// Addresses of the VMs that callers of a failure domain are to use: those of the domain that
@@ -217,10 +195,7 @@
         own_ready: bool,
     ) -> Vec<SocketAddr> {
         let domain = domain.unwrap_or(&self.own.domain);
-        let others = self
-            .others()
-            .filter(|vm| vm.entry.region == self.own.region)
-            .map(|vm| (&vm.entry, vm.is_live(now)));
+        let others = self.region_vms().map(|vm| (&vm.entry, vm.is_live(now)));
         let all: Vec<_> = others.chain([(&self.own, own_ready)]).collect();
         let within = all.iter().filter(|(entry, _)| entry.domain == *domain);
         let named = within.clone().count();
@@ -233,6 +208,18 @@
         found.into_iter().map(|(entry, _)| entry.client).collect()
     }
 
+    /// The other VMs of the failure domain.
+    fn near_vms(&self) -> impl Iterator<Item = &Vm> {
+        self.others()
+            .filter(|vm| vm.entry.domain == self.own.domain)
+    }
+
+    /// The other VMs of the region, with those of the failure domain.
+    fn region_vms(&self) -> impl Iterator<Item = &Vm> {
+        self.others()
+            .filter(|vm| vm.entry.region == self.own.region)
+    }
+
     fn others(&self) -> impl Iterator<Item = &Vm> {
         self.vms.values().filter(|vm| vm.entry.id != self.own.id)
     }
--- a/crates/waxwing_edge/src/mix.rs
+++ b/crates/waxwing_edge/src/mix.rs
@@ -76,13 +76,12 @@
         self.moved = now;
         let load = |i: &usize| rooms[*i].utilization();
         let by_load = |a: &usize, b: &usize| load(a).total_cmp(&load(b));
-        // The own region is the first, which both searches prefer among equals.
         let all = || std::iter::once(self.own).chain(self.others());
         let least = all().min_by(by_load);
         // The part of a region that lost its targets stays, so that it is used again once they are back.
         let fullest = all()
             .filter(|i| self.parts[*i] > 0.0 && (*i == self.own || rooms[*i].slots > 0.0))
-            .max_by(|a, b| by_load(a, b).then_with(|| (*a == self.own).cmp(&(*b == self.own))));
+            .max_by(by_load);
         if let (Some(least), Some(fullest)) = (least, fullest)
             && load(&fullest) > HIGH
             && load(&least) + GAP < load(&fullest)
--- a/crates/waxwingrail/src/edge/metric.rs
+++ b/crates/waxwingrail/src/edge/metric.rs
@@ -7,19 +7,21 @@
 use metrics_exporter_prometheus::{PrometheusHandle, PrometheusRecorder};
 use smol_str::SmolStr;
 use waxwing_store::Family;
-use waxwing_types::{RefusalReason, RetryReason};
+use waxwing_types::{RefusalReason, RetryReason, common_derives};
 
 use crate::metric::recorder;
 
-/// How a request ended, as metrics show it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub(crate) enum Outcome {
-    /// A target answered below 500.
-    Answered,
-    /// A target answered 500 or above.
-    Failed,
-    /// The daemon answered.
-    Refused,
+common_derives! {
+    key
+    /// How a request ended, as metrics show it.
+    pub(crate) enum Outcome {
+        /// A target answered below 500.
+        Answered,
+        /// A target answered 500 or above.
+        Failed,
+        /// The daemon answered.
+        Refused,
+    }
 }
 
 impl Outcome {
--- a/crates/waxwingrail/src/edge/news.rs
+++ b/crates/waxwingrail/src/edge/news.rs
@@ -11,7 +11,7 @@
 
 use async_channel::{Receiver, Sender};
 use waxwing_store::{Family, Freshness};
-use waxwing_types::{Millis, Revision};
+use waxwing_types::{Millis, Revision, common_derives};
 
 /// Time for which a process hears who else is there before it may be the one that reads the newest state.
 /// Bounds count for a process that has run for 4 s.
@@ -24,17 +24,19 @@
 /// second while the store answers them, and datagrams may be lost.
 const SILENCE: Millis = Millis(3500);
 
-/// How a family is to be watched next.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Mode {
-    /// The newest state, as long as the history allows.
-    Newest,
-    /// An older state.
-    Older,
-    /// An older state, until the process knows the others.
-    Settling(Millis),
-    /// The newest state, whose changes others have seen.
-    CatchUp,
+common_derives! {
+    copy
+    /// How a family is to be watched next.
+    pub(crate) enum Mode {
+        /// The newest state, as long as the history allows.
+        Newest,
+        /// An older state.
+        Older,
+        /// An older state for the time until the process knows the others.
+        Settling(Millis),
+        /// The newest state, whose changes others have seen.
+        CatchUp,
+    }
 }
 
 impl Mode {
@@ -126,16 +128,18 @@
         }
     }
 
-    /// A watch or list ended, with the revision that it reached and whether it brought changes. Returns
-    /// whether others are to be told.
-    pub(crate) fn ended(&mut self, family: Family, reached: Option<(Revision, bool)>) -> bool {
+    /// A watch ended or was given up.
+    pub(crate) fn ended(&mut self, family: Family) {
+        if let Some(followed) = self.families.get_mut(&family) {
+            followed.watch = None;
+        }
+    }
+
+    /// A watch or list reached a revision, and brought changes or not. Returns whether others are to be told.
+    pub(crate) fn reached(&mut self, family: Family, revision: Revision, changed: bool) -> bool {
         let Some(followed) = self.families.get_mut(&family) else {
             return false;
         };
-        followed.watch = None;
-        let Some((revision, changed)) = reached else {
-            return false;
-        };
         followed.reached = followed.reached.max(revision);
         let newer = changed && revision > followed.changed;
         if newer {
@@ -144,7 +148,7 @@
         newer
     }
 
-    /// The newest state was read: it holds all that others have seen until `now`.
+    /// The newest state was read: it holds all that others have told of.
     pub(crate) fn caught_up(&mut self, family: Family) {
         if let Some(followed) = self.families.get_mut(&family) {
             followed.reached = followed.reached.max(followed.told.0);
--- a/crates/waxwingrail/src/edge/news/tests.rs
+++ b/crates/waxwingrail/src/edge/news/tests.rs
@@ -12,7 +12,7 @@
 fn news(reached: u64) -> (News, Millis) {
     let mut news = News::new(START);
     let _woken = news.follow(FAMILY);
-    news.ended(FAMILY, Some((Revision(reached), true)));
+    news.reached(FAMILY, Revision(reached), true);
     (news, START + SETTLE)
 }
 
@@ -43,13 +43,13 @@
 fn a_state_that_lacks_what_others_saw_is_replaced() {
     let (mut news, now) = news(5);
     let woken = news.follow(FAMILY);
-    news.ended(FAMILY, Some((Revision(5), true)));
+    news.reached(FAMILY, Revision(5), true);
     news.began(now, FAMILY, Mode::Older);
     news.heard(now, &seen(6));
     assert_eq!(news.wake(now, false), []);
     assert_eq!(news.wake(now + LAG, false), [FAMILY]);
     assert!(woken.try_recv().is_ok());
-    news.ended(FAMILY, None);
+    news.ended(FAMILY);
     assert_eq!(news.mode(now + LAG, FAMILY, false), Mode::CatchUp);
     // The newest state may have nothing to tell of this family.
     news.caught_up(FAMILY);
@@ -64,7 +64,8 @@
     let woken = news.follow(FAMILY);
     news.began(now, FAMILY, Mode::Older);
     news.heard(now, &seen(6));
-    news.ended(FAMILY, Some((Revision(6), true)));
+    news.ended(FAMILY);
+    news.reached(FAMILY, Revision(6), true);
     assert_eq!(news.wake(now + LAG, false), []);
     news.heard(now + LAG, &seen(7));
     assert_eq!(news.wake(now + LAG + LAG, false), []);
@@ -105,8 +106,8 @@
 #[test]
 fn others_are_told_of_each_change_once() {
     let (mut news, _) = news(5);
-    assert!(!news.ended(FAMILY, Some((Revision(9), false))));
-    assert!(news.ended(FAMILY, Some((Revision(10), true))));
-    assert!(!news.ended(FAMILY, Some((Revision(10), true))));
+    assert!(!news.reached(FAMILY, Revision(9), false));
+    assert!(news.reached(FAMILY, Revision(10), true));
+    assert!(!news.reached(FAMILY, Revision(10), true));
     assert_eq!(news.seen(), seen(10));
 }
--- a/crates/waxwingrail/src/edge/peers.rs
+++ b/crates/waxwingrail/src/edge/peers.rs
@@ -1,4 +1,5 @@
-//! Datagrams between VMs: heartbeats, tokens of quotas, and requests that crashed targets.
+//! Datagrams between VMs: heartbeats, how far readers have followed the registry, tokens of quotas, and requests
+//! that crashed targets.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -252,12 +253,7 @@
         }
     };
     if let Some(keeper) = keeper {
-        let message = PeerMessage::Quota {
-            give: Vec::new(),
-            ask: vec![part],
-            urgent: true,
-        };
-        send(shared, &message, &[keeper]);
+        ask_urgently(shared, part, &[keeper]);
     }
     true
 }
@@ -271,12 +267,17 @@
         workspace: workspace.clone(),
         amount: Micros::from_units(1),
     };
+    ask_urgently(shared, part, &keepers);
+}
+
+/// Asks for a token that a request waits for.
+fn ask_urgently(shared: &Shared, part: QuotaPart, keepers: &[SocketAddr]) {
     let message = PeerMessage::Quota {
         give: Vec::new(),
         ask: vec![part],
         urgent: true,
     };
-    send(shared, &message, &keepers);
+    send(shared, &message, keepers);
 }
 
 /// Tells all VMs of requests that crashed a target.
--- a/crates/waxwingrail/src/edge/watch.rs
+++ b/crates/waxwingrail/src/edge/watch.rs
@@ -116,8 +116,8 @@
         Timer::after(gather_time(shared, family).duration()).await;
     }
     loop {
-        let reader = shared.fleet().is_reader(shared.now());
         let now = shared.now();
+        let reader = shared.fleet().is_reader(now);
         let mode = {
             let mut news = shared.news();
             let mode = news.mode(now, family, reader);
@@ -135,9 +135,10 @@
             .registry
             .watch(family, revision, mode.freshness(), wait, timeout);
         let watch = async { Some(watch.await) };
-        let Some(outcome) = future::or(watch, async { woken.recv().await.ok().and(None) }).await
-        else {
-            shared.news().ended(family, None);
+        let replaced = async { woken.recv().await.ok().and(None) };
+        let outcome = future::or(watch, replaced).await;
+        shared.news().ended(family);
+        let Some(outcome) = outcome else {
             continue;
         };
         match outcome {
@@ -156,12 +157,8 @@
                     Timer::after(gather_time(shared, family).duration()).await;
                 }
             }
-            WatchOutcome::HistoryGone => {
-                shared.news().ended(family, None);
-                return End::Relist;
-            }
+            WatchOutcome::HistoryGone => return End::Relist,
             WatchOutcome::Unreachable(reason) => {
-                shared.news().ended(family, None);
                 return End::Failed {
                     had_answer: true,
                     reason,
@@ -182,7 +179,7 @@
 
 /// Notes how far a family is known, and tells the neighbours of changes.
 fn note_reached(shared: &Shared, family: Family, revision: Revision, changed: bool) {
-    if shared.news().ended(family, Some((revision, changed))) {
+    if shared.news().reached(family, revision, changed) {
         peers::spread_news(shared);
     }
 }
--- a/crates/waxwingrail/tests/edge/rig.rs
+++ b/crates/waxwingrail/tests/edge/rig.rs
@@ -120,6 +120,21 @@
         .await;
     }
 
+    /// A daemon with a deployment and the target `t1`.
+    pub(crate) async fn served(&self) -> (EdgeDaemon, Target) {
+        self.deploy(deployment(1));
+        let target = self.target("t1", Manner::Well).await;
+        (self.ready().await, target)
+    }
+
+    /// Waits until a daemon has no target to send to.
+    pub(crate) async fn await_no_target(&self, daemon: &EdgeDaemon) {
+        until("no target is left", async || {
+            self.call(daemon, "safe").await.status == 503
+        })
+        .await;
+    }
+
     /// Starts a target and registers it.
     pub(crate) async fn target(&self, id: &str, manner: Manner) -> Target {
         let target = Target::start(&self.executor, manner).await;
--- a/crates/waxwingrail/tests/edge_watch.rs
+++ b/crates/waxwingrail/tests/edge_watch.rs
@@ -14,9 +14,7 @@
 #[test]
 fn entries_that_expired_in_an_outage_have_time_to_come_back() {
     run(async |rig| {
-        rig.deploy(deployment(1));
-        let target = rig.target("t1", Manner::Well).await;
-        let daemon = rig.ready().await;
+        let (daemon, target) = rig.served().await;
         rig.registry.set_down(true);
         rig.registry.expire(Family::Targets, "t1");
         Timer::after(Duration::from_millis(300)).await;
@@ -39,18 +37,13 @@
 #[test]
 fn a_target_that_was_removed_after_an_outage_is_left_out() {
     run(async |rig| {
-        rig.deploy(deployment(1));
-        rig.target("t1", Manner::Well).await;
-        let daemon = rig.ready().await;
+        let (daemon, _target) = rig.served().await;
         rig.registry.set_down(true);
         Timer::after(Duration::from_millis(300)).await;
         rig.registry.set_down(false);
         Timer::after(Duration::from_millis(1500)).await;
         rig.registry.remove(Family::Targets, "t1");
-        until("the target is left out", async || {
-            rig.call(&daemon, "safe").await.status == 503
-        })
-        .await;
+        rig.await_no_target(&daemon).await;
     });
 }
 
@@ -58,15 +51,10 @@
 #[test]
 fn a_target_whose_entry_becomes_unreadable_is_left_out() {
     run(async |rig| {
-        rig.deploy(deployment(1));
-        rig.target("t1", Manner::Well).await;
-        let daemon = rig.ready().await;
+        let (daemon, _target) = rig.served().await;
         let unreadable = Entry::Unreadable("no address".into());
         rig.registry.put(Family::Targets, "t1", unreadable);
-        until("the target is left out", async || {
-            rig.call(&daemon, "safe").await.status == 503
-        })
-        .await;
+        rig.await_no_target(&daemon).await;
     });
 }
 
@@ -74,9 +62,7 @@
 #[test]
 fn a_family_is_listed_again_when_the_history_is_gone() {
     run(async |rig| {
-        rig.deploy(deployment(1));
-        rig.target("t1", Manner::Well).await;
-        let daemon = rig.ready().await;
+        let (daemon, _target) = rig.served().await;
         rig.registry.expire(Family::Targets, "t1");
         rig.register(
             "t2",
@@ -84,10 +70,7 @@
             TargetState::Draining,
         );
         rig.registry.forget();
-        until("the target is left out", async || {
-            rig.call(&daemon, "safe").await.status == 503
-        })
-        .await;
+        rig.await_no_target(&daemon).await;
     });
 }
 
@@ -95,9 +78,7 @@
 #[test]
 fn only_a_new_process_starts_from_an_older_state() {
     run(async |rig| {
-        rig.deploy(deployment(1));
-        rig.target("t1", Manner::Well).await;
-        let _daemon = rig.ready().await;
+        let _served = rig.served().await;
         assert_eq!(rig.registry.lists(Family::Targets), [Freshness::Recent]);
         rig.registry.remove(Family::Targets, "t1");
         rig.registry.forget();
@@ -134,12 +115,9 @@
         rig.registry.set_lag(true);
         rig.register("t1", leaving.address, TargetState::Draining);
         let bound = Instant::now() + settings("v1", &[]).drain_time.duration();
-        until("both leave the target out", async || {
-            let first = rig.call(&daemons[0], "safe").await.status;
-            let second = rig.call(&daemons[1], "safe").await.status;
-            first == 503 && second == 503
-        })
-        .await;
+        for daemon in &daemons {
+            rig.await_no_target(daemon).await;
+        }
         assert!(Instant::now() < bound, "a request was sent too late");
     });
 }
