Expect the requests of all VMs of the region at its targets

The share of the region by sends moves by 14 in 100 in the last 2 s, but its targets hold a queue (answers 0.86 s in the middle, 2.18 s at nine tenths) that runs after the last requests were sent. The queue: objects are ordered over the targets of the region, so the VMs of all its failure domains send to them, but a VM without a report of a target expected the requests of its own domain only. In a region of three domains a load of 0.77 seemed to be below 0.6, and requests were sent out too late. Change: the crowd counts the VMs of the region. Fleet::near and the second argument of set_vms are gone. Test: requests_of_the_other_domains_of_the_region_are_expected failed before (part 1 before, 1 after).

--- a/crates/waxwing_edge/src/fleet.rs
+++ b/crates/waxwing_edge/src/fleet.rs
@@ -180,11 +180,6 @@
         keepers
     }
 
-    /// Number of VMs of this VM's failure domain, with this one.
-    pub fn near(&self) -> u32 {
-        u32::try_from(self.near_vms().count() + 1).unwrap_or(u32::MAX)
-    }
-
     /// Addresses of the VMs that callers of a failure domain are to use: those of the domain that
     /// respond, unless they are less than half of it; then those of the region too. This VM names
     /// itself only while it takes callers.
--- a/crates/waxwing_edge/src/target/pool.rs
+++ b/crates/waxwing_edge/src/target/pool.rs
@@ -50,8 +50,6 @@
     vm: u64,
     /// Hashes of the VMs of the region, with this one.
     vms: Vec<u64>,
-    /// VMs of the failure domain, with this one.
-    pub(crate) senders: u32,
 }
 
 /// Queries.
@@ -83,8 +81,10 @@
     /// What is known of other VMs' requests at the targets of a region.
     pub(crate) fn crowd(&self, group: &Group, region: usize) -> Crowd {
         let tally = group.regions[region];
+        #[allow(clippy::cast_precision_loss, reason = "VMs are few")]
+        let others = self.vms.len().saturating_sub(1) as f64;
         Crowd {
-            others: f64::from(self.senders.saturating_sub(1)),
+            others,
             mean: f64::from(tally.inflight) / f64::from(tally.targets.max(1)),
         }
     }
@@ -127,15 +127,13 @@
             evacuated: HashSet::new(),
             vm,
             vms: vec![vm],
-            senders: 1,
         }
     }
 
-    /// Adopts the VMs of the region, which share the sends to cold targets, and how many of them are in
-    /// the failure domain.
-    pub fn set_vms<'a>(&mut self, vms: impl Iterator<Item = &'a str>, near: u32) {
+    /// Adopts the VMs of the region, with this one. They send to the same targets and share the sends to cold
+    /// ones.
+    pub fn set_vms<'a>(&mut self, vms: impl Iterator<Item = &'a str>) {
         self.vms = vms.map(|vm| hash_bytes(vm.as_bytes())).collect();
-        self.senders = near.max(1);
     }
 
     /// Adopts how the cold targets of a service are spared.
--- a/crates/waxwing_edge/tests/target.rs
+++ b/crates/waxwing_edge/tests/target.rs
@@ -8,7 +8,7 @@
 use common::{pool, target, want};
 use waxwing_edge::{Ended, LoadReport, Pick, TargetKey, TargetPool};
 use waxwing_records::TargetState;
-use waxwing_types::{Incarnation, Millis, ServiceId};
+use waxwing_types::{Incarnation, Millis, RegionId, ServiceId};
 
 const NOW: Millis = Millis(10_000);
 
@@ -57,10 +57,10 @@
     assert_eq!(ids.len(), 2);
 }
 
-/// The VMs of the failure domain as `count` ones.
-fn set_near(pool: &mut TargetPool, count: u32) {
+/// The region has `count` VMs.
+fn set_count(pool: &mut TargetPool, count: u32) {
     let names: Vec<_> = (0..count).map(|i| format!("vm{i}")).collect();
-    pool.set_vms(names.iter().map(String::as_str), count);
+    pool.set_vms(names.iter().map(String::as_str));
 }
 
 /// Guards against a VM of many that takes its one request at a target for one of each VM, and leaves the
@@ -68,7 +68,7 @@
 #[test]
 fn a_request_of_one_vm_among_many_does_not_fill_its_target() {
     let mut pool = pool();
-    set_near(&mut pool, 20);
+    set_count(&mut pool, 20);
     for i in 0..20 {
         pool.adopt(NOW, target(&format!("t{i}"), "a"));
     }
@@ -80,7 +80,7 @@
 #[test]
 fn requests_of_other_vms_are_expected_where_this_one_sends_many() {
     let mut pool = pool();
-    set_near(&mut pool, 4);
+    set_count(&mut pool, 4);
     for id in ["t1", "t2"] {
         pool.adopt(NOW, target(id, "a"));
     }
@@ -292,3 +292,35 @@
         "{before} before, {after} after"
     );
 }
+
+/// Guards against a region that is taken for half idle because only the requests of the own failure domain are
+/// expected, while the VMs of all its domains send to its targets: requests are sent out too late, and queue.
+#[test]
+fn requests_of_the_other_domains_of_the_region_are_expected() {
+    let mut pool = pool();
+    let service = ServiceId::from("s");
+    let own = "r1".into();
+    pool.set_vms(["vm0", "vm1", "vm2", "vm3"].into_iter());
+    for (id, domain) in [("t1", "a"), ("t2", "a"), ("t3", "c"), ("t4", "c")] {
+        pool.adopt(NOW, target(id, domain));
+    }
+    pool.tick(NOW);
+    let before = pool.part(&service, &own).expect("a mix");
+    let at_home = |region: &RegionId| region.as_str() == "r1";
+    let mut held = HashSet::new();
+    for object in 0..100 {
+        let want = want(&service, object, &at_home);
+        let pick = pool.pick(NOW, &want, &mut fastrand::Rng::with_seed(1));
+        if let Pick::Chosen(key, _) = pick
+            && !held.insert(key)
+        {
+            pool.ended(NOW, key, Ended::Abandoned);
+        }
+    }
+    assert_eq!(held.len(), 2);
+    for step in 1..10 {
+        pool.tick(NOW + Millis(step * 200));
+    }
+    let after = pool.part(&service, &own).expect("a mix");
+    assert!(after < before, "{before} before, {after} after");
+}
--- a/crates/waxwingrail/src/edge/watch.rs
+++ b/crates/waxwingrail/src/edge/watch.rs
@@ -350,12 +350,12 @@
 }
 
 fn count_vms(shared: &Shared) {
-    let (count, region, near) = {
+    let (count, region) = {
         let fleet = shared.fleet();
-        (fleet.count(), fleet.region_ids(), fleet.near())
+        (fleet.count(), fleet.region_ids())
     };
     let names = region.iter().map(VmId::as_str);
-    shared.targets().set_vms(names, near);
+    shared.targets().set_vms(names);
     shared.quota().set_vms(count);
 }
 
