Show the age of the registry state and of the running watches as metrics

Cause: nothing in log or metrics said that a VM's configuration was old: the version in force does not tell when it was last known to be the newest, and a watch without an answer looks like one that has nothing to report. Change: gauges waxwing_edge_state_age_seconds (since an answer with the latest state, or a report of a store reader that names no newer change) and waxwing_edge_watch_age_seconds, by family. Measured: watch_progress tests, two new ones.

--- a/crates/waxwingrail/src/edge/metric.rs
+++ b/crates/waxwingrail/src/edge/metric.rs
@@ -7,7 +7,7 @@
 use metrics_exporter_prometheus::{PrometheusHandle, PrometheusRecorder};
 use smol_str::SmolStr;
 use waxwing_store::Family;
-use waxwing_types::{RefusalReason, RetryReason, common_derives};
+use waxwing_types::{Millis, RefusalReason, RetryReason, common_derives};
 
 use crate::metric::recorder;
 
@@ -43,6 +43,8 @@
     retries: Vec<Counter>,
     store_failures: HashMap<Family, Counter>,
     unreadable_entries: HashMap<Family, Counter>,
+    state_ages: HashMap<Family, Gauge>,
+    watch_ages: HashMap<Family, Gauge>,
     latencies: Mutex<HashMap<(SmolStr, RequestOutcome), Histogram>>,
     /// Number of requests being handled.
     pub(crate) running_requests: Gauge,
@@ -65,6 +67,10 @@
         let store_failure = |family: Family| counter!("waxwing_edge_store_failures_total", "family" => family.as_str());
         let unreadable =
             |family: Family| counter!("waxwing_edge_unreadable_total", "family" => family.as_str());
+        let state_age =
+            |family: Family| gauge!("waxwing_edge_state_age_seconds", "family" => family.as_str());
+        let watch_age =
+            |family: Family| gauge!("waxwing_edge_watch_age_seconds", "family" => family.as_str());
         with_local_recorder(&*recorder, || Self {
             handle,
             refusals: RefusalReason::ALL.iter().map(refusal).collect(),
@@ -77,6 +83,14 @@
                 .into_iter()
                 .map(|family| (family, unreadable(family)))
                 .collect(),
+            state_ages: Family::ALL
+                .into_iter()
+                .map(|family| (family, state_age(family)))
+                .collect(),
+            watch_ages: Family::ALL
+                .into_iter()
+                .map(|family| (family, watch_age(family)))
+                .collect(),
             latencies: Mutex::default(),
             running_requests: gauge!("waxwing_edge_requests_running"),
             deployment_version: gauge!("waxwing_edge_deployment_version"),
@@ -108,6 +122,16 @@
         }
     }
 
+    /// Sets the time since this VM was known to have all changes of a family, and the time for which its watch waits.
+    #[allow(clippy::cast_precision_loss, reason = "metrics are floating point")]
+    pub(crate) fn set_ages(&self, family: Family, state_age: Millis, watch_age: Millis) {
+        for (gauges, age) in [(&self.state_ages, state_age), (&self.watch_ages, watch_age)] {
+            if let Some(gauge) = gauges.get(&family) {
+                gauge.set(age.0 as f64 / 1000.0);
+            }
+        }
+    }
+
     /// Records a finished request, with the time from its arrival to the head of the response.
     pub(crate) fn record_end(&self, route: &SmolStr, outcome: RequestOutcome, secs: f64) {
         let mut latencies = self
--- a/crates/waxwingrail/src/edge/state.rs
+++ b/crates/waxwingrail/src/edge/state.rs
@@ -304,6 +304,14 @@
         let version = self.routing_table().map_or(0, |table| table.version());
         let vms = self.fleet().vm_count();
         let metrics = &self.metrics;
+        {
+            let now = self.now();
+            let progress = self.watch_progress();
+            for family in Family::ALL {
+                let state_age = progress.state_age(now, family);
+                metrics.set_ages(family, state_age, progress.watch_age(now, family));
+            }
+        }
         metrics
             .running_requests
             .set(self.running_requests.load(Ordering::Relaxed) as f64);
--- a/crates/waxwingrail/src/edge/watch.rs
+++ b/crates/waxwingrail/src/edge/watch.rs
@@ -205,7 +205,13 @@
 ) -> Result<(Vec<Change>, Revision), Interruption> {
     let timeout = shared.settings.store_timeout;
     match shared.registry.list(family, freshness, timeout).await {
-        ListOutcome::Listed { entries, revision } => Ok((entries, revision)),
+        ListOutcome::Listed { entries, revision } => {
+            if freshness == Freshness::Latest {
+                let now = shared.now();
+                shared.watch_progress().record_latest_state(now, family);
+            }
+            Ok((entries, revision))
+        }
         ListOutcome::Unreachable(reason) => Err(Interruption::failed(position, reason)),
     }
 }
@@ -249,6 +255,10 @@
                 changes,
                 revision: watched_revision,
             } => {
+                if mode.freshness() == Freshness::Latest {
+                    let now = shared.now();
+                    shared.watch_progress().record_latest_state(now, family);
+                }
                 let last_change = last_change_revision(&changes, revision, watched_revision);
                 apply_changes(shared, family, changes);
                 revision = watched_revision.max(revision);
--- a/crates/waxwingrail/src/edge/watch_progress.rs
+++ b/crates/waxwingrail/src/edge/watch_progress.rs
@@ -69,6 +69,8 @@
     last_change: Revision,
     /// Highest revision of a change that another VM has reported, and the time of this report.
     reported: (Revision, Millis),
+    /// Last time at which this VM was known to have all changes.
+    confirmed_at: Millis,
     /// Start and freshness of the running watch, `None` between two watches.
     current_watch: Option<(Millis, Freshness)>,
     /// Channel on which the running watch is interrupted.
@@ -106,6 +108,7 @@
             known_revision: Revision::default(),
             last_change: Revision::default(),
             reported: (Revision::default(), Millis::ZERO),
+            confirmed_at: self.started_at,
             current_watch: None,
             interruptions,
         };
@@ -181,19 +184,44 @@
         }
     }
 
+    /// Records that the store has answered with the latest state of a family.
+    pub(crate) fn record_latest_state(&mut self, now: Millis, family: Family) {
+        if let Some(progress) = self.families.get_mut(&family) {
+            progress.confirmed_at = now;
+        }
+    }
+
     /// Records a report of another VM: the revision of the last change of each family, in the order of
     /// [`Family::ALL`].
     pub(crate) fn record_report(&mut self, now: Millis, revisions: &[Revision]) {
         self.last_report_at = now;
         for (family, revision) in Family::ALL.iter().zip(revisions) {
-            if let Some(progress) = self.families.get_mut(family)
-                && *revision > progress.reported.0
-            {
+            let Some(progress) = self.families.get_mut(family) else {
+                continue;
+            };
+            if *revision > progress.reported.0 {
                 progress.reported = (*revision, now);
             }
+            if !progress.is_behind() {
+                progress.confirmed_at = now;
+            }
         }
     }
 
+    /// Time since this VM was last known to have all changes of a family: by an answer of the store with the latest
+    /// state, or by a report of a store reader, which is older than the report by up to one watch of the reader.
+    pub(crate) fn state_age(&self, now: Millis, family: Family) -> Millis {
+        let progress = self.families.get(&family);
+        progress.map_or(Millis::ZERO, |progress| now.since(progress.confirmed_at))
+    }
+
+    /// Time for which the running watch of a family has waited, zero between two watches.
+    pub(crate) fn watch_age(&self, now: Millis, family: Family) -> Millis {
+        let progress = self.families.get(&family);
+        let watch = progress.and_then(|progress| progress.current_watch);
+        watch.map_or(Millis::ZERO, |(started_at, _)| now.since(started_at))
+    }
+
     /// The revision of the last change of each family that this VM knows, in the order of [`Family::ALL`].
     pub(crate) fn last_change_revisions(&self) -> Vec<Revision> {
         let last_change_revision = |family| {
--- a/crates/waxwingrail/src/edge/watch_progress/tests.rs
+++ b/crates/waxwingrail/src/edge/watch_progress/tests.rs
@@ -153,3 +153,25 @@
     assert!(!progress.record_and_check_new_change(FAMILY, Revision(13), last_change));
     assert_eq!(progress.last_change_revisions(), report(10));
 }
+
+/// Guards against a VM whose configuration is old while its metrics show it as current.
+#[test]
+fn the_state_ages_until_the_store_or_a_reader_confirms_it() {
+    let (mut progress, now) = progress_and_startup_end(5);
+    progress.record_latest_state(now, FAMILY);
+    assert_eq!(progress.state_age(now + Millis(700), FAMILY), Millis(700));
+    progress.record_report(now + Millis(700), &report(5));
+    assert_eq!(progress.state_age(now + Millis(900), FAMILY), Millis(200));
+    progress.record_report(now + Millis(1000), &report(6));
+    assert_eq!(progress.state_age(now + Millis(1100), FAMILY), Millis(400));
+}
+
+/// Guards against a call to the store that waits without an answer and that no metric shows.
+#[test]
+fn the_age_of_a_running_watch_is_known() {
+    let (mut progress, now) = progress_and_startup_end(5);
+    progress.watch_started(now, FAMILY, WatchMode::Latest);
+    assert_eq!(progress.watch_age(now + Millis(300), FAMILY), Millis(300));
+    progress.watch_ended(FAMILY);
+    assert_eq!(progress.watch_age(now + Millis(300), FAMILY), Millis::ZERO);
+}
