State the epoch of the store with every answer of the registry

Cause: a store that comes back from an older copy gives revisions out again; the header that shows it was read nowhere. Ruled out: 410 alone as the sign: a watch gets none once the store has passed the known revision. MemoryRegistry goes back to a copy on command, raises its epoch and cuts waiting watches off; its older state can be held beyond a restore. No decision uses the epoch yet.

--- a/crates/waxwing_store/src/lib.rs
+++ b/crates/waxwing_store/src/lib.rs
@@ -9,6 +9,6 @@
 
 pub use http::HttpStore;
 pub use outcome::{ChangesOutcome, Object, ReadOutcome, Vm, VmState, VmsOutcome, WriteOutcome};
-pub use registry::{Change, Entry, Family, Freshness, ListOutcome, Registry, WatchOutcome};
+pub use registry::{Answer, Change, Entry, Family, Freshness, ListOutcome, Registry, WatchOutcome};
 pub use status::DomainStatus;
 pub use store::{Condition, MAX_VALUE_BYTES, Pending, Store};
--- a/crates/waxwing_store/src/registry.rs
+++ b/crates/waxwing_store/src/registry.rs
@@ -2,7 +2,7 @@
 
 use smol_str::SmolStr;
 use waxwing_records::{Deployment, Registration, VmEntry};
-use waxwing_types::{DomainId, Millis, Revision, common_derives};
+use waxwing_types::{DomainId, Millis, Revision, StoreEpoch, common_derives};
 
 use crate::{Pending, WriteOutcome};
 
@@ -114,6 +114,26 @@
     }
 }
 
+common_derives! {
+    /// The end of a call, with the epoch in which the store was.
+    pub struct Answer<T> {
+        /// The end of the call.
+        pub outcome: T,
+        /// The epoch that the answer states. `None` if there was no answer, or if the store states none.
+        pub epoch: Option<StoreEpoch>,
+    }
+}
+
+impl<T> Answer<T> {
+    /// The same answer with another form of its outcome.
+    pub fn map<U>(self, convert: impl FnOnce(T) -> U) -> Answer<U> {
+        Answer {
+            outcome: convert(self.outcome),
+            epoch: self.epoch,
+        }
+    }
+}
+
 /// Lists and watches families of entries.
 pub trait Registry: Send + Sync {
     /// All entries of a family.
@@ -122,7 +142,7 @@
         family: Family,
         freshness: Freshness,
         timeout: Millis,
-    ) -> Pending<'_, ListOutcome>;
+    ) -> Pending<'_, Answer<ListOutcome>>;
 
     /// Changes after a revision. Waits up to `wait` for the first one. Of an older state, changes may come
     /// seconds late.
@@ -133,11 +153,19 @@
         freshness: Freshness,
         wait: Millis,
         timeout: Millis,
-    ) -> Pending<'_, WatchOutcome>;
+    ) -> Pending<'_, Answer<WatchOutcome>>;
 
     /// Creates or replaces the entry of a VM.
-    fn announce<'a>(&'a self, vm: &'a VmEntry, timeout: Millis) -> Pending<'a, WriteOutcome>;
+    fn announce<'a>(
+        &'a self,
+        vm: &'a VmEntry,
+        timeout: Millis,
+    ) -> Pending<'a, Answer<WriteOutcome>>;
 
     /// Removes the entry of a VM.
-    fn withdraw<'a>(&'a self, vm: &'a VmEntry, timeout: Millis) -> Pending<'a, WriteOutcome>;
+    fn withdraw<'a>(
+        &'a self,
+        vm: &'a VmEntry,
+        timeout: Millis,
+    ) -> Pending<'a, Answer<WriteOutcome>>;
 }
--- a/crates/waxwing_testkit/src/lib.rs
+++ b/crates/waxwing_testkit/src/lib.rs
@@ -9,6 +9,6 @@
 pub use caller::{
     Account, Call, Caller, CallerSettings, Outcome, Plan, RouteAnswer, RouteVm, Summary, run_plan,
 };
-pub use registry::MemoryRegistry;
+pub use registry::{MemoryRegistry, RegistryCopy};
 pub use store::{Control, MemoryStore, Stats, serve_store};
 pub use target::{Load, Run, RunEnd, Runs, Target, TargetControl, TargetSettings};
--- a/crates/waxwing_testkit/src/registry.rs
+++ b/crates/waxwing_testkit/src/registry.rs
@@ -7,28 +7,40 @@
 use smol_str::SmolStr;
 use waxwing_records::VmEntry;
 use waxwing_store::{
-    Change, Entry, Family, Freshness, ListOutcome, Pending, Registry, WatchOutcome, WriteOutcome,
+    Answer, Change, Entry, Family, Freshness, ListOutcome, Pending, Registry, WatchOutcome,
+    WriteOutcome,
 };
-use waxwing_types::{Millis, Revision};
+use waxwing_types::{Millis, Revision, StoreEpoch};
 
 /// Pause between two looks of a waiting watch.
 const LOOK: Millis = Millis(5);
 
-#[derive(Default)]
-struct State {
+/// What the store holds.
+#[derive(Clone, Default)]
+struct Contents {
     entries: BTreeMap<(Family, SmolStr), Entry>,
     /// Every change with its revision.
     history: Vec<(Revision, Family, Change)>,
     /// Changes at or below this revision are forgotten.
     forgotten: Revision,
     revision: Revision,
+    epoch: StoreEpoch,
+}
+
+/// A copy of what the store held at some moment.
+#[derive(Clone)]
+pub struct RegistryCopy(Contents);
+
+#[derive(Default)]
+struct State {
+    latest: Contents,
+    /// The older state, if it is held.
+    held: Option<Contents>,
     down: bool,
     /// The lists that were asked for.
     lists: Vec<(Family, Freshness)>,
     /// The watches that were asked for, with their longest waits.
     watches: Vec<(Family, Freshness, Millis)>,
-    /// Revision beyond which an older state shows nothing.
-    lag: Option<Revision>,
 }
 
 /// The registry double. Clones share one set of entries.
@@ -41,31 +53,42 @@
 impl MemoryRegistry {
     /// Creates or replaces an entry.
     pub fn put(&self, family: Family, name: &str, entry: Entry) {
-        self.lock().change(family, name, Some(entry));
+        self.lock().latest.change(family, name, Some(entry));
     }
 
     /// Removes an entry.
     pub fn remove(&self, family: Family, name: &str) {
-        self.lock().change(family, name, None);
+        self.lock().latest.change(family, name, None);
     }
 
     /// Removes an entry without a change that watches see, as an expiry during an outage.
     pub fn expire(&self, family: Family, name: &str) {
         let mut state = self.lock();
-        state.entries.remove(&(family, name.into()));
+        state.latest.entries.remove(&(family, name.into()));
     }
 
     /// Forgets the history.
     pub fn forget(&self) {
         let mut state = self.lock();
-        state.forgotten = state.revision;
-        state.history.clear();
+        state.latest.forgotten = state.latest.revision;
+        state.latest.history.clear();
     }
 
-    /// Holds the older state at the present revision, or lets it follow the newest one.
+    /// Holds the older state as the newest one is now, also beyond a restore, or lets it follow the newest one.
     pub fn set_lag(&self, lag: bool) {
         let mut state = self.lock();
-        state.lag = lag.then_some(state.revision);
+        state.held = lag.then(|| state.latest.clone());
+    }
+
+    /// Goes back to a copy and raises the epoch. Waiting watches are cut off, and revisions above that of the copy are given
+    /// out again.
+    pub fn restore(&self, copy: &RegistryCopy) {
+        let mut state = self.lock();
+        let epoch = StoreEpoch(state.latest.epoch.0 + 1);
+        state.latest = Contents {
+            epoch,
+            ..copy.0.clone()
+        };
     }
 
     /// Starts or ends an outage.
@@ -103,11 +126,22 @@
 
     /// Whether an entry exists.
     pub fn contains(&self, family: Family, name: &str) -> bool {
-        self.lock().entries.contains_key(&(family, name.into()))
+        let state = self.lock();
+        state.latest.entries.contains_key(&(family, name.into()))
+    }
+
+    /// Revision of the last change.
+    pub fn revision(&self) -> Revision {
+        self.lock().latest.revision
+    }
+
+    /// A copy of what the store holds now.
+    pub fn copy(&self) -> RegistryCopy {
+        RegistryCopy(self.lock().latest.clone())
     }
 }
 
-impl State {
+impl Contents {
     fn change(&mut self, family: Family, name: &str, entry: Option<Entry>) {
         self.revision = Revision(self.revision.0 + 1);
         let key = (family, SmolStr::new(name));
@@ -127,59 +161,67 @@
         self.history.push((self.revision, family, change));
     }
 
-    /// The revision up to which lists and watches see changes.
-    fn reached(&self, freshness: Freshness) -> Revision {
-        match (freshness, self.lag) {
-            (Freshness::Recent, Some(lag)) => lag,
-            (Freshness::Recent, None) | (Freshness::Latest, _) => self.revision,
-        }
+    /// The entries of a family as changes from nothing.
+    fn list(&self, family: Family) -> Vec<Change> {
+        let entries = self.entries.iter().filter(|((of, _), _)| *of == family);
+        let change = |((_, name), entry): (&(Family, SmolStr), &Entry)| Change {
+            name: name.clone(),
+            entry: Some(entry.clone()),
+            revision: self.revision,
+        };
+        entries.map(change).collect()
     }
 
-    /// The entries of a family at a revision, as changes from nothing. An older revision is rebuilt from the history.
-    fn entries_at(&self, family: Family, revision: Revision) -> Vec<Change> {
-        if revision == self.revision {
-            let entries = self.entries.iter().filter(|((of, _), _)| *of == family);
-            let change = |((_, name), entry): (&(Family, SmolStr), &Entry)| Change {
-                name: name.clone(),
-                entry: Some(entry.clone()),
-                revision,
-            };
-            return entries.map(change).collect();
+    fn answer<T>(&self, outcome: T) -> Answer<T> {
+        Answer {
+            outcome,
+            epoch: Some(self.epoch),
         }
-        let history = self.history.iter();
-        let history = history.filter(|(at, of, _)| *at <= revision && *of == family);
-        let mut entries = BTreeMap::new();
-        for (_, _, change) in history {
-            if change.entry.is_some() {
-                entries.insert(change.name.clone(), change.clone());
-            } else {
-                entries.remove(&change.name);
-            }
+    }
+}
+
+impl State {
+    fn contents(&self, freshness: Freshness) -> &Contents {
+        match (freshness, &self.held) {
+            (Freshness::Recent, Some(held)) => held,
+            (Freshness::Recent, None) | (Freshness::Latest, _) => &self.latest,
         }
-        entries.into_values().collect()
     }
 
-    /// What a watch would answer now, `None` while there is nothing to tell.
+    /// What a watch that began in `epoch` would answer now, `None` while there is nothing to tell.
     fn watched(
         &self,
         family: Family,
         after: Revision,
         freshness: Freshness,
-    ) -> Option<WatchOutcome> {
-        if self.down {
-            return Some(WatchOutcome::Unreachable("down".into()));
-        }
-        if after < self.forgotten {
-            return Some(WatchOutcome::HistoryGone);
+        epoch: StoreEpoch,
+    ) -> Option<Answer<WatchOutcome>> {
+        if self.down || self.latest.epoch != epoch {
+            return Some(unanswered(WatchOutcome::Unreachable("down".into())));
         }
-        let reached = self.reached(freshness);
-        let news = self.history.iter();
-        let news = news.filter(|(at, of, _)| *at > after && *at <= reached && *of == family);
-        let changes: Vec<_> = news.map(|(_, _, change)| change.clone()).collect();
-        (!changes.is_empty()).then_some(WatchOutcome::Changed {
-            changes,
-            revision: reached,
-        })
+        let contents = self.contents(freshness);
+        let outcome = if after < contents.forgotten || after > self.latest.revision {
+            WatchOutcome::HistoryGone
+        } else {
+            let news = contents.history.iter();
+            let news = news.filter(|(at, of, _)| *at > after && *of == family);
+            let changes: Vec<_> = news.map(|(_, _, change)| change.clone()).collect();
+            if changes.is_empty() {
+                return None;
+            }
+            WatchOutcome::Changed {
+                changes,
+                revision: contents.revision,
+            }
+        };
+        Some(contents.answer(outcome))
+    }
+}
+
+const fn unanswered<T>(outcome: T) -> Answer<T> {
+    Answer {
+        outcome,
+        epoch: None,
     }
 }
 
@@ -189,18 +231,18 @@
         family: Family,
         freshness: Freshness,
         _timeout: Millis,
-    ) -> Pending<'_, ListOutcome> {
+    ) -> Pending<'_, Answer<ListOutcome>> {
         Box::pin(async move {
             let mut state = self.lock();
             state.lists.push((family, freshness));
             if state.down {
-                return ListOutcome::Unreachable("down".into());
-            }
-            let revision = state.reached(freshness);
-            ListOutcome::Listed {
-                entries: state.entries_at(family, revision),
-                revision,
+                return unanswered(ListOutcome::Unreachable("down".into()));
             }
+            let contents = state.contents(freshness);
+            contents.answer(ListOutcome::Listed {
+                entries: contents.list(family),
+                revision: contents.revision,
+            })
         })
     }
 
@@ -211,20 +253,25 @@
         freshness: Freshness,
         wait: Millis,
         _timeout: Millis,
-    ) -> Pending<'_, WatchOutcome> {
+    ) -> Pending<'_, Answer<WatchOutcome>> {
         Box::pin(async move {
-            self.lock().watches.push((family, freshness, wait));
+            let epoch = {
+                let mut state = self.lock();
+                state.watches.push((family, freshness, wait));
+                state.latest.epoch
+            };
             let mut left = wait;
             loop {
-                let outcome = self.lock().watched(family, after, freshness);
-                if let Some(outcome) = outcome {
-                    return outcome;
+                let answer = self.lock().watched(family, after, freshness, epoch);
+                if let Some(answer) = answer {
+                    return answer;
                 }
                 if left == Millis::ZERO {
-                    return WatchOutcome::Changed {
+                    let nothing = WatchOutcome::Changed {
                         changes: Vec::new(),
                         revision: after,
                     };
+                    return self.lock().contents(freshness).answer(nothing);
                 }
                 Timer::after(LOOK.duration()).await;
                 left = left - LOOK;
@@ -232,25 +279,35 @@
         })
     }
 
-    fn announce<'a>(&'a self, vm: &'a VmEntry, _timeout: Millis) -> Pending<'a, WriteOutcome> {
+    fn announce<'a>(
+        &'a self,
+        vm: &'a VmEntry,
+        _timeout: Millis,
+    ) -> Pending<'a, Answer<WriteOutcome>> {
         Box::pin(async move {
             let mut state = self.lock();
             if state.down {
-                return WriteOutcome::Unreachable("down".into());
+                return unanswered(WriteOutcome::Unreachable("down".into()));
             }
-            state.change(Family::Vms, vm.id.as_str(), Some(Entry::Vm(vm.clone())));
-            WriteOutcome::Updated(state.revision)
+            let latest = &mut state.latest;
+            latest.change(Family::Vms, vm.id.as_str(), Some(Entry::Vm(vm.clone())));
+            latest.answer(WriteOutcome::Updated(latest.revision))
         })
     }
 
-    fn withdraw<'a>(&'a self, vm: &'a VmEntry, _timeout: Millis) -> Pending<'a, WriteOutcome> {
+    fn withdraw<'a>(
+        &'a self,
+        vm: &'a VmEntry,
+        _timeout: Millis,
+    ) -> Pending<'a, Answer<WriteOutcome>> {
         Box::pin(async move {
             let mut state = self.lock();
             if state.down {
-                return WriteOutcome::Unreachable("down".into());
+                return unanswered(WriteOutcome::Unreachable("down".into()));
             }
-            state.change(Family::Vms, vm.id.as_str(), None);
-            WriteOutcome::Updated(state.revision)
+            let latest = &mut state.latest;
+            latest.change(Family::Vms, vm.id.as_str(), None);
+            latest.answer(WriteOutcome::Updated(latest.revision))
         })
     }
 }
--- a/crates/waxwing_types/src/lib.rs
+++ b/crates/waxwing_types/src/lib.rs
@@ -11,4 +11,4 @@
     DomainId, Incarnation, RegionId, ServiceId, ShiftName, SiteId, TargetId, VmId, WorkspaceId,
 };
 pub use reason::{Ran, RefusalReason, RetryReason};
-pub use unit::{Micros, Revision};
+pub use unit::{Micros, Revision, StoreEpoch};
--- a/crates/waxwing_types/src/unit.rs
+++ b/crates/waxwing_types/src/unit.rs
@@ -56,3 +56,18 @@
         write!(f, "{}", self.0)
     }
 }
+
+common_derives! {
+    key
+    /// Number that the store raises each time it comes back from an older copy of its state. A [`Revision`] names one state of the
+    /// store only within one epoch: after a restore, revisions are given out again.
+    #[derive(Default, serde::Serialize, serde::Deserialize)]
+    #[serde(transparent)]
+    pub struct StoreEpoch(pub u64);
+}
+
+impl fmt::Display for StoreEpoch {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
--- a/crates/waxwingctl/src/command/entries.rs
+++ b/crates/waxwingctl/src/command/entries.rs
@@ -31,7 +31,8 @@
     name: Option<&str>,
     timeout: Millis,
 ) -> Exit {
-    let listed = match registry.list(family, Freshness::Latest, timeout).await {
+    let answer = registry.list(family, Freshness::Latest, timeout).await;
+    let listed = match answer.outcome {
         ListOutcome::Listed { entries, .. } => entries,
         ListOutcome::Unreachable(reason) => {
             return console.fail(Exit::Failed, &[unreachable_store(&reason)]);
--- a/crates/waxwingrail/src/edge/peers.rs
+++ b/crates/waxwingrail/src/edge/peers.rs
@@ -363,7 +363,8 @@
     let (mut pause, max_pause) = REGISTER_BACKOFF;
     loop {
         let timeout = shared.settings.store_timeout;
-        match shared.registry.announce(&shared.own_entry, timeout).await {
+        let answer = shared.registry.announce(&shared.own_entry, timeout).await;
+        match answer.outcome {
             WriteOutcome::Created(_) | WriteOutcome::Updated(_) => {
                 shared.store_status().is_registered = true;
                 log::info!(vm = shared.own_entry.id.as_str(); "registered");
@@ -383,6 +384,6 @@
 pub(crate) async fn withdraw_registration(shared: Arc<Shared>) {
     send_heartbeat(&shared);
     let timeout = shared.settings.store_timeout;
-    let outcome = shared.registry.withdraw(&shared.own_entry, timeout).await;
-    log::info!(outcome:? = outcome; "registration withdrawn");
+    let answer = shared.registry.withdraw(&shared.own_entry, timeout).await;
+    log::info!(outcome:? = answer.outcome; "registration withdrawn");
 }
--- a/crates/waxwingrail/src/edge/watch.rs
+++ b/crates/waxwingrail/src/edge/watch.rs
@@ -153,7 +153,7 @@
     let probe = shared
         .registry
         .watch(family, known, Freshness::Recent, Millis::ZERO, timeout);
-    match probe.await {
+    match probe.await.outcome {
         WatchOutcome::Changed { changes, revision } => {
             let last_change = last_change_revision(&changes, known, revision);
             let revision = revision.max(known);
@@ -204,7 +204,8 @@
     position: Position,
 ) -> Result<(Vec<Change>, Revision), Interruption> {
     let timeout = shared.settings.store_timeout;
-    match shared.registry.list(family, freshness, timeout).await {
+    let answer = shared.registry.list(family, freshness, timeout).await;
+    match answer.outcome {
         ListOutcome::Listed { entries, revision } => {
             if freshness == Freshness::Latest {
                 let now = shared.now();
@@ -243,7 +244,7 @@
         let call = shared
             .registry
             .watch(family, revision, mode.freshness(), wait, timeout);
-        let watch = async { Some(call.await) };
+        let watch = async { Some(call.await.outcome) };
         let interruption = async { interruptions.recv().await.ok().and(None) };
         let outcome = future::or(watch, interruption).await;
         shared.watch_progress().watch_ended(family);
--- a/crates/waxwingrail/tests/edge/fixture.rs
+++ b/crates/waxwingrail/tests/edge/fixture.rs
@@ -184,7 +184,7 @@
         let list = self
             .registry
             .list(Family::Vms, Freshness::Latest, Millis::from_secs(1));
-        let ListOutcome::Listed { entries, .. } = list.await else {
+        let ListOutcome::Listed { entries, .. } = list.await.outcome else {
             panic!("no list");
         };
         let peer = entries.into_iter().find_map(|change| match change.entry {
