Bound the time for which a watch may stay without an answer

Callers saw 401 and 404 for keys and routes that had been in the store for up to 13 s, from every VM, after the store had been silent for some seconds.

Cause: a watch that meets a silence of the store is never answered, on a connection that is still acknowledged. Its time-out was its wait and the time of a call, 19.5 s, while changes must be in force again 4 s after an outage. Store readers were affected like the others and went on reporting old revisions, so that no VM knew better. Ruled out: back-off and probes (no failure was recorded during the outage); rejected versions (no deployment rejected); VMs that differ (all versions equal until 24.9 s). Watches of a recent state stay long, because readers report what they lack. The double of the registry can be silent. Two tests waited for exactly one watch of the latest state; a reader now makes several, so they wait for exactly one watch of a recent state and at least one of the latest. Conclusion: the liveness of a long poll has a bound of its own, which follows from the bounds on changes.

--- a/crates/waxwing_testkit/src/registry.rs
+++ b/crates/waxwing_testkit/src/registry.rs
@@ -23,6 +23,9 @@
     forgotten: Revision,
     revision: Revision,
     down: bool,
+    /// Whether calls get no answer, and the number of silences so far. A call that meets a silence gets none for good.
+    silent: bool,
+    silences: u64,
     /// The lists that were asked for.
     lists: Vec<(Family, Freshness)>,
     /// The watches that were asked for, with their longest waits.
@@ -73,6 +76,13 @@
         self.lock().down = down;
     }
 
+    /// Starts or ends a time in which calls are accepted and get no answer. Their connections stay silent afterwards.
+    pub fn set_silent(&self, silent: bool) {
+        let mut state = self.lock();
+        state.silent = silent;
+        state.silences += u64::from(silent);
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -183,14 +193,32 @@
     }
 }
 
+impl MemoryRegistry {
+    /// Waits out the time of a call if it gets no answer, and returns whether that is so.
+    async fn is_unanswered(&self, time: Millis) -> bool {
+        let silent = self.lock().silent;
+        if silent {
+            Timer::after(time.duration()).await;
+        }
+        silent
+    }
+}
+
+fn no_answer(time: Millis) -> String {
+    format!("no answer within {time}")
+}
+
 impl Registry for MemoryRegistry {
     fn list(
         &self,
         family: Family,
         freshness: Freshness,
-        _timeout: Millis,
+        timeout: Millis,
     ) -> Pending<'_, ListOutcome> {
         Box::pin(async move {
+            if self.is_unanswered(timeout).await {
+                return ListOutcome::Unreachable(no_answer(timeout));
+            }
             let mut state = self.lock();
             state.lists.push((family, freshness));
             if state.down {
@@ -210,12 +238,23 @@
         after: Revision,
         freshness: Freshness,
         wait: Millis,
-        _timeout: Millis,
+        timeout: Millis,
     ) -> Pending<'_, WatchOutcome> {
         Box::pin(async move {
-            self.lock().watches.push((family, freshness, wait));
+            let silences = {
+                let mut state = self.lock();
+                state.watches.push((family, freshness, wait));
+                state.silences
+            };
+            if self.is_unanswered(wait + timeout).await {
+                return WatchOutcome::Unreachable(no_answer(wait + timeout));
+            }
             let mut left = wait;
             loop {
+                if self.lock().silences != silences {
+                    Timer::after((left + timeout).duration()).await;
+                    return WatchOutcome::Unreachable(no_answer(wait + timeout));
+                }
                 let outcome = self.lock().watched(family, after, freshness);
                 if let Some(outcome) = outcome {
                     return outcome;
@@ -232,8 +271,11 @@
         })
     }
 
-    fn announce<'a>(&'a self, vm: &'a VmEntry, _timeout: Millis) -> Pending<'a, WriteOutcome> {
+    fn announce<'a>(&'a self, vm: &'a VmEntry, timeout: Millis) -> Pending<'a, WriteOutcome> {
         Box::pin(async move {
+            if self.is_unanswered(timeout).await {
+                return WriteOutcome::Unknown(no_answer(timeout));
+            }
             let mut state = self.lock();
             if state.down {
                 return WriteOutcome::Unreachable("down".into());
@@ -243,8 +285,11 @@
         })
     }
 
-    fn withdraw<'a>(&'a self, vm: &'a VmEntry, _timeout: Millis) -> Pending<'a, WriteOutcome> {
+    fn withdraw<'a>(&'a self, vm: &'a VmEntry, timeout: Millis) -> Pending<'a, WriteOutcome> {
         Box::pin(async move {
+            if self.is_unanswered(timeout).await {
+                return WriteOutcome::Unknown(no_answer(timeout));
+            }
             let mut state = self.lock();
             if state.down {
                 return WriteOutcome::Unreachable("down".into());
--- a/crates/waxwingrail/src/edge/watch.rs
+++ b/crates/waxwingrail/src/edge/watch.rs
@@ -16,6 +16,7 @@
 
 use super::apply::{apply_changes, apply_list};
 use super::peers;
+use super::settings::EdgeSettings;
 use super::state::Shared;
 use super::watch_progress::WatchMode;
 
@@ -24,8 +25,14 @@
 /// Margin between the longest watch and `store_history`, the time for which the store keeps changes. If the store
 /// has dropped the changes that the next watch needs, the family must be listed again, an additional call.
 const HISTORY_MARGIN: Millis = Millis::from_secs(2);
-/// Initial and maximum backoff after failed calls, without jitter. Calls must succeed within 4 s after an outage:
-/// then the limits on the delay of changes, `max_apply_delay` and `max_drain_delay`, apply again.
+/// Part of `store_recovery` in which a change that a store reader has read after an outage reaches the other VMs.
+const REPORT_MARGIN: Millis = Millis(1000);
+/// Minimum wait of a watch, however short `store_recovery` is.
+const MIN_WATCH_WAIT: Millis = Millis(500);
+/// Maximum wait of a watch of the latest entries of VMs. No limit on the delay of changes depends on them.
+const MAX_VMS_WATCH_WAIT: Millis = Millis::from_secs(8);
+/// Initial and maximum backoff after failed calls, without jitter. Calls must succeed within `store_recovery` after an
+/// outage: then the limits on the delay of changes, `max_apply_delay` and `max_drain_delay`, apply again.
 const RETRY_BACKOFF: (Millis, Millis) = (Millis(60), Millis(800));
 /// Maximum time for which a family waits in an outage, during which only one other family probes the store.
 const MAX_PROBE_WAIT: Millis = Millis::from_secs(4);
@@ -216,6 +223,24 @@
     }
 }
 
+/// Wait of the next watch of a family.
+///
+/// A watch that meets a silence of the store may stay without an answer for good, on a connection that looks healthy. Only
+/// the end of its wait shows that. A watch of the latest state therefore waits no longer than `store_recovery` allows. A
+/// watch of a recent state may wait longer, because store readers report what it lacks.
+fn watch_wait(settings: &EdgeSettings, family: Family, mode: WatchMode) -> Millis {
+    let longest = (settings.store_history - HISTORY_MARGIN).min(MAX_WATCH_WAIT);
+    match (mode, family) {
+        (WatchMode::CatchUp, _) => Millis::ZERO,
+        (WatchMode::Recent, _) => longest,
+        (WatchMode::Latest, Family::Vms) => longest.min(MAX_VMS_WATCH_WAIT),
+        (WatchMode::Latest, Family::Deployment | Family::Targets | Family::Evacuations) => {
+            let silence = settings.store_recovery - REPORT_MARGIN;
+            longest.min((silence - settings.store_timeout).max(MIN_WATCH_WAIT))
+        }
+    }
+}
+
 /// Watches a family until a call fails or the store has dropped unread changes.
 async fn watch(
     shared: &Arc<Shared>,
@@ -224,7 +249,6 @@
     interruptions: &Receiver<()>,
 ) -> Interruption {
     let timeout = shared.settings.store_timeout;
-    let max_wait = (shared.settings.store_history - HISTORY_MARGIN).min(MAX_WATCH_WAIT);
     loop {
         let now = shared.now();
         let is_store_reader = shared.fleet().is_store_reader(now);
@@ -234,10 +258,7 @@
             progress.watch_started(now, family, mode);
             mode
         };
-        let wait = match mode {
-            WatchMode::Latest | WatchMode::Recent => max_wait,
-            WatchMode::CatchUp => Millis::ZERO,
-        };
+        let wait = watch_wait(&shared.settings, family, mode);
         // Discards interruptions that arrived after the end of the previous watch.
         while interruptions.try_recv().is_ok() {}
         let call = shared
--- a/crates/waxwingrail/tests/edge_watch.rs
+++ b/crates/waxwingrail/tests/edge_watch.rs
@@ -143,6 +143,43 @@
     });
 }
 
+/// Guards against VMs that refuse by an old deployment because their watches wait on a store that took them and never answers.
+#[test]
+fn a_change_after_a_silent_outage_is_in_use_in_time() {
+    run_test(async |fixture| {
+        fixture.deploy(deployment(1));
+        fixture.start_target("t1", TargetBehavior::Answer).await;
+        let daemons = [
+            fixture.start_daemon("v1", 1).await,
+            fixture.start_daemon("v2", 1).await,
+        ];
+        for daemon in &daemons {
+            fixture.wait_until_ready(daemon).await;
+        }
+        wait_until("a VM is the store reader", async || {
+            let watches = fixture.registry.watches(Family::Deployment);
+            watches.contains(&Freshness::Latest)
+        })
+        .await;
+        fixture.registry.set_silent(true);
+        Timer::after(Duration::from_secs(1)).await;
+        fixture.registry.set_silent(false);
+        let settings = settings("v1", &[]);
+        let delay = settings.store_recovery + settings.max_apply_delay;
+        let deadline = Instant::now() + delay.duration();
+        let mut changed = deployment(2);
+        changed.routes.remove(1);
+        fixture.deploy(changed);
+        for daemon in &daemons {
+            wait_until("the change is in use", async || {
+                fixture.call(daemon, "unsafe").await.status == 404
+            })
+            .await;
+        }
+        assert!(Instant::now() < deadline, "the change was in use too late");
+    });
+}
+
 /// Guards against a process that accepts a withdrawn key, or sends requests to an evacuated failure domain, after a restart:
 /// the state of the store from which it starts lags.
 #[test]
@@ -208,12 +245,7 @@
         for daemon in &daemons {
             fixture.wait_until_ready(daemon).await;
         }
-        wait_until("one VM watches the latest state", async || {
-            let mut watches = fixture.registry.watches(Family::Targets).split_off(2);
-            watches.sort_unstable();
-            watches == [Freshness::Latest, Freshness::Recent]
-        })
-        .await;
+        wait_until_one_vm_reads(&fixture).await;
         fixture.start_target("t2", TargetBehavior::Answer).await;
         fixture.registry.set_lag(true);
         fixture.registry.put(
@@ -227,6 +259,20 @@
     });
 }
 
+/// Waits until one of two VMs watches the latest state, again and again, and the other one a recent state.
+async fn wait_until_one_vm_reads(fixture: &Fixture) {
+    wait_until(
+        "one VM watches the latest state, the other VM a recent state",
+        async || {
+            // Ignores the first two watches: at startup, no VM knows of the other VM.
+            let watches = fixture.registry.watches(Family::Targets).split_off(2);
+            let recent = watches.iter().filter(|f| **f == Freshness::Recent).count();
+            recent == 1 && watches.len() > recent
+        },
+    )
+    .await;
+}
+
 /// Starts two VMs, lets a target leave while the recent state of the store lags, and checks that both VMs learn of it in time.
 /// One VM learns of the change from the store reader, the VM of its failure domain that watches the latest state.
 fn check_that_a_lagging_state_does_not_hide(leave: impl Fn(&Fixture, &Target)) {
@@ -240,16 +286,7 @@
         for daemon in &daemons {
             fixture.wait_until_ready(daemon).await;
         }
-        // Ignores the first two watches: at startup, no VM knows of the other VM.
-        wait_until(
-            "one VM watches the latest state, the other VM a recent state",
-            async || {
-                let mut watches = fixture.registry.watches(Family::Targets).split_off(2);
-                watches.sort_unstable();
-                watches == [Freshness::Latest, Freshness::Recent]
-            },
-        )
-        .await;
+        wait_until_one_vm_reads(&fixture).await;
         fixture.registry.set_lag(true);
         leave(&fixture, &target);
         let deadline = Instant::now() + settings("v1", &[]).max_drain_delay.duration();
