--- a/crates/waxwing_testkit/src/registry.rs
+++ b/crates/waxwing_testkit/src/registry.rs
@@ -37,6 +37,9 @@
     /// The older state, if it is held.
     held: Option<Contents>,
     down: bool,
+    /// Whether calls get no answer, and the number of silences so far. A call that meets a silence gets none for good.
+    silent: bool,
+    silences: u64,
     /// The lists that were asked for.
     lists: Vec<(Family, Freshness)>,
     /// The watches that were asked for, with their longest waits.
@@ -96,6 +99,13 @@
         self.lock().down = down;
     }
 
+    /// Starts or ends a time in which calls are accepted and get no answer. Their connections stay silent afterwards.
+    pub fn set_silent(&self, silent: bool) {
+        let mut state = self.lock();
+        state.silent = silent;
+        state.silences += u64::from(silent);
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -218,6 +228,21 @@
     }
 }
 
+impl MemoryRegistry {
+    /// Waits out the time of a call if it gets no answer, and returns whether that is so.
+    async fn is_unanswered(&self, time: Millis) -> bool {
+        let silent = self.lock().silent;
+        if silent {
+            Timer::after(time.duration()).await;
+        }
+        silent
+    }
+}
+
+fn no_answer(time: Millis) -> String {
+    format!("no answer within {time}")
+}
+
 const fn unanswered<T>(outcome: T) -> Answer<T> {
     Answer {
         outcome,
@@ -230,9 +255,12 @@
         &self,
         family: Family,
         freshness: Freshness,
-        _timeout: Millis,
+        timeout: Millis,
     ) -> Pending<'_, Answer<ListOutcome>> {
         Box::pin(async move {
+            if self.is_unanswered(timeout).await {
+                return unanswered(ListOutcome::Unreachable(no_answer(timeout)));
+            }
             let mut state = self.lock();
             state.lists.push((family, freshness));
             if state.down {
@@ -252,16 +280,23 @@
         after: Revision,
         freshness: Freshness,
         wait: Millis,
-        _timeout: Millis,
+        timeout: Millis,
     ) -> Pending<'_, Answer<WatchOutcome>> {
         Box::pin(async move {
-            let epoch = {
+            let (epoch, silences) = {
                 let mut state = self.lock();
                 state.watches.push((family, freshness, wait));
-                state.latest.epoch
+                (state.latest.epoch, state.silences)
             };
+            if self.is_unanswered(wait + timeout).await {
+                return unanswered(WatchOutcome::Unreachable(no_answer(wait + timeout)));
+            }
             let mut left = wait;
             loop {
+                if self.lock().silences != silences {
+                    Timer::after((left + timeout).duration()).await;
+                    return unanswered(WatchOutcome::Unreachable(no_answer(wait + timeout)));
+                }
                 let answer = self.lock().watched(family, after, freshness, epoch);
                 if let Some(answer) = answer {
                     return answer;
@@ -282,9 +317,12 @@
     fn announce<'a>(
         &'a self,
         vm: &'a VmEntry,
-        _timeout: Millis,
+        timeout: Millis,
     ) -> Pending<'a, Answer<WriteOutcome>> {
         Box::pin(async move {
+            if self.is_unanswered(timeout).await {
+                return unanswered(WriteOutcome::Unknown(no_answer(timeout)));
+            }
             let mut state = self.lock();
             if state.down {
                 return unanswered(WriteOutcome::Unreachable("down".into()));
@@ -298,9 +336,12 @@
     fn withdraw<'a>(
         &'a self,
         vm: &'a VmEntry,
-        _timeout: Millis,
+        timeout: Millis,
     ) -> Pending<'a, Answer<WriteOutcome>> {
         Box::pin(async move {
+            if self.is_unanswered(timeout).await {
+                return unanswered(WriteOutcome::Unknown(no_answer(timeout)));
+            }
             let mut state = self.lock();
             if state.down {
                 return unanswered(WriteOutcome::Unreachable("down".into()));
