Void all known revisions when the store is restored from a copy

Cause: a store that came back from an older copy gave revisions out again, and VMs went on from the revision they knew. A copy also lacks or brings back what VMs know better: drains, targets that left, evacuations, entries of VMs. Ruled out: 410 as the sign: the store had passed the known revision, so that no watch got one. Change: WatchProgress records the epoch of each answer, of writes and refusals too. A higher one voids the revisions of all families and interrupts their watches; each family then lists the latest state, however many of its calls fail before, and only the latest state is read for 8 s. An answer of a lower epoch is not used, and an entry of this VM that was accepted in one is written again. Reports between VMs state the epoch; one of another epoch is not compared, and one of a later epoch makes a VM read the store, which decides. Messages without the field are read as before. What a VM knows better than the copy holds for a limited time (RestoreGrace, Fleet::keep_missing): lost entries of VMs 8 s or while heartbeats arrive, lost evacuations 4 s, targets that are missing 2 s as after an outage; targets that had left are withheld for 10 s. A process that drains does not become ready again. VMs known only from the copy are live from their first heartbeat on. Log line, gauge waxwing_edge_store_epoch. Position and lists move to list.rs, Vm to fleet/vm.rs, for the size of the files. Conclusion: a revision means something only together with the epoch in which it was given out.

--- a/crates/waxwing_edge/src/fleet.rs
+++ b/crates/waxwing_edge/src/fleet.rs
@@ -1,5 +1,7 @@
 //! The entry VMs: which are registered and live, which role each has, and the datagrams between them.
 
+mod vm;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -8,19 +10,14 @@
 
 use crate::QuotaCoordinator;
 use crate::hash::{hash_bytes, mix64};
+use vm::Vm;
 
 /// Difference of the start times of two VMs from which on they have not started together. Incarnations are times of
 /// day, which may differ between VMs by some seconds.
 const MIN_EARLIER_START: Millis = Millis::from_secs(8);
-/// Time without a heartbeat after which a VM no longer counts as live. Heartbeats are sent every second, and
-/// some may be lost. Callers may be given the address of a dead VM for at most 7 s.
-const HEARTBEAT_TIMEOUT: Millis = Millis(3500);
 /// Time within which the VMs of a fleet that starts as a whole register and read each other's entries: 2 s until the second
 /// read of the entries, and the time by which a recent state lags.
 const FLEET_START_TIME: Millis = Millis::from_secs(3);
-/// Time after the registration of a VM for which the VM counts as live without a heartbeat.
-const REGISTRATION_GRACE: Millis = Millis(2500);
-
 /// Number of shards into which the workspaces are divided. In each failure domain, every shard has its own
 /// quota coordinator.
 const WORKSPACE_SHARDS: u64 = 4;
@@ -41,20 +38,6 @@
     mix64(hash_bytes(vm_id.as_str().as_bytes()), shard)
 }
 
-/// A registered VM, and what this VM knows about its state.
-struct Vm {
-    entry: VmEntry,
-    /// When the VM registered or its entry last changed.
-    registered_at: Millis,
-    last_heartbeat: Option<Millis>,
-    /// Whether the VM accepts requests of callers, as stated by its last heartbeat. True from a registration
-    /// until the next heartbeat.
-    ready: bool,
-    /// Whether a heartbeat of the present process has stated that the VM accepts requests. If it does not any more, it is
-    /// stopping.
-    was_ready: bool,
-}
-
 /// The entry VMs that this VM knows, including this VM itself.
 pub struct Fleet {
     own: VmEntry,
@@ -290,21 +273,16 @@
     pub fn upsert(&mut self, now: Millis, entry: VmEntry) {
         self.earlier_entry_read |= self.started_earlier(entry.incarnation);
         match self.vms.get_mut(&entry.id) {
-            Some(vm) if vm.entry == entry => {}
+            Some(vm) if vm.entry == entry => vm.missing_since = None,
             Some(vm) => {
                 vm.entry = entry;
-                vm.registered_at = now;
+                vm.registered_at = Some(now);
+                vm.missing_since = None;
                 vm.ready = true;
             }
             None => {
-                let vm = Vm {
-                    entry: entry.clone(),
-                    registered_at: now,
-                    last_heartbeat: None,
-                    ready: true,
-                    was_ready: false,
-                };
-                self.vms.insert(entry.id, vm);
+                let id = entry.id.clone();
+                self.vms.insert(id, Vm::new(entry, Some(now)));
             }
         }
     }
@@ -314,11 +292,42 @@
         self.vms.remove(vm_id);
     }
 
-    /// Removes all VMs that a complete list of entries lacks.
+    /// Removes all VMs that a complete list of entries lacks, apart from those of [`Self::keep_missing`].
     pub fn retain_listed(&mut self, listed: &[VmId]) {
         self.was_unlisted
             .get_or_insert(!listed.contains(&self.own.id));
-        self.vms.retain(|id, _| listed.contains(id));
+        self.vms
+            .retain(|id, vm| listed.contains(id) || vm.missing_since.is_some());
+    }
+
+    /// Keeps the VMs that the first list after a restore of the store lacks. The copy may be older than their registration, and
+    /// quota shares must not grow until they have registered again.
+    pub fn keep_missing(&mut self, now: Millis, listed: &[VmId]) {
+        for (id, vm) in &mut self.vms {
+            if !listed.contains(id) {
+                vm.missing_since.get_or_insert(now);
+            }
+        }
+    }
+
+    /// Merges an entry of the first list after a restore of the store with what this VM knows. An entry of an earlier process is
+    /// replaced by the known one. A VM that was not known counts as live from its first heartbeat on.
+    pub fn merge_restored(&mut self, entry: &mut VmEntry) {
+        match self.vms.get(&entry.id) {
+            Some(vm) if vm.entry.incarnation > entry.incarnation => *entry = vm.entry.clone(),
+            Some(_) => {}
+            None => {
+                let id = entry.id.clone();
+                self.vms.insert(id, Vm::new(entry.clone(), None));
+            }
+        }
+    }
+
+    /// Removes VMs whose entries are missing for too long and that send no heartbeats. Returns whether there were any.
+    pub fn remove_missing(&mut self, now: Millis) -> bool {
+        let count = self.vms.len();
+        self.vms.retain(|_, vm| vm.is_kept(now));
+        self.vms.len() < count
     }
 
     /// Handles a heartbeat. A heartbeat of an earlier process of the VM is ignored. A heartbeat of a VM that is not
@@ -342,21 +351,3 @@
         }
     }
 }
-
-impl Vm {
-    /// Whether the VM accepts requests of callers and has registered or sent a heartbeat recently.
-    fn is_live(&self, now: Millis) -> bool {
-        self.ready && self.responds(now)
-    }
-
-    /// Whether the VM has registered or sent a heartbeat recently.
-    fn responds(&self, now: Millis) -> bool {
-        self.sends_heartbeats(now) || now.since(self.registered_at) < REGISTRATION_GRACE
-    }
-
-    /// Whether the VM has sent a heartbeat recently.
-    fn sends_heartbeats(&self, now: Millis) -> bool {
-        self.last_heartbeat
-            .is_some_and(|last| now.since(last) < HEARTBEAT_TIMEOUT)
-    }
-}
--- a/crates/waxwing_edge/src/peer_message.rs
+++ b/crates/waxwing_edge/src/peer_message.rs
@@ -1,7 +1,7 @@
 //! The datagrams that VMs send to each other.
 
 use serde::{Deserialize, Serialize};
-use waxwing_types::{Incarnation, Revision, VmId, common_derives};
+use waxwing_types::{Incarnation, Revision, StoreEpoch, VmId, common_derives};
 
 use crate::{TargetObservation, WorkspaceTokens};
 
@@ -41,6 +41,9 @@
             /// order is that of `Family::ALL`.
             #[serde(rename = "seen")]
             revisions: Vec<Revision>,
+            /// Epoch of the store in which the revisions hold, if the sender knows one.
+            #[serde(default, skip_serializing_if = "Option::is_none")]
+            epoch: Option<StoreEpoch>,
         },
         /// Reports a request that was running when its target crashed.
         #[serde(rename = "crash")]
--- a/crates/waxwing_edge/src/target/pool.rs
+++ b/crates/waxwing_edge/src/target/pool.rs
@@ -4,7 +4,7 @@
 
 use slotmap::SlotMap;
 use waxwing_records::Registration;
-use waxwing_types::{DomainId, Millis, RegionId, ServiceId, TargetId};
+use waxwing_types::{DomainId, Incarnation, Millis, RegionId, ServiceId, TargetId};
 
 use super::tracked::{OtherVmLoadEstimator, TrackedTarget, short_hash};
 use super::{ColdStartLimit, LoadReport, TargetKey, TargetOutcome, Topology};
@@ -73,6 +73,12 @@
         )
     }
 
+    /// Incarnation of a known target.
+    pub fn incarnation(&self, id: &TargetId) -> Option<Incarnation> {
+        let key = self.keys_by_id.get(id)?;
+        Some(self.targets.get(*key)?.registration.incarnation)
+    }
+
     /// Whether a target may get a request now. The target must be ready (by its registration), must not be
     /// ejected (after failures), and must not be in an evacuated failure domain. If the target is cold, this VM
     /// also needs a cold start token for the target.
--- a/crates/waxwing_edge/src/target/tracked.rs
+++ b/crates/waxwing_edge/src/target/tracked.rs
@@ -232,8 +232,12 @@
         }
     }
 
-    /// Applies a new registration of the same process.
-    pub(crate) fn update(&mut self, now: Millis, registration: Registration) {
+    /// Applies a registration of the same process. A process that drains does not become ready again; a registration that
+    /// states so is older.
+    pub(crate) fn update(&mut self, now: Millis, mut registration: Registration) {
+        if !self.is_ready() {
+            registration.state = TargetState::Draining;
+        }
         self.slots = registration.slots;
         let cold_until = now + registration.cold_left;
         if registration.cold_left > Millis::ZERO {
--- a/crates/waxwing_edge/tests/decisions.rs
+++ b/crates/waxwing_edge/tests/decisions.rs
@@ -294,3 +294,25 @@
     assert_eq!(before, alone);
     assert_ne!(after, alone);
 }
+
+/// Guards against a directory that names a VM which had ended before the store was restored from an older copy that holds its entry,
+/// and against an entry of an earlier process that replaces the known one.
+#[test]
+fn a_vm_of_a_restored_copy_is_live_only_with_heartbeats() {
+    let mut fleet = Fleet::new(vm("v1", "a", 1));
+    fleet.upsert(Millis::ZERO, vm("v3", "a", 3));
+    fleet.on_heartbeat(Millis(100), &"v3".into(), Incarnation(7), true);
+    let now = Millis(20_000);
+    let live = |fleet: &Fleet| fleet.addresses_for_callers(now, None, true).len();
+
+    let (mut ended, mut earlier) = (vm("v2", "a", 2), vm("v3", "a", 3));
+    for entry in [&mut ended, &mut earlier] {
+        fleet.merge_restored(entry);
+        fleet.upsert(now, entry.clone());
+    }
+
+    assert_eq!(earlier.incarnation, Incarnation(7));
+    assert_eq!(live(&fleet), 1);
+    fleet.on_heartbeat(now, &"v2".into(), ended.incarnation, true);
+    assert_eq!(live(&fleet), 2);
+}
--- a/crates/waxwing_edge/tests/target.rs
+++ b/crates/waxwing_edge/tests/target.rs
@@ -123,6 +123,22 @@
     assert_matches!(select(&mut pool, NOW, 1), Selection::NoTarget);
 }
 
+/// Guards against an older registration that makes a draining process ready again, and against a next process that stays without
+/// requests.
+#[test]
+fn a_draining_process_does_not_become_ready_again() {
+    let mut pool = pool();
+    let mut draining = target("t1", "a");
+    draining.state = TargetState::Draining;
+    pool.upsert(NOW, draining);
+    pool.upsert(NOW, target("t1", "a"));
+    assert_matches!(select(&mut pool, NOW, 1), Selection::NoTarget);
+    let mut next = target("t1", "a");
+    next.incarnation = Incarnation(2);
+    pool.upsert(NOW, next);
+    assert_matches!(select(&mut pool, NOW, 1), Selection::Selected(..));
+}
+
 /// Guards against a failure domain that gets its whole traffic at once when its evacuation ends. The targets
 /// of the domain may be cold.
 #[test]
--- a/crates/waxwingrail/src/edge/apply.rs
+++ b/crates/waxwingrail/src/edge/apply.rs
@@ -16,7 +16,7 @@
     shared: &Arc<Shared>,
     family: Family,
     freshness: Freshness,
-    changes: Vec<Change>,
+    mut changes: Vec<Change>,
 ) {
     let now = shared.now();
     let names: Vec<_> = changes.iter().map(|change| change.name.clone()).collect();
@@ -28,8 +28,17 @@
             for id in missing {
                 remove_target(shared, now, id);
             }
+            let grace = &mut shared.store_status().restore_grace;
+            changes = grace.withhold_targets(now, changes);
+        }
+        Family::Evacuations => {
+            let listed = names.into_iter().map(DomainId).collect();
+            let mut status = shared.store_status();
+            let in_force = std::mem::take(&mut status.evacuated);
+            status.evacuated = status
+                .restore_grace
+                .keep_evacuations(now, in_force, &listed);
         }
-        Family::Evacuations => shared.store_status().evacuated.clear(),
         Family::Vms => {
             let listed_ids: Vec<_> = names.into_iter().map(VmId).collect();
             shared.fleet().retain_listed(&listed_ids);
@@ -45,18 +54,42 @@
     apply_changes(shared, family, changes);
 }
 
+/// Applies the first list after a restore of the store. It is a copy of an earlier state, and may lack what other VMs, the
+/// operator and targets have written since.
+pub(crate) fn apply_restored_list(shared: &Arc<Shared>, family: Family, mut changes: Vec<Change>) {
+    shared.record_restored_list(family);
+    if family == Family::Vms {
+        let listed: Vec<_> = changes.iter().map(|c| VmId(c.name.clone())).collect();
+        let mut fleet = shared.fleet();
+        fleet.keep_missing(shared.now(), &listed);
+        for change in &mut changes {
+            if let Some(Entry::Vm(entry)) = &mut change.entry {
+                fleet.merge_restored(entry);
+            }
+        }
+    }
+    apply_list(shared, family, Freshness::Latest, changes);
+}
+
+/// Applies the changes that a watch returned.
 pub(crate) fn apply_changes(shared: &Arc<Shared>, family: Family, changes: Vec<Change>) {
     let now = shared.now();
     for change in changes {
         match change.entry {
             Some(Entry::Deployment(record)) => apply_deployment(shared, now, record),
             Some(Entry::Target(entry)) => {
-                shared.store_status().pending_removals.remove(&entry.id);
+                {
+                    let mut status = shared.store_status();
+                    status.pending_removals.remove(&entry.id);
+                    status.restore_grace.on_target_change(&entry.id);
+                }
                 shared.targets().upsert(now, entry);
             }
             Some(Entry::Evacuation(domain)) => {
                 log::info!(domain = domain.as_str(); "failure domain evacuated");
-                shared.store_status().evacuated.insert(domain);
+                let mut status = shared.store_status();
+                status.restore_grace.on_evacuation_change(&domain);
+                status.evacuated.insert(domain);
             }
             Some(Entry::Vm(entry)) => shared.fleet().upsert(now, entry),
             Some(Entry::Unreadable(reason)) => {
@@ -88,7 +121,10 @@
         Family::Targets => remove_target(shared, now, TargetId(name)),
         Family::Evacuations => {
             log::info!(domain = name.as_str(); "failure domain no longer evacuated");
-            shared.store_status().evacuated.remove(&DomainId(name));
+            let domain = DomainId(name);
+            let mut status = shared.store_status();
+            status.restore_grace.on_evacuation_change(&domain);
+            status.evacuated.remove(&domain);
         }
         Family::Vms => {
             let vm = VmId(name);
@@ -106,6 +142,7 @@
 fn remove_target(shared: &Shared, now: Millis, id: TargetId) {
     {
         let mut status = shared.store_status();
+        status.restore_grace.on_target_change(&id);
         let deadline = status.reregistration_deadline();
         if now < deadline {
             status.pending_removals.entry(id).or_insert(deadline);
@@ -113,18 +150,45 @@
         }
         status.pending_removals.remove(&id);
     }
-    shared.targets().remove(&id);
+    remove_left_target(shared, now, &id);
 }
 
-/// Removes the targets whose entries expired in a store outage and were not restored in time.
-pub(crate) fn apply_due_removals(shared: &Shared, now: Millis) {
-    let due = shared.store_status().take_due_removals(now);
-    if due.is_empty() {
-        return;
+/// Removes a target that has left.
+fn remove_left_target(shared: &Shared, now: Millis, id: &TargetId) {
+    let incarnation = shared.targets().incarnation(id);
+    if let Some(incarnation) = incarnation {
+        let grace = &mut shared.store_status().restore_grace;
+        grace.on_target_left(now, id.clone(), incarnation);
+    }
+    shared.targets().remove(id);
+}
+
+/// Ends what this VM has kept or withheld for a limited time after an outage or a restore of the store.
+pub(crate) fn apply_due_changes(shared: &Shared, now: Millis) {
+    let (removals, targets, evacuations) = {
+        let mut status = shared.store_status();
+        let removals = status.take_due_removals(now);
+        let targets = status.restore_grace.take_due_targets(now);
+        let evacuations = status.restore_grace.take_due_evacuations(now);
+        for domain in &evacuations {
+            status.evacuated.remove(domain);
+        }
+        (removals, targets, evacuations)
+    };
+    for id in removals {
+        remove_left_target(shared, now, &id);
+    }
+    for target in targets {
+        shared.targets().upsert(now, target);
+    }
+    for domain in &evacuations {
+        log::info!(domain = domain.as_str(); "evacuation not written again");
+    }
+    if !evacuations.is_empty() {
+        update_evacuations(shared, now);
     }
-    let mut targets = shared.targets();
-    for id in &due {
-        targets.remove(id);
+    if shared.fleet().remove_missing(now) {
+        update_vms(shared, now);
     }
 }
 
--- /dev/null
+++ b/crates/waxwingrail/src/edge/list.rs
@@ -0,0 +1,145 @@
+//! Lists families of registry entries again, after an outage, a loss of history or a restore of the store.
+
+use std::sync::Arc;
+
+use waxwing_store::{Answer, Change, Family, Freshness, ListOutcome};
+use waxwing_types::{Revision, StoreEpoch};
+
+use super::apply::{apply_list, apply_restored_list};
+use super::peers;
+use super::restore::{self, AnswerEpoch};
+use super::state::Shared;
+
+/// Where the reading of a family continues.
+#[derive(Clone, Copy)]
+pub(crate) enum Position {
+    /// The family has not been listed yet.
+    Unlisted,
+    /// The store dropped changes after this revision. The family must be listed again.
+    HistoryGone(Revision),
+    /// A call failed. All changes up to this revision are known.
+    Interrupted(Revision),
+    /// The store was restored from an older copy, and no known revision holds. The latest state must be listed.
+    Restored,
+}
+
+/// Why the reading of a family stopped, and where it continues.
+pub(crate) struct Interruption {
+    pub(crate) position: Position,
+    /// The failure of a call; `None` if the store only dropped its history or was restored.
+    pub(crate) failure: Option<String>,
+}
+
+impl Interruption {
+    pub(crate) fn failed(position: Position, reason: String) -> Self {
+        Self {
+            position,
+            failure: Some(reason),
+        }
+    }
+}
+
+/// Lists a family again. A recent state is enough if it is not older than the known revision: it would restore entries whose
+/// removal this process has already applied. After a loss of history it must be newer. Otherwise the latest state is listed.
+pub(crate) async fn list_again(
+    shared: &Arc<Shared>,
+    family: Family,
+    known: Revision,
+    position: Position,
+) -> Result<Revision, Interruption> {
+    let mut freshness = shared.watch_progress().recent_freshness(shared.now());
+    let mut listed = list(shared, family, freshness, position).await?;
+    let own_name = shared.own_entry.id.as_str();
+    let lacks_own_vm = family == Family::Vms && listed.entries.iter().all(|e| e.name != own_name);
+    let history_gone = matches!(position, Position::HistoryGone(_));
+    let is_old = listed.revision < known || history_gone && listed.revision == known;
+    if freshness == Freshness::Recent && (is_old || lacks_own_vm) {
+        freshness = Freshness::Latest;
+        listed = list(shared, family, freshness, position).await?;
+    }
+    let revision = listed.revision;
+    shared.record_store_success(family);
+    apply_list(shared, family, freshness, listed.entries);
+    // The list may contain changes that no watch returned, if the store has dropped them.
+    record_and_announce(shared, family, revision, history_gone.then_some(revision));
+    Ok(revision)
+}
+
+/// Lists the latest state of a family after a restore of the store.
+pub(crate) async fn list_after_restore(
+    shared: &Arc<Shared>,
+    family: Family,
+) -> Result<Revision, Interruption> {
+    let listed = list(shared, family, Freshness::Latest, Position::Restored).await?;
+    let is_reload = shared.store_status().loaded.contains(&family);
+    shared.record_store_success(family);
+    if is_reload {
+        apply_restored_list(shared, family, listed.entries);
+    } else {
+        apply_list(shared, family, Freshness::Latest, listed.entries);
+    }
+    let mut progress = shared.watch_progress();
+    progress.record_restored_list(family, listed.epoch, listed.revision);
+    Ok(listed.revision)
+}
+
+/// All entries of a family.
+pub(crate) struct Listed {
+    pub(crate) entries: Vec<Change>,
+    pub(crate) revision: Revision,
+    epoch: Option<StoreEpoch>,
+}
+
+/// The outcome of a call, unless the answer shows that the store was restored, or states what may be lost.
+pub(crate) fn current_outcome<T>(shared: &Shared, answer: Answer<T>) -> Result<T, Interruption> {
+    let failure = match restore::record_epoch(shared, answer.epoch) {
+        AnswerEpoch::Current => return Ok(answer.outcome),
+        AnswerEpoch::Restored(_) => None,
+        AnswerEpoch::Earlier => Some("answer of an earlier epoch".to_owned()),
+    };
+    Err(Interruption {
+        position: Position::Restored,
+        failure,
+    })
+}
+
+/// Calls the store for a list. Reading continues at `position` if the call fails.
+pub(crate) async fn list(
+    shared: &Shared,
+    family: Family,
+    freshness: Freshness,
+    position: Position,
+) -> Result<Listed, Interruption> {
+    let timeout = shared.settings.store_timeout;
+    let answer = shared.registry.list(family, freshness, timeout).await;
+    let epoch = answer.epoch;
+    match current_outcome(shared, answer)? {
+        ListOutcome::Listed { entries, revision } => {
+            if freshness == Freshness::Latest {
+                let now = shared.now();
+                shared.watch_progress().record_latest_state(now, family);
+            }
+            Ok(Listed {
+                entries,
+                revision,
+                epoch,
+            })
+        }
+        ListOutcome::Unreachable(reason) => Err(Interruption::failed(position, reason)),
+    }
+}
+
+/// Records the known revision of a family. The store reader also announces a new change to the VMs of the region.
+pub(crate) fn record_and_announce(
+    shared: &Shared,
+    family: Family,
+    revision: Revision,
+    last_change: Option<Revision>,
+) {
+    if shared
+        .watch_progress()
+        .record_and_check_new_change(family, revision, last_change)
+    {
+        peers::announce_revisions_as_reader(shared);
+    }
+}
--- a/crates/waxwingrail/src/edge/metric.rs
+++ b/crates/waxwingrail/src/edge/metric.rs
@@ -50,6 +50,8 @@
     pub(crate) running_requests: Gauge,
     /// Version of the deployment in use.
     pub(crate) deployment_version: Gauge,
+    /// Epoch of the store, 0 if it states none.
+    pub(crate) store_epoch: Gauge,
     /// Number of registered VMs that run an edge daemon, including this one.
     pub(crate) registered_vms: Gauge,
     /// 1 if callers may send requests to this VM, else 0.
@@ -94,6 +96,7 @@
             latencies: Mutex::default(),
             running_requests: gauge!("waxwing_edge_requests_running"),
             deployment_version: gauge!("waxwing_edge_deployment_version"),
+            store_epoch: gauge!("waxwing_edge_store_epoch"),
             registered_vms: gauge!("waxwing_edge_vms"),
             ready: gauge!("waxwing_edge_ready"),
             recorder: Arc::clone(&recorder),
--- a/crates/waxwingrail/src/edge/peers.rs
+++ b/crates/waxwingrail/src/edge/peers.rs
@@ -20,6 +20,7 @@
 use waxwing_store::{Family, WriteOutcome};
 use waxwing_types::{Micros, Millis, WorkspaceId};
 
+use super::restore::{self, AnswerEpoch};
 use super::state::Shared;
 
 /// Period of heartbeats. Other VMs treat a VM as down after three and a half periods without a heartbeat.
@@ -90,8 +91,9 @@
         } => {
             handle_quota(shared, now, &granted, (requested, urgent), from);
         }
-        PeerMessage::WatchProgress { revisions } => {
-            shared.watch_progress().record_report(now, &revisions);
+        PeerMessage::WatchProgress { revisions, epoch } => {
+            let mut progress = shared.watch_progress();
+            progress.record_report(now, epoch, &revisions);
         }
         PeerMessage::TargetCrash { fingerprint } => {
             shared.quarantine().on_target_crash(now, fingerprint);
@@ -176,8 +178,11 @@
 
 fn send_revisions(shared: &Shared, to: &[SocketAddr]) {
     if !to.is_empty() {
-        let revisions = shared.watch_progress().last_change_revisions();
-        send(shared, &PeerMessage::WatchProgress { revisions }, to);
+        let (revisions, epoch) = {
+            let progress = shared.watch_progress();
+            (progress.last_change_revisions(), progress.epoch())
+        };
+        send(shared, &PeerMessage::WatchProgress { revisions, epoch }, to);
     }
 }
 
@@ -364,8 +369,9 @@
     loop {
         let timeout = shared.settings.store_timeout;
         let answer = shared.registry.announce(&shared.own_entry, timeout).await;
+        let is_lost = restore::record_epoch(&shared, answer.epoch) == AnswerEpoch::Earlier;
         match answer.outcome {
-            WriteOutcome::Created(_) | WriteOutcome::Updated(_) => {
+            WriteOutcome::Created(_) | WriteOutcome::Updated(_) if !is_lost => {
                 shared.store_status().is_registered = true;
                 log::info!(vm = shared.own_entry.id.as_str(); "registered");
                 return;
@@ -385,5 +391,6 @@
     send_heartbeat(&shared);
     let timeout = shared.settings.store_timeout;
     let answer = shared.registry.withdraw(&shared.own_entry, timeout).await;
+    restore::record_epoch(&shared, answer.epoch);
     log::info!(outcome:? = answer.outcome; "registration withdrawn");
 }
--- a/crates/waxwingrail/src/edge/peers/tests.rs
+++ b/crates/waxwingrail/src/edge/peers/tests.rs
@@ -4,7 +4,7 @@
     LoadReport, PeerMessage, Selection, TargetCriteria, TargetOutcome, TargetPool, Topology,
 };
 use waxwing_records::{Registration, TargetState};
-use waxwing_types::{Incarnation, Millis, RegionId, ServiceId};
+use waxwing_types::{Incarnation, Millis, RegionId, Revision, ServiceId, StoreEpoch};
 
 use super::{MAX_DATAGRAM_BYTES, MAX_OBSERVATIONS};
 
@@ -99,3 +99,19 @@
     assert_eq!(received, expected);
     assert_eq!(serde_json::to_string(&received).expect("JSON"), text);
 }
+
+/// Guards against a VM that cannot read the reports of an older or a newer daemon: only newer ones state the epoch.
+#[test]
+fn reports_of_daemons_without_epochs_are_read() {
+    let without = r#"{"t":"news","seen":[4,0,7,2]}"#;
+    let with = r#"{"t":"news","seen":[4,0,7,2],"epoch":3}"#;
+    for (text, epoch) in [(without, None), (with, Some(StoreEpoch(3)))] {
+        let received: PeerMessage = serde_json::from_str(text).expect("a report");
+        let expected = PeerMessage::WatchProgress {
+            revisions: [4, 0, 7, 2].map(Revision).to_vec(),
+            epoch,
+        };
+        assert_eq!(received, expected);
+        assert_eq!(serde_json::to_string(&expected).expect("JSON"), text);
+    }
+}
--- a/crates/waxwingrail/src/edge/state.rs
+++ b/crates/waxwingrail/src/edge/state.rs
@@ -24,6 +24,7 @@
 use waxwing_types::{Clock, DomainId, Incarnation, Millis, TargetId};
 
 use super::metric::Metrics;
+use super::restore::RestoreGrace;
 use super::settings::EdgeSettings;
 use super::watch_progress::WatchProgress;
 
@@ -51,6 +52,8 @@
     pub(crate) pending_removals: BTreeMap<TargetId, Millis>,
     /// Failure domains whose targets must not get requests.
     pub(crate) evacuated: HashSet<DomainId>,
+    /// What this VM knows of the time before a restore of the store.
+    pub(crate) restore_grace: RestoreGrace,
 }
 
 impl StoreStatus {
@@ -240,6 +243,14 @@
         }
     }
 
+    /// Records that a list of a family is the first one after a restore of the store.
+    pub(crate) fn record_restored_list(&self, family: Family) {
+        let now = self.now();
+        let mut status = self.store_status();
+        status.recovered_at.insert(family, now);
+        status.restore_grace.on_restored_list(now, family);
+    }
+
     /// Records a list of a family.
     pub(crate) fn record_store_success(&self, family: Family) {
         let now = self.now();
@@ -311,6 +322,8 @@
                 let state_age = progress.state_age(now, family);
                 metrics.set_ages(family, state_age, progress.watch_age(now, family));
             }
+            let epoch = progress.epoch().unwrap_or_default();
+            metrics.store_epoch.set(epoch.0 as f64);
         }
         metrics
             .running_requests
--- a/crates/waxwingrail/src/edge/ticks.rs
+++ b/crates/waxwingrail/src/edge/ticks.rs
@@ -26,7 +26,7 @@
         }
         let now = shared.now();
         shared.targets().tick(now);
-        apply::apply_due_removals(&shared, now);
+        apply::apply_due_changes(&shared, now);
         watch::interrupt_outdated_watches(&shared, now);
         peers::exchange_tokens(&shared, now);
     }
--- a/crates/waxwingrail/src/edge/watch.rs
+++ b/crates/waxwingrail/src/edge/watch.rs
@@ -11,11 +11,14 @@
 use async_executor::Task;
 use async_io::Timer;
 use futures_lite::future;
-use waxwing_store::{Change, Family, Freshness, ListOutcome, WatchOutcome};
+use waxwing_store::{Change, Family, Freshness, WatchOutcome};
 use waxwing_types::{Millis, Revision};
 
 use super::apply::{apply_changes, apply_list};
-use super::peers;
+use super::list::{
+    Interruption, Listed, Position, current_outcome, list, list_after_restore, list_again,
+    record_and_announce,
+};
 use super::settings::EdgeSettings;
 use super::state::Shared;
 use super::watch_progress::WatchMode;
@@ -74,39 +77,15 @@
     }
 }
 
-/// Where the reading of a family continues.
-#[derive(Clone, Copy)]
-enum Position {
-    /// The family has not been listed yet.
-    Unlisted,
-    /// The store dropped changes after this revision. The family must be listed again.
-    HistoryGone(Revision),
-    /// A call failed. All changes up to this revision are known.
-    Interrupted(Revision),
-}
-
-/// Why the reading of a family stopped, and where it continues.
-struct Interruption {
-    position: Position,
-    /// The failure of a call; `None` if the store only dropped its history.
-    failure: Option<String>,
-}
-
-impl Interruption {
-    fn failed(position: Position, reason: String) -> Self {
-        Self {
-            position,
-            failure: Some(reason),
-        }
-    }
-}
-
 async fn list_and_watch_with_retries(shared: Arc<Shared>, family: Family) {
     let interruptions = shared.watch_progress().add_family(family);
     let (min_pause, max_pause) = RETRY_BACKOFF;
     let mut pause = min_pause;
     let mut position = Position::Unlisted;
     loop {
+        if shared.watch_progress().must_list(family) {
+            position = Position::Restored;
+        }
         let interruption = match resume(&shared, family, position).await {
             Ok(revision) => {
                 pause = min_pause;
@@ -141,7 +120,9 @@
     let known = match position {
         Position::Unlisted => {
             let freshness = first_list_freshness(family);
-            let (entries, revision) = list(shared, family, freshness, position).await?;
+            let Listed {
+                entries, revision, ..
+            } = list(shared, family, freshness, position).await?;
             shared.record_store_success(family);
             apply_list(shared, family, freshness, entries);
             // If the first list counted as a change, a store reader would report its revision, and all VMs of the
@@ -155,12 +136,14 @@
         }
         Position::HistoryGone(known) => return list_again(shared, family, known, position).await,
         Position::Interrupted(known) => known,
+        Position::Restored => return list_after_restore(shared, family).await,
     };
     let timeout = shared.settings.store_timeout;
+    let freshness = shared.watch_progress().recent_freshness(shared.now());
     let probe = shared
         .registry
-        .watch(family, known, Freshness::Recent, Millis::ZERO, timeout);
-    match probe.await.outcome {
+        .watch(family, known, freshness, Millis::ZERO, timeout);
+    match current_outcome(shared, probe.await)? {
         WatchOutcome::Changed { changes, revision } => {
             let last_change = last_change_revision(&changes, known, revision);
             let revision = revision.max(known);
@@ -179,51 +162,6 @@
     }
 }
 
-/// Lists a family again. A recent state is enough if it is not older than the known revision: it would restore entries whose
-/// removal this process has already applied. After a loss of history it must be newer. Otherwise the latest state is listed.
-async fn list_again(
-    shared: &Arc<Shared>,
-    family: Family,
-    known: Revision,
-    position: Position,
-) -> Result<Revision, Interruption> {
-    let mut freshness = Freshness::Recent;
-    let (mut entries, mut revision) = list(shared, family, freshness, position).await?;
-    let own_name = shared.own_entry.id.as_str();
-    let lacks_own_vm = family == Family::Vms && entries.iter().all(|entry| entry.name != own_name);
-    let history_gone = matches!(position, Position::HistoryGone(_));
-    if revision < known || (history_gone && revision == known) || lacks_own_vm {
-        freshness = Freshness::Latest;
-        (entries, revision) = list(shared, family, freshness, position).await?;
-    }
-    shared.record_store_success(family);
-    apply_list(shared, family, freshness, entries);
-    // The list may contain changes that no watch returned, if the store has dropped them.
-    record_and_announce(shared, family, revision, history_gone.then_some(revision));
-    Ok(revision)
-}
-
-/// Calls the store for a list. Reading continues at `position` if the call fails.
-async fn list(
-    shared: &Shared,
-    family: Family,
-    freshness: Freshness,
-    position: Position,
-) -> Result<(Vec<Change>, Revision), Interruption> {
-    let timeout = shared.settings.store_timeout;
-    let answer = shared.registry.list(family, freshness, timeout).await;
-    match answer.outcome {
-        ListOutcome::Listed { entries, revision } => {
-            if freshness == Freshness::Latest {
-                let now = shared.now();
-                shared.watch_progress().record_latest_state(now, family);
-            }
-            Ok((entries, revision))
-        }
-        ListOutcome::Unreachable(reason) => Err(Interruption::failed(position, reason)),
-    }
-}
-
 /// Wait of the next watch of a family.
 ///
 /// A watch that meets a silence of the store may stay without an answer for good, on a connection that looks healthy. Only
@@ -262,16 +200,26 @@
         let wait = watch_wait(&shared.settings, family, mode);
         // Discards interruptions that arrived after the end of the previous watch.
         while interruptions.try_recv().is_ok() {}
+        if shared.watch_progress().must_list(family) {
+            return Interruption {
+                position: Position::Restored,
+                failure: None,
+            };
+        }
         let call = shared
             .registry
             .watch(family, revision, mode.freshness(), wait, timeout);
-        let watch = async { Some(call.await.outcome) };
+        let watch = async { Some(call.await) };
         let interruption = async { interruptions.recv().await.ok().and(None) };
-        let outcome = future::or(watch, interruption).await;
+        let answer = future::or(watch, interruption).await;
         shared.watch_progress().watch_ended(family);
-        let Some(outcome) = outcome else {
+        let Some(answer) = answer else {
             continue;
         };
+        let outcome = match current_outcome(shared, answer) {
+            Ok(outcome) => outcome,
+            Err(interruption) => return interruption,
+        };
         match outcome {
             WatchOutcome::Changed {
                 changes,
@@ -330,21 +278,6 @@
     Some(if first > known { last } else { watched })
 }
 
-/// Records the known revision of a family. The store reader also announces a new change to the VMs of the region.
-fn record_and_announce(
-    shared: &Shared,
-    family: Family,
-    revision: Revision,
-    last_change: Option<Revision>,
-) {
-    if shared
-        .watch_progress()
-        .record_and_check_new_change(family, revision, last_change)
-    {
-        peers::announce_revisions_as_reader(shared);
-    }
-}
-
 /// Pause between two calls for a family. Changes in this time are read as a batch, as each call has a cost.
 fn batch_time(shared: &Shared, family: Family) -> Millis {
     let settings = &shared.settings;
--- a/crates/waxwingrail/src/edge/watch_progress.rs
+++ b/crates/waxwingrail/src/edge/watch_progress.rs
@@ -8,11 +8,14 @@
 #[cfg(test)]
 mod tests;
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 
 use async_channel::{Receiver, Sender};
 use waxwing_store::{Family, Freshness};
-use waxwing_types::{Millis, Revision, common_derives};
+use waxwing_types::{Millis, Revision, StoreEpoch, common_derives};
+
+use super::restore::AnswerEpoch;
 
 /// Time after startup in which a VM learns of the other VMs and does not act as the store reader yet. The limits
 /// on the delay of changes, `max_apply_delay` and `max_drain_delay`, apply only to processes that have run for
@@ -30,6 +33,8 @@
 /// Time without a report from a store reader after which a VM watches the latest state itself. A reader sends a
 /// report every second while its calls to the store succeed. Reports are datagrams, which may be lost.
 const READER_TIMEOUT: Millis = Millis(3500);
+/// Time after a restore of the store for which this VM watches the latest state. A recent state may be that of before the restore.
+const RESTORE_TIME: Millis = Millis::from_secs(8);
 
 common_derives! {
     copy
@@ -63,6 +68,8 @@
 
 /// The revisions of one family that this VM and other VMs know.
 struct FamilyProgress {
+    /// Epoch of the store in which the family was listed. In another epoch, the revisions are void.
+    epoch: Option<StoreEpoch>,
     /// Revision up to which this VM knows all changes.
     known_revision: Revision,
     /// Revision of the last change of the family that this VM has read.
@@ -88,6 +95,12 @@
     started_at: Millis,
     /// Time of the last report of another VM.
     last_report_at: Millis,
+    /// Highest epoch that an answer of the store has stated, `None` before the first one.
+    epoch: Option<StoreEpoch>,
+    /// Whether another VM has reported a higher epoch.
+    is_later_epoch_reported: bool,
+    /// Time at which this VM learned of the last restore of the store.
+    restored_at: Option<Millis>,
     families: BTreeMap<Family, FamilyProgress>,
 }
 
@@ -96,6 +109,9 @@
         Self {
             started_at: now,
             last_report_at: now,
+            epoch: None,
+            is_later_epoch_reported: false,
+            restored_at: None,
             families: BTreeMap::new(),
         }
     }
@@ -105,6 +121,7 @@
     pub(crate) fn add_family(&mut self, family: Family) -> Receiver<()> {
         let (interruptions, receiver) = async_channel::bounded(1);
         let progress = FamilyProgress {
+            epoch: self.epoch,
             known_revision: Revision::default(),
             last_change: Revision::default(),
             reported: (Revision::default(), Millis::ZERO),
@@ -126,7 +143,7 @@
         let must_catch_up = self.families.get(&family).is_some_and(|progress| {
             progress.is_behind() && now.since(progress.reported.1) >= max_lag(family)
         });
-        if must_catch_up {
+        if must_catch_up || self.is_later_epoch_reported {
             WatchMode::CatchUp
         } else if self.must_watch_latest(now, is_store_reader) {
             WatchMode::Latest
@@ -135,11 +152,85 @@
         }
     }
 
-    /// Whether this VM must watch the latest state, either as the store reader or because no reader sends
-    /// reports. Not in the startup: a watch of a recent state that still waits at its end is interrupted then.
+    /// Whether this VM must watch the latest state: as the store reader, because no reader sends reports, or after a
+    /// restore. Not in the startup: a watch of a recent state that still waits at its end is interrupted then.
     fn must_watch_latest(&self, now: Millis, is_store_reader: bool) -> bool {
         let startup_ended = now.since(self.started_at) >= STARTUP_TIME;
-        startup_ended && (is_store_reader || now.since(self.last_report_at) >= READER_TIMEOUT)
+        let has_no_reports = now.since(self.last_report_at) >= READER_TIMEOUT;
+        startup_ended && (is_store_reader || has_no_reports) || self.is_recent_state_void(now)
+    }
+
+    /// Whether a recent state may still be that of before a restore of the store.
+    fn is_recent_state_void(&self, now: Millis) -> bool {
+        self.restored_at
+            .is_some_and(|restored_at| now.since(restored_at) < RESTORE_TIME)
+    }
+
+    /// How new an answer has to be for which a recent state is enough.
+    pub(crate) fn recent_freshness(&self, now: Millis) -> Freshness {
+        if self.is_recent_state_void(now) {
+            Freshness::Latest
+        } else {
+            Freshness::Recent
+        }
+    }
+
+    /// Whether the store was restored since the family was listed, so that it must be listed again.
+    pub(crate) fn must_list(&self, family: Family) -> bool {
+        let progress = self.families.get(&family);
+        progress.is_some_and(|progress| progress.epoch != self.epoch)
+    }
+
+    /// Highest epoch that an answer of the store has stated, `None` before the first one.
+    pub(crate) fn epoch(&self) -> Option<StoreEpoch> {
+        self.epoch
+    }
+
+    /// Records the epoch that an answer of the store states. After a restore, all revisions are void, and all running watches
+    /// are interrupted.
+    pub(crate) fn record_epoch(&mut self, now: Millis, stated: Option<StoreEpoch>) -> AnswerEpoch {
+        let Some(stated) = stated else {
+            return AnswerEpoch::Current;
+        };
+        let Some(known) = self.epoch else {
+            self.epoch = Some(stated);
+            for progress in self.families.values_mut() {
+                progress.epoch = Some(stated);
+            }
+            return AnswerEpoch::Current;
+        };
+        match stated.cmp(&known) {
+            Ordering::Less => AnswerEpoch::Earlier,
+            Ordering::Equal => AnswerEpoch::Current,
+            Ordering::Greater => {
+                self.epoch = Some(stated);
+                self.is_later_epoch_reported = false;
+                self.restored_at = Some(now);
+                for progress in self.families.values_mut() {
+                    progress.known_revision = Revision::default();
+                    progress.last_change = Revision::default();
+                    progress.reported = (Revision::default(), Millis::ZERO);
+                    // A message that waits already interrupts the watch as well.
+                    let _ = progress.interruptions.try_send(());
+                }
+                AnswerEpoch::Restored(known)
+            }
+        }
+    }
+
+    /// Records the first list of a family after a restore, with the epoch that the answer stated.
+    pub(crate) fn record_restored_list(
+        &mut self,
+        family: Family,
+        epoch: Option<StoreEpoch>,
+        revision: Revision,
+    ) {
+        let current_epoch = self.epoch;
+        if let Some(progress) = self.families.get_mut(&family) {
+            progress.epoch = epoch.or(current_epoch);
+            progress.known_revision = revision;
+            progress.last_change = Revision::default();
+        }
     }
 
     /// Records the start of a watch.
@@ -177,8 +268,10 @@
         }
     }
 
-    /// Records that the latest state was read. This state contains all reported revisions.
+    /// Records that the latest state was read in the known epoch. This state contains all reported revisions, and the store has
+    /// no later epoch.
     pub(crate) fn record_catch_up(&mut self, family: Family) {
+        self.is_later_epoch_reported = false;
         if let Some(progress) = self.families.get_mut(&family) {
             progress.known_revision = progress.known_revision.max(progress.reported.0);
         }
@@ -192,8 +285,17 @@
     }
 
     /// Records a report of another VM: the revision of the last change of each family, in the order of
-    /// [`Family::ALL`].
-    pub(crate) fn record_report(&mut self, now: Millis, revisions: &[Revision]) {
+    /// [`Family::ALL`], and the epoch in which they hold. Revisions of another epoch cannot be compared.
+    pub(crate) fn record_report(
+        &mut self,
+        now: Millis,
+        epoch: Option<StoreEpoch>,
+        revisions: &[Revision],
+    ) {
+        if epoch != self.epoch {
+            self.is_later_epoch_reported |= self.epoch.is_some() && epoch > self.epoch;
+            return;
+        }
         self.last_report_at = now;
         for (family, revision) in Family::ALL.iter().zip(revisions) {
             let Some(progress) = self.families.get_mut(family) else {
@@ -231,7 +333,7 @@
         Family::ALL.iter().map(last_change_revision).collect()
     }
 
-    /// Interrupts watches that have lacked a reported revision for too long. Also interrupts watches of a
+    /// Interrupts watches that have lacked a reported revision for too long, or if a later epoch was reported. Also interrupts watches of a
     /// recent state if this VM must now watch the latest state. Returns the families of the interrupted watches.
     pub(crate) fn interrupt_outdated(&self, now: Millis, is_store_reader: bool) -> Vec<Family> {
         let mut interrupted_families = Vec::new();
@@ -243,9 +345,8 @@
                 now.since(watch_started_at.max(progress.reported.1)) >= max_lag(*family);
             let must_switch =
                 self.must_watch_latest(now, is_store_reader) && freshness == Freshness::Recent;
-            if ((progress.is_behind() && lag_exceeded) || must_switch)
-                && progress.interruptions.try_send(()).is_ok()
-            {
+            let must_end = progress.is_behind() && lag_exceeded || self.is_later_epoch_reported;
+            if (must_end || must_switch) && progress.interruptions.try_send(()).is_ok() {
                 interrupted_families.push(*family);
             }
         }
--- a/crates/waxwingrail/src/edge/watch_progress/tests.rs
+++ b/crates/waxwingrail/src/edge/watch_progress/tests.rs
@@ -3,10 +3,12 @@
 //!
 //! The reader is the VM of a failure domain that watches the latest state and reports changes to other VMs.
 
-use waxwing_store::Family;
-use waxwing_types::{Millis, Revision};
+use waxwing_store::{Family, Freshness};
+use waxwing_types::{Millis, Revision, StoreEpoch};
 
-use super::{MAX_LAG, READER_TIMEOUT, STARTUP_TIME, WatchMode, WatchProgress};
+use super::{
+    AnswerEpoch, MAX_LAG, READER_TIMEOUT, RESTORE_TIME, STARTUP_TIME, WatchMode, WatchProgress,
+};
 
 const STARTED_AT: Millis = Millis(10_000);
 const FAMILY: Family = Family::Targets;
@@ -64,7 +66,7 @@
     let interruptions = progress.add_family(FAMILY);
     progress.record_and_check_new_change(FAMILY, Revision(5), Some(Revision(5)));
     progress.watch_started(now, FAMILY, WatchMode::Recent);
-    progress.record_report(now, &report(6));
+    progress.record_report(now, None, &report(6));
     assert_eq!(progress.interrupt_outdated(now, false), []);
     assert_eq!(progress.interrupt_outdated(now + MAX_LAG, false), [FAMILY]);
     assert!(interruptions.try_recv().is_ok());
@@ -89,11 +91,11 @@
     let (mut progress, now) = progress_and_startup_end(5);
     let interruptions = progress.add_family(FAMILY);
     progress.watch_started(now, FAMILY, WatchMode::Recent);
-    progress.record_report(now, &report(6));
+    progress.record_report(now, None, &report(6));
     progress.watch_ended(FAMILY);
     progress.record_and_check_new_change(FAMILY, Revision(6), Some(Revision(6)));
     assert_eq!(progress.interrupt_outdated(now + MAX_LAG, false), []);
-    progress.record_report(now + MAX_LAG, &report(7));
+    progress.record_report(now + MAX_LAG, None, &report(7));
     assert_eq!(
         progress.interrupt_outdated(now + MAX_LAG + MAX_LAG, false),
         []
@@ -124,7 +126,7 @@
 fn a_vm_without_reports_from_a_reader_watches_the_latest_state() {
     let (mut progress, now) = progress_and_startup_end(5);
     let _interruptions = progress.add_family(FAMILY);
-    progress.record_report(now, &report(0));
+    progress.record_report(now, None, &report(0));
     progress.watch_started(now, FAMILY, WatchMode::Recent);
     let timed_out = now + READER_TIMEOUT;
     assert_eq!(
@@ -136,7 +138,7 @@
         progress.next_mode(timed_out, FAMILY, false),
         WatchMode::Latest
     );
-    progress.record_report(timed_out, &report(0));
+    progress.record_report(timed_out, None, &report(0));
     assert_eq!(
         progress.next_mode(timed_out, FAMILY, false),
         WatchMode::Recent
@@ -160,9 +162,9 @@
     let (mut progress, now) = progress_and_startup_end(5);
     progress.record_latest_state(now, FAMILY);
     assert_eq!(progress.state_age(now + Millis(700), FAMILY), Millis(700));
-    progress.record_report(now + Millis(700), &report(5));
+    progress.record_report(now + Millis(700), None, &report(5));
     assert_eq!(progress.state_age(now + Millis(900), FAMILY), Millis(200));
-    progress.record_report(now + Millis(1000), &report(6));
+    progress.record_report(now + Millis(1000), None, &report(6));
     assert_eq!(progress.state_age(now + Millis(1100), FAMILY), Millis(400));
 }
 
@@ -175,3 +177,74 @@
     progress.watch_ended(FAMILY);
     assert_eq!(progress.watch_age(now + Millis(300), FAMILY), Millis::ZERO);
 }
+
+/// The progress of a VM that knows revision 50 of epoch 1.
+fn progress_in_epoch_1() -> (WatchProgress, Millis) {
+    let (mut progress, now) = progress_and_startup_end(50);
+    let epoch = Some(StoreEpoch(1));
+    assert_eq!(progress.record_epoch(now, epoch), AnswerEpoch::Current);
+    progress.record_report(now, epoch, &report(50));
+    assert!(!progress.must_list(FAMILY));
+    (progress, now)
+}
+
+/// Guards against revisions of before a restore that hide later changes with lower revisions, at this VM and at the VMs that it
+/// tells of them.
+#[test]
+fn revisions_do_not_outlast_an_epoch() {
+    let (mut progress, now) = progress_in_epoch_1();
+    let (before, epoch) = (StoreEpoch(1), Some(StoreEpoch(2)));
+    let restored = AnswerEpoch::Restored(before);
+    assert_eq!(progress.record_epoch(now, epoch), restored);
+    assert!(progress.must_list(FAMILY));
+    assert_eq!(progress.last_change_revisions(), report(0));
+    // An answer that was on its way during the restore does not count as a list of the new epoch.
+    assert_eq!(
+        progress.record_epoch(now, Some(before)),
+        AnswerEpoch::Earlier
+    );
+    assert!(progress.must_list(FAMILY));
+    progress.record_restored_list(FAMILY, epoch, Revision(30));
+    assert!(!progress.must_list(FAMILY));
+    progress.record_report(now, epoch, &report(31));
+    assert_eq!(
+        progress.next_mode(now + MAX_LAG, FAMILY, false),
+        WatchMode::CatchUp
+    );
+    assert!(progress.record_and_check_new_change(FAMILY, Revision(31), Some(Revision(31))));
+    assert_eq!(progress.last_change_revisions(), report(31));
+}
+
+/// Guards against reports that are compared with revisions of another epoch: one of an earlier epoch would hide the changes that
+/// later reports name, and a VM that learns of a restore only from reports would go on with its old state.
+#[test]
+fn a_report_of_another_epoch_is_not_compared() {
+    let (mut progress, now) = progress_in_epoch_1();
+    let _interruptions = progress.add_family(FAMILY);
+    for earlier in [None, Some(StoreEpoch(0))] {
+        progress.record_report(now + READER_TIMEOUT, earlier, &report(90));
+        let mode = progress.next_mode(now + READER_TIMEOUT, FAMILY, false);
+        assert_eq!(mode, WatchMode::Latest, "{earlier:?}");
+    }
+    progress.watch_started(now, FAMILY, WatchMode::Recent);
+    progress.record_report(now, Some(StoreEpoch(2)), &report(10));
+    assert_eq!(progress.interrupt_outdated(now, false), [FAMILY]);
+    assert_eq!(progress.next_mode(now, FAMILY, false), WatchMode::CatchUp);
+    // The store knows of no later epoch: a wrong report does not keep the VM reading.
+    progress.record_catch_up(FAMILY);
+    assert_eq!(progress.next_mode(now, FAMILY, false), WatchMode::Recent);
+}
+
+/// Guards against a recent state of before a restore that is read as one of after it.
+#[test]
+fn only_the_latest_state_is_read_for_some_time_after_a_restore() {
+    let (mut progress, now) = progress_in_epoch_1();
+    progress.record_epoch(now, Some(StoreEpoch(2)));
+    progress.record_restored_list(FAMILY, Some(StoreEpoch(2)), Revision(30));
+    assert_eq!(progress.next_mode(now, FAMILY, false), WatchMode::Latest);
+    assert_eq!(progress.recent_freshness(now), Freshness::Latest);
+    let later = now + RESTORE_TIME;
+    progress.record_report(later, Some(StoreEpoch(2)), &report(30));
+    assert_eq!(progress.next_mode(later, FAMILY, false), WatchMode::Recent);
+    assert_eq!(progress.recent_freshness(later), Freshness::Recent);
+}
