Ignore the limits of an older deployment

Cause: an older deployment, such as one of a copy from which the store was restored, was ignored as a routing table, but its quotas and its limits for cold targets were applied before the versions were compared. Ruled out: quotas at the VM that admits a request: each admission sets them from the table in force; a coordinator without requests of its own kept the older ones. Change: the version is compared first. Measured: the_limits_of_an_older_deployment_are_ignored (edge_watch.rs), before: the test exceeded 60s, a cold target got no request; now passed. Conclusion: a deployment is used as a whole or not at all.

--- a/crates/waxwingrail/src/edge/apply.rs
+++ b/crates/waxwingrail/src/edge/apply.rs
@@ -197,6 +197,14 @@
         log::warn!(version = record.version, findings = findings.to_string().as_str(); "deployment rejected");
         return;
     }
+    let version = record.version;
+    // The limits of an older deployment must not replace those in use either.
+    if shared
+        .routing_table()
+        .is_some_and(|table| table.version() >= version)
+    {
+        return;
+    }
     let routing_table = RoutingTable::new(record);
     {
         let mut targets = shared.targets();
@@ -210,10 +218,8 @@
     }
     shared.quota().update_specs(now, routing_table.workspaces());
     peers::assign_coordinators(shared, now);
-    let version = routing_table.version();
-    if shared.replace_older_routing_table(routing_table) {
-        log::info!(version = version; "deployment in force");
-    }
+    shared.replace_routing_table(routing_table);
+    log::info!(version = version; "deployment in force");
 }
 
 fn update_evacuations(shared: &Shared, now: Millis) {
--- a/crates/waxwingrail/src/edge/state.rs
+++ b/crates/waxwingrail/src/edge/state.rs
@@ -213,21 +213,13 @@
         routing_table.clone()
     }
 
-    /// Replaces the routing table in use if `routing_table` has a higher version. Returns whether it was
-    /// replaced.
-    pub(crate) fn replace_older_routing_table(&self, routing_table: RoutingTable) -> bool {
+    /// Replaces the routing table in use.
+    pub(crate) fn replace_routing_table(&self, routing_table: RoutingTable) {
         let mut current = self
             .routing_table
             .write()
             .unwrap_or_else(PoisonError::into_inner);
-        if current
-            .as_ref()
-            .is_some_and(|table| table.version() >= routing_table.version())
-        {
-            return false;
-        }
         *current = Some(Arc::new(routing_table));
-        true
     }
 
     pub(crate) fn store_status(&self) -> MutexGuard<'_, StoreStatus> {
--- a/crates/waxwingrail/tests/edge_watch.rs
+++ b/crates/waxwingrail/tests/edge_watch.rs
@@ -11,8 +11,9 @@
 
 use async_io::Timer;
 use fixture::{Fixture, Target, TargetBehavior, deployment, run_test, settings, wait_until};
-use waxwing_records::TargetState;
+use waxwing_records::{Registration, TargetState};
 use waxwing_store::{Entry, Family, Freshness};
+use waxwing_types::{Incarnation, Millis};
 
 /// Guards against removing targets whose entries expired only because the store was down.
 #[test]
@@ -337,3 +338,39 @@
         .await;
     });
 }
+
+/// Guards against limits of an older deployment that are in use although the deployment itself is ignored.
+#[test]
+fn the_limits_of_an_older_deployment_are_ignored() {
+    run_test(async |fixture| {
+        fixture.deploy(deployment(5));
+        let target = Target::start(&fixture.executor, TargetBehavior::Answer).await;
+        let daemon = fixture.ready_daemon().await;
+        let watches = || fixture.registry.watches(Family::Deployment).len();
+        let watches_before = watches();
+        let mut older = deployment(4);
+        older.services[0].cold_rate = 0;
+        fixture.deploy(older);
+        wait_until("the older deployment is read", async || {
+            watches() > watches_before
+        })
+        .await;
+        let cold_target = Registration {
+            id: "t1".into(),
+            incarnation: Incarnation(1),
+            service: "s".into(),
+            address: target.address,
+            domain: "a".into(),
+            slots: 4,
+            state: TargetState::Ready,
+            cold_left: Millis::from_secs(300),
+        };
+        fixture
+            .registry
+            .put(Family::Targets, "t1", Entry::Target(cold_target));
+        wait_until("the cold target gets a request", async || {
+            fixture.call(&daemon, "safe").await.status == 200
+        })
+        .await;
+    });
+}
