Close the idle connections to a server that left a call unanswered

After an outage in which open connections went silent, each call could wait its whole time-out on another idle connection, one after the other.

Cause: a call without an answer closed its own connection only; the next call took the next idle one. With two or more of them a VM exceeds the 4 s in which changes must be in force again. Ruled out: the keep-alive probes of the socket: the peer's system still acknowledges. Change: exchange closes the idle connections to the address when a call gets no answer in time. Requests to targets are not affected: a time-out there mostly shows a busy target. Measured: a_call_after_an_unanswered_one_uses_a_new_connection failed before (second call: no answer within 500 ms) and passes. Conclusion: one unanswered call costs one time-out.

--- a/crates/waxwing_http/src/client.rs
+++ b/crates/waxwing_http/src/client.rs
@@ -136,6 +136,12 @@
         self.inner.pool.prune();
     }
 
+    /// Closes the idle connections to an address. To be called if a request there got no answer: the other connections may
+    /// be silent as well, although the peer still acknowledges what is sent on them.
+    pub fn close_idle(&self, address: SocketAddr) {
+        self.inner.pool.remove(address);
+    }
+
     /// Number of idle connections.
     pub fn idle(&self) -> usize {
         self.inner.pool.len()
--- a/crates/waxwing_http/src/exchange.rs
+++ b/crates/waxwing_http/src/exchange.rs
@@ -27,7 +27,8 @@
     }
 }
 
-/// Sends a request and reads its whole answer of at most `max` bytes within a time.
+/// Sends a request and reads its whole answer of at most `max` bytes within a time. If there is none in time, the idle
+/// connections to the address are closed.
 ///
 /// # Errors
 /// See [`ExchangeError`].
@@ -55,6 +56,7 @@
     // The time may be over between sending and answering, so a write counts as sent.
     let expired = async {
         async_io::Timer::after(timeout.duration()).await;
+        client.close_idle(address);
         Err(ExchangeError::Sent(format!("no answer within {timeout}")))
     };
     future::or(answer, expired).await
--- a/crates/waxwing_http/src/pool.rs
+++ b/crates/waxwing_http/src/pool.rs
@@ -61,6 +61,11 @@
         });
     }
 
+    pub(crate) fn remove(&self, address: SocketAddr) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.remove(&address);
+    }
+
     pub(crate) fn prune(&self) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         for queue in idle.values_mut() {
