--- a/crates/waxwingrail/src/edge/ticks.rs
+++ b/crates/waxwingrail/src/edge/ticks.rs
@@ -28,6 +28,7 @@
         shared.targets().tick(now);
         apply::apply_due_removals(&shared, now);
         watch::interrupt_outdated_watches(&shared, now);
+        watch::log_state_ages(&shared, now);
         peers::exchange_tokens(&shared, now);
     }
 }
--- a/crates/waxwingrail/src/edge/watch.rs
+++ b/crates/waxwingrail/src/edge/watch.rs
@@ -36,6 +36,9 @@
 const RETRY_BACKOFF: (Millis, Millis) = (Millis(60), Millis(800));
 /// Maximum time for which a family waits in an outage, during which only one other family probes the store.
 const MAX_PROBE_WAIT: Millis = Millis::from_secs(4);
+/// Time without a confirmation after which the state of a family is logged as old. A VM that no longer receives the
+/// reports of a store reader needs 3.5 s and one watch to confirm the state itself.
+const MAX_STATE_AGE: Millis = Millis::from_secs(12);
 /// Period at which the waiting families check whether the probe has succeeded.
 const PROBE_POLL_PERIOD: Millis = Millis(100);
 
@@ -316,6 +319,22 @@
     }
 }
 
+/// Logs families whose state in use may be old: for `MAX_STATE_AGE`, neither the store nor a store reader has shown that
+/// this VM has all changes.
+pub(crate) fn log_state_ages(shared: &Shared, now: Millis) {
+    let age_changes = shared.watch_progress().take_age_changes(now, MAX_STATE_AGE);
+    for (family, is_outdated) in age_changes {
+        if is_outdated {
+            log::warn!(
+                family = family.as_str(), age_ms = MAX_STATE_AGE.0;
+                "state may be old: neither the store nor a store reader has confirmed it"
+            );
+        } else {
+            log::info!(family = family.as_str(); "state confirmed again");
+        }
+    }
+}
+
 /// The revision of the last of the changes that a watch from `known` returned; `None` if it returned none. The revision
 /// of the response, `watched`, is higher if entries of other families have changed meanwhile; a VM that knows all changes
 /// of the family need not reach it. It is used if a change states no revision above `known`.
--- a/crates/waxwingrail/src/edge/watch_progress.rs
+++ b/crates/waxwingrail/src/edge/watch_progress.rs
@@ -71,6 +71,8 @@
     reported: (Revision, Millis),
     /// Last time at which this VM was known to have all changes.
     confirmed_at: Millis,
+    /// Whether the last call of [`WatchProgress::take_age_changes`] found the state too old.
+    is_outdated: bool,
     /// Start and freshness of the running watch, `None` between two watches.
     current_watch: Option<(Millis, Freshness)>,
     /// Channel on which the running watch is interrupted.
@@ -109,6 +111,7 @@
             last_change: Revision::default(),
             reported: (Revision::default(), Millis::ZERO),
             confirmed_at: self.started_at,
+            is_outdated: false,
             current_watch: None,
             interruptions,
         };
@@ -215,6 +218,19 @@
         progress.map_or(Millis::ZERO, |progress| now.since(progress.confirmed_at))
     }
 
+    /// Returns the families whose state has become older than `max_age`, or younger again, since the last call, with
+    /// whether it is too old now.
+    pub(crate) fn take_age_changes(&mut self, now: Millis, max_age: Millis) -> Vec<(Family, bool)> {
+        let mut age_changes = Vec::new();
+        for (family, progress) in &mut self.families {
+            let is_outdated = now.since(progress.confirmed_at) > max_age;
+            if std::mem::replace(&mut progress.is_outdated, is_outdated) != is_outdated {
+                age_changes.push((*family, is_outdated));
+            }
+        }
+        age_changes
+    }
+
     /// Time for which the running watch of a family has waited, zero between two watches.
     pub(crate) fn watch_age(&self, now: Millis, family: Family) -> Millis {
         let progress = self.families.get(&family);
--- a/crates/waxwingrail/src/edge/watch_progress/tests.rs
+++ b/crates/waxwingrail/src/edge/watch_progress/tests.rs
@@ -166,6 +166,20 @@
     assert_eq!(progress.state_age(now + Millis(1100), FAMILY), Millis(400));
 }
 
+/// Guards against an old state that the log does not show, or that it shows with every tick.
+#[test]
+fn a_state_that_becomes_old_is_returned_once() {
+    let (mut progress, now) = progress_and_startup_end(5);
+    progress.record_latest_state(now, FAMILY);
+    let max_age = Millis(1000);
+    assert_eq!(progress.take_age_changes(now + max_age, max_age), []);
+    let later = now + max_age + Millis(1);
+    assert_eq!(progress.take_age_changes(later, max_age), [(FAMILY, true)]);
+    assert_eq!(progress.take_age_changes(later, max_age), []);
+    progress.record_report(later, &report(5));
+    assert_eq!(progress.take_age_changes(later, max_age), [(FAMILY, false)]);
+}
+
 /// Guards against a call to the store that waits without an answer and that no metric shows.
 #[test]
 fn the_age_of_a_running_watch_is_known() {
