Do not take the time-out of an old watch for an outage of the store

Cause: a watch of a recent state that met a silence reaches its time-out up to 19.5 s later, in a calm time. Ruled out: shorter waits of such watches: at 295 VMs they would cost more than the calls of all readers. Change: the failure of a watch of a recent state is no outage if a store reader has confirmed the family within 3.5 s; the family is read again at once. Conclusion: only a store that does not answer now delays removals.

--- a/crates/waxwingrail/src/edge/watch.rs
+++ b/crates/waxwingrail/src/edge/watch.rs
@@ -97,7 +97,8 @@
 /// Why the reading of a family stopped, and where it continues.
 struct Interruption {
     position: Position,
-    /// The failure of a call; `None` if the store only dropped its history.
+    /// The failure of a call; `None` if the store only dropped its history, or a watch failed that had met a silence of the
+    /// store long ago.
     failure: Option<String>,
 }
 
@@ -308,7 +309,12 @@
                 };
             }
             WatchOutcome::Unreachable(reason) => {
-                return Interruption::failed(Position::Interrupted(revision), reason);
+                let now = shared.now();
+                let shows_outage = shared.watch_progress().shows_outage(now, family, mode);
+                return Interruption {
+                    position: Position::Interrupted(revision),
+                    failure: shows_outage.then_some(reason),
+                };
             }
         }
     }
--- a/crates/waxwingrail/src/edge/watch_progress.rs
+++ b/crates/waxwingrail/src/edge/watch_progress.rs
@@ -218,6 +218,12 @@
         progress.map_or(Millis::ZERO, |progress| now.since(progress.confirmed_at))
     }
 
+    /// Whether the failure of a watch shows that the store cannot be reached now. A watch of a recent state may have met a
+    /// silence of the store long ago. If a store reader has confirmed the state since, only that watch has failed.
+    pub(crate) fn shows_outage(&self, now: Millis, family: Family, mode: WatchMode) -> bool {
+        mode != WatchMode::Recent || self.state_age(now, family) >= READER_TIMEOUT
+    }
+
     /// Returns the families whose state has become older than `max_age`, or younger again, since the last call, with
     /// whether it is too old now.
     pub(crate) fn take_age_changes(&mut self, now: Millis, max_age: Millis) -> Vec<(Family, bool)> {
--- a/crates/waxwingrail/src/edge/watch_progress/tests.rs
+++ b/crates/waxwingrail/src/edge/watch_progress/tests.rs
@@ -166,6 +166,17 @@
     assert_eq!(progress.state_age(now + Millis(1100), FAMILY), Millis(400));
 }
 
+/// Guards against a removal of a target that is held back in a calm time, as after an outage, because a watch that met a
+/// silence long ago has reached its time-out.
+#[test]
+fn an_old_watch_without_an_answer_is_no_outage() {
+    let (mut progress, now) = progress_and_startup_end(5);
+    progress.record_report(now, &report(5));
+    assert!(!progress.shows_outage(now + Millis(900), FAMILY, WatchMode::Recent));
+    assert!(progress.shows_outage(now + Millis(900), FAMILY, WatchMode::Latest));
+    assert!(progress.shows_outage(now + READER_TIMEOUT, FAMILY, WatchMode::Recent));
+}
+
 /// Guards against an old state that the log does not show, or that it shows with every tick.
 #[test]
 fn a_state_that_becomes_old_is_returned_once() {
