Close a connection on which an answer to another request arrived

Cause: a target that writes an extra copy of an earlier answer where the next one is due leaves the connection one answer ahead. The id of the copy was compared, so that nothing in it applied; but if it had no body, its connection had gone back to the pool before that, and each later request on it got the answer to the one before: 502 until the connection happened to idle. Ruled out: reading on for the right answer. The library ends an exchange with one answer. Change: `Client::send_matching` compares the headers before the connection goes back to the pool, and closes it if they do not match (`SendError::Unmatched`). The edge uses it for the id. The log line is a detail of one request and moves from warn to debug. Conclusion: a copy costs one request, not those after it.

--- a/crates/waxwing_http/src/client.rs
+++ b/crates/waxwing_http/src/client.rs
@@ -51,12 +51,14 @@
     NotSent(hyper::Error),
     /// The connection broke after the first byte was written; the request may have run.
     Broken(hyper::Error),
+    /// The response belongs to another request, and its connection was closed; the request may have run.
+    Unmatched,
 }
 
 impl SendError {
     /// Whether a byte of the request may have reached the other side.
     pub fn may_have_run(&self) -> bool {
-        matches!(self, Self::Broken(_))
+        matches!(self, Self::Broken(_) | Self::Unmatched)
     }
 }
 
@@ -66,6 +68,7 @@
             Self::Connect(error) => write!(f, "cannot connect: {error}"),
             Self::NotSent(error) => write!(f, "nothing sent: {error}"),
             Self::Broken(error) => write!(f, "connection broke: {error}"),
+            Self::Unmatched => write!(f, "the response belongs to another request"),
         }
     }
 }
@@ -112,9 +115,25 @@
     /// # Errors
     /// See [`SendError`].
     pub async fn send(
+        &self,
+        address: SocketAddr,
+        request: Request<Body>,
+    ) -> Result<Response<Body>, SendError> {
+        self.send_matching(address, request, |_| true).await
+    }
+
+    /// Sends a request like [`Client::send`], and expects a response whose headers `matches` accepts.
+    ///
+    /// An extra copy of an earlier response may arrive where the response is due. No later request may use that
+    /// connection: it would get the response to the request before it.
+    ///
+    /// # Errors
+    /// See [`SendError`].
+    pub async fn send_matching(
         &self,
         address: SocketAddr,
         mut request: Request<Body>,
+        matches: impl Fn(&HeaderMap) -> bool,
     ) -> Result<Response<Body>, SendError> {
         set_host(&mut request, address);
         while let Some(mut conn) = self.inner.pool.take(address) {
@@ -123,12 +142,12 @@
             }
             match conn.send(request).await {
                 Outcome::Unsent(returned) => request = returned,
-                outcome => return self.finish(address, conn, outcome),
+                outcome => return self.finish(address, conn, outcome, matches),
             }
         }
         let mut conn = self.open(address).await.map_err(SendError::Connect)?;
         let outcome = conn.send(request).await;
-        self.finish(address, conn, outcome)
+        self.finish(address, conn, outcome, matches)
     }
 
     /// Closes the idle connections whose time is over. To be called now and then.
@@ -156,8 +175,10 @@
         address: SocketAddr,
         mut conn: Conn,
         outcome: Outcome,
+        matches: impl Fn(&HeaderMap) -> bool,
     ) -> Result<Response<Body>, SendError> {
         match outcome {
+            Outcome::Head(response) if !matches(response.headers()) => Err(SendError::Unmatched),
             Outcome::Head(response) => {
                 let (head, incoming) = response.into_parts();
                 conn.kept = kept(&head.headers).or(conn.kept);
--- a/crates/waxwing_http/src/exchange.rs
+++ b/crates/waxwing_http/src/exchange.rs
@@ -44,7 +44,7 @@
             Err(error @ (SendError::Connect(_) | SendError::NotSent(_))) => {
                 return Err(ExchangeError::Unsent(error.to_string()));
             }
-            Err(error @ SendError::Broken(_)) => {
+            Err(error @ (SendError::Broken(_) | SendError::Unmatched)) => {
                 return Err(ExchangeError::Sent(error.to_string()));
             }
         };
--- a/crates/waxwing_testkit/src/caller/call.rs
+++ b/crates/waxwing_testkit/src/caller/call.rs
@@ -203,7 +203,7 @@
                 outcome.reason = "unreachable".into();
                 return (outcome, true);
             }
-            Err(SendError::Broken(_)) => {
+            Err(SendError::Broken(_) | SendError::Unmatched) => {
                 outcome.reason = "broken".into();
                 return (outcome, repeatable);
             }
--- a/crates/waxwingrail/src/edge/forward.rs
+++ b/crates/waxwingrail/src/edge/forward.rs
@@ -147,8 +147,15 @@
     request: Request<Body>,
     slot: &mut TargetSlot,
 ) -> AttemptOutcome {
-    let result = shared.client.send(attempt.target.address, request).await;
-    let response = match result {
+    let header_names = shared.dialect.headers();
+    // An extra copy of an earlier response may arrive where this response is due. Nothing in it applies to this
+    // request, not even the statement that the target did not run the request.
+    let matches = |headers: &HeaderMap| {
+        matches_request_id(attempt.request_head, headers, &header_names.request_id)
+    };
+    let address = attempt.target.address;
+    let result = shared.client.send_matching(address, request, matches);
+    let response = match result.await {
         Ok(response) => response,
         Err(error) => {
             log::debug!(
@@ -157,24 +164,10 @@
             );
             return match error {
                 SendError::Connect(_) | SendError::NotSent(_) => AttemptOutcome::NotSent,
-                SendError::Broken(_) => AttemptOutcome::NoUsableResponse,
+                SendError::Broken(_) | SendError::Unmatched => AttemptOutcome::NoUsableResponse,
             };
         }
     };
-    let header_names = shared.dialect.headers();
-    // An extra copy of an earlier response may arrive where this response is due. Nothing in it applies to this
-    // request, not even the statement that the target did not run the request.
-    if !matches_request_id(
-        attempt.request_head,
-        response.headers(),
-        &header_names.request_id,
-    ) {
-        log::warn!(
-            target_id = attempt.target.id.as_str();
-            "the answer belongs to another request"
-        );
-        return AttemptOutcome::NoUsableResponse;
-    }
     if let Some(report) = parse_load_report(response.headers(), &header_names.load) {
         let now = shared.now();
         shared.targets().on_load_report(now, attempt.key, report);
