Use only answers with the id of the request

Cause: operators of a similar system report that a target wrote an earlier refusal once more on a kept connection, and that callers were told "not run, try again" for requests that ran, or that such a request ran at a second target. Here an answer with another id was not used, but one without any id was: marked as not run, or with status 421, it ended the attempt as not run, although the target was running the request. Ruled out: to take a refusal without an id on a new connection only. Targets return the id with every answer, also with refusals, so that nothing is gained. The same request is not sent to a target twice, so that no copy has its id. Change: an answer without the id of the request is not used, whatever it states; the request counts as one that may have run. A refusal of a process that returns no id now costs an unsafe request a 502. Conclusion: genuine refusals carry the id, and a repeated one no longer counts.

--- a/crates/waxwingrail/src/edge/forward.rs
+++ b/crates/waxwingrail/src/edge/forward.rs
@@ -46,7 +46,7 @@
     NotSent,
     /// The target stated that it did not run the request.
     NotRun,
-    /// The connection broke, the response has the id of another request, or the response has a content
+    /// The connection broke, the response lacks the id of the request, or the response has a content
     /// encoding. The request may have run.
     NoUsableResponse,
     /// No response arrived before the deadline.
@@ -148,10 +148,10 @@
     slot: &mut TargetSlot,
 ) -> AttemptOutcome {
     let header_names = shared.dialect.headers();
-    // An extra copy of an earlier response may arrive where this response is due. Nothing in it applies to this
-    // request, not even the statement that the target did not run the request.
+    // An extra copy of an earlier response may arrive where this response is due, also without an id. Nothing in it
+    // applies to this request, not even the statement that the target did not run the request.
     let matches = |headers: &HeaderMap| {
-        matches_request_id(attempt.request_head, headers, &header_names.request_id)
+        has_request_id(attempt.request_head, headers, &header_names.request_id)
     };
     let address = attempt.target.address;
     let result = shared.client.send_matching(address, request, matches);
@@ -181,13 +181,6 @@
         slot.release(TargetOutcome::Shed);
         return AttemptOutcome::NotRun;
     }
-    if !has_request_id(
-        attempt.request_head,
-        response.headers(),
-        &header_names.request_id,
-    ) {
-        return AttemptOutcome::NoUsableResponse;
-    }
     if response.headers().contains_key(CONTENT_ENCODING) {
         return AttemptOutcome::NoUsableResponse;
     }
@@ -247,18 +240,8 @@
     }
 }
 
-/// Whether a response may belong to a request: it has the id of the request, or no id.
-fn matches_request_id(
-    request_head: &Parts,
-    response_headers: &HeaderMap,
-    id_header: &HeaderName,
-) -> bool {
-    let response_id = response_headers.get(id_header);
-    response_id.is_none() || response_id == request_head.headers.get(id_header)
-}
-
-/// Whether a response has the id of a request, if the request has one. Targets return the id with each response of a
-/// request that they ran.
+/// Whether a response has the id of a request, if the request has one. Targets return the id with each response, also
+/// when they refuse.
 fn has_request_id(
     request_head: &Parts,
     response_headers: &HeaderMap,
