Compare request ids in the daemon of shard leases as well

Cause: the daemon of shard leases did not look at the id of an answer. A refusal of an earlier request, written once more with its id, ended the attempt as not run, and the answer of another request would have been passed on. Ruled out: to require an id. This daemon's targets need not return one, and its callers need not send one. Change: an answer whose `X-Request-Id` is not that of the request is not used and closes its connection; the request counts as one that may have run. Conclusion: repeated answers are noticed if targets return the ids of requests; without ids they still cannot be told apart.

--- a/crates/waxwingrail/src/request/driver.rs
+++ b/crates/waxwingrail/src/request/driver.rs
@@ -19,7 +19,7 @@
 };
 use waxwing_types::{Millis, Ran, RefusalReason, RegionId};
 
-use super::outbound::{OutboundRequest, is_marked_not_run};
+use super::outbound::{OutboundRequest, is_marked_not_run, send};
 use super::relay::RelayedBody;
 use super::upload::{Upload, UploadError};
 use super::{idempotency_record, refuse, refuse_not_run};
@@ -331,7 +331,7 @@
         // Releases the connection of the previous attempt's response.
         self.response = None;
         let client = self.shared.client.clone();
-        self.http_call = Some(Box::pin(async move { client.send(address, request).await }));
+        self.http_call = Some(Box::pin(send(client, address, request)));
     }
 
     fn forward(&mut self, region: &RegionId, deadline: Millis) {
--- a/crates/waxwingrail/src/request/outbound.rs
+++ b/crates/waxwingrail/src/request/outbound.rs
@@ -1,14 +1,17 @@
 //! Builds the requests that are sent to targets and to entry VMs of other regions.
 
+use std::net::SocketAddr;
+
 use hyper::header::{AUTHORIZATION, EXPECT, HOST, HeaderValue};
 use hyper::http::request::Parts;
-use hyper::{HeaderMap, Method, Request, Uri};
+use hyper::{HeaderMap, Method, Request, Response, Uri};
 use waxwing_core::{Flow, IncomingRequest, PresentedKey};
-use waxwing_http::{Body, remove_hop_headers, remove_proxy_headers};
+use waxwing_http::{Body, Client, SendError, remove_hop_headers, remove_proxy_headers};
 use waxwing_types::{Millis, RegionId, WorkspaceId};
 
 use super::parse::{
-    REQUEST_TIMEOUT_MS, X_CLIENT, X_FROM_REGION, X_KEY_HASH, X_KEY_ID, X_NOT_RUN, X_WORKSPACE,
+    REQUEST_TIMEOUT_MS, X_CLIENT, X_FROM_REGION, X_KEY_HASH, X_KEY_ID, X_NOT_RUN, X_REQUEST_ID,
+    X_WORKSPACE,
 };
 
 /// The parts of a request that are the same for all its attempts.
@@ -104,6 +107,20 @@
     }
 }
 
+/// Sends a request. A response with the id of another request, an extra copy of an earlier response, is not returned.
+pub(crate) async fn send(
+    client: Client,
+    address: SocketAddr,
+    request: Request<Body>,
+) -> Result<Response<Body>, SendError> {
+    let id = request.headers().get(X_REQUEST_ID).cloned();
+    let matches = move |response: &HeaderMap| match (&id, response.get(X_REQUEST_ID)) {
+        (Some(sent), Some(returned)) => sent == returned,
+        (Some(_), None) | (None, _) => true,
+    };
+    client.send_matching(address, request, matches).await
+}
+
 /// Whether a response states that the request was not run.
 pub(crate) fn is_marked_not_run(headers: &HeaderMap) -> bool {
     headers.get(X_NOT_RUN).is_some_and(|value| value == "1")
--- a/crates/waxwingrail/src/request/parse.rs
+++ b/crates/waxwingrail/src/request/parse.rs
@@ -14,6 +14,8 @@
 pub(crate) const X_WORKSPACE: HeaderName = HeaderName::from_static("x-workspace");
 /// Set to `1` on a response if the request was not run.
 pub(crate) const X_NOT_RUN: HeaderName = HeaderName::from_static("x-not-run");
+/// Id that a caller gives a request, which targets may return.
+pub(crate) const X_REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
 /// Region of the entry VM that forwards a request.
 pub(crate) const X_FROM_REGION: HeaderName = HeaderName::from_static("x-from-region");
 /// Public id of the caller's API key, sent between entry VMs.
--- a/crates/waxwingrail/tests/broken_answers.rs
+++ b/crates/waxwingrail/tests/broken_answers.rs
@@ -1,4 +1,4 @@
-//! Targets of the daemon that stop in the middle of an answer.
+//! Targets of the daemon that stop in the middle of an answer, or write an earlier one once more.
 
 mod common;
 mod scripted;
@@ -97,3 +97,30 @@
         assert_eq!(target.requests(), 2);
     });
 }
+
+/// Refusals of the request `id-1` as a target repeats them.
+const REFUSALS: [&str; 3] = [
+    "HTTP/1.1 503 Busy\r\nx-request-id: id-1\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n",
+    "HTTP/1.1 429 Busy\r\nx-request-id: id-1\r\nx-not-run: 1\r\ncontent-length: 4\r\n\r\nbusy",
+    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 Busy\r\nx-request-id: id-1\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n",
+];
+
+/// Guards against a repeated refusal of an earlier request that is taken for the answer to a request that runs: the caller is
+/// told that the request has not run.
+#[test]
+fn a_repeated_refusal_does_not_apply_to_a_running_request() {
+    run_test(|mut env| async move {
+        let script = REFUSALS.iter().flat_map(|refusal| {
+            let second = vec![write(*refusal), pause(), answer()];
+            [vec![answer()], second]
+        });
+        let (daemon, target) = start_daemon(&mut env, script.collect()).await;
+        for refusal in REFUSALS {
+            let (first, _) = call(&env, &daemon, "id-1", text_body("body")).await;
+            assert_eq!(first, 200, "before {refusal}");
+            let (second, _) = call(&env, &daemon, "id-2", text_body(refusal)).await;
+            assert_eq!(second, 502, "{refusal}");
+        }
+        assert_eq!(target.requests(), 1 + 2 * REFUSALS.len());
+    });
+}
