--- a/crates/waxwingrail/tests/edge/fixture.rs
+++ b/crates/waxwingrail/tests/edge/fixture.rs
@@ -5,6 +5,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use async_executor::Executor;
@@ -95,6 +96,12 @@
 }
 
 impl Fixture {
+    /// Number of panics in the worker threads.
+    pub(crate) fn panic_count(&self) -> u64 {
+        let workers = self.workers.as_ref().expect("workers");
+        workers.panic_count().load(Ordering::Relaxed)
+    }
+
     pub(crate) async fn start_daemon(&self, vm: &str, incarnation: u64) -> EdgeDaemon {
         let components = EdgeComponents {
             clock: Arc::new(MonotonicClock::new()),
