--- a/crates/waxwingrail/src/edge/list.rs
+++ b/crates/waxwingrail/src/edge/list.rs
@@ -26,7 +26,8 @@
 /// Why the reading of a family stopped, and where it continues.
 pub(crate) struct Interruption {
     pub(crate) position: Position,
-    /// The failure of a call; `None` if the store only dropped its history or was restored.
+    /// The failure of a call; `None` if the store only dropped its history or was restored, or a watch failed that had met a
+    /// silence of the store long ago.
     pub(crate) failure: Option<String>,
 }
 
--- a/crates/waxwingrail/src/edge/watch.rs
+++ b/crates/waxwingrail/src/edge/watch.rs
@@ -5,6 +5,9 @@
 //! store, or a recent state, which may lag by some seconds and costs the store less. One VM of each failure
 //! domain, the store reader, watches the latest state and reports the revisions of changes to the other VMs.
 
+#[cfg(test)]
+mod tests;
+
 use std::sync::Arc;
 
 use async_channel::Receiver;
@@ -28,17 +31,23 @@
 /// Margin between the longest watch and `store_history`, the time for which the store keeps changes. If the store
 /// has dropped the changes that the next watch needs, the family must be listed again, an additional call.
 const HISTORY_MARGIN: Millis = Millis::from_secs(2);
-/// Part of `store_recovery` in which a change that a store reader has read after an outage reaches the other VMs.
-const REPORT_MARGIN: Millis = Millis(1000);
+/// Part of `store_recovery` after the failure of a watch in which its changes reach all VMs: backoff, calls of a slow store,
+/// and the time for which other VMs may lack a reported revision.
+const REPORT_MARGIN: Millis = Millis(1600);
+/// Time after the end of its wait within which a watch of the latest state must be answered, also by a slow store.
+const MAX_ANSWER_TIME: Millis = Millis(1000);
 /// Minimum wait of a watch, however short `store_recovery` is.
 const MIN_WATCH_WAIT: Millis = Millis(500);
-/// Maximum wait of a watch of the latest entries of VMs. No limit on the delay of changes depends on them.
-const MAX_VMS_WATCH_WAIT: Millis = Millis::from_secs(8);
+/// Maximum wait of a watch of the latest entries of VMs. Until a new VM is known, it gets no callers.
+const MAX_VMS_WATCH_WAIT: Millis = Millis::from_secs(3);
 /// Initial and maximum backoff after failed calls, without jitter. Calls must succeed within `store_recovery` after an
 /// outage: then the limits on the delay of changes, `max_apply_delay` and `max_drain_delay`, apply again.
 const RETRY_BACKOFF: (Millis, Millis) = (Millis(60), Millis(800));
 /// Maximum time for which a family waits in an outage, during which only one other family probes the store.
 const MAX_PROBE_WAIT: Millis = Millis::from_secs(4);
+/// Time without a confirmation after which the state of a family is logged as old. A VM that no longer receives the
+/// reports of a store reader needs 3.5 s and one watch to confirm the state itself.
+const MAX_STATE_AGE: Millis = Millis::from_secs(12);
 /// Period at which the waiting families check whether the probe has succeeded.
 const PROBE_POLL_PERIOD: Millis = Millis(100);
 
@@ -162,20 +171,22 @@
     }
 }
 
-/// Wait of the next watch of a family.
+/// Wait of the next watch of a family, and the time after its end within which the store must answer.
 ///
 /// A watch that meets a silence of the store may stay without an answer for good, on a connection that looks healthy. Only
 /// the end of its wait shows that. A watch of the latest state therefore waits no longer than `store_recovery` allows. A
 /// watch of a recent state may wait longer, because store readers report what it lacks.
-fn watch_wait(settings: &EdgeSettings, family: Family, mode: WatchMode) -> Millis {
+fn watch_times(settings: &EdgeSettings, family: Family, mode: WatchMode) -> (Millis, Millis) {
     let longest = (settings.store_history - HISTORY_MARGIN).min(MAX_WATCH_WAIT);
+    let timeout = settings.store_timeout;
+    let answer_time = timeout.min(MAX_ANSWER_TIME);
     match (mode, family) {
-        (WatchMode::CatchUp, _) => Millis::ZERO,
-        (WatchMode::Recent, _) => longest,
-        (WatchMode::Latest, Family::Vms) => longest.min(MAX_VMS_WATCH_WAIT),
+        (WatchMode::CatchUp, _) => (Millis::ZERO, timeout),
+        (WatchMode::Recent, _) => (longest, timeout),
+        (WatchMode::Latest, Family::Vms) => (longest.min(MAX_VMS_WATCH_WAIT), answer_time),
         (WatchMode::Latest, Family::Deployment | Family::Targets | Family::Evacuations) => {
-            let silence = settings.store_recovery - REPORT_MARGIN;
-            longest.min((silence - settings.store_timeout).max(MIN_WATCH_WAIT))
+            let wait = settings.store_recovery - REPORT_MARGIN - answer_time;
+            (longest.min(wait.max(MIN_WATCH_WAIT)), answer_time)
         }
     }
 }
@@ -187,7 +198,6 @@
     mut revision: Revision,
     interruptions: &Receiver<()>,
 ) -> Interruption {
-    let timeout = shared.settings.store_timeout;
     loop {
         let now = shared.now();
         let is_store_reader = shared.fleet().is_store_reader(now);
@@ -197,7 +207,7 @@
             progress.watch_started(now, family, mode);
             mode
         };
-        let wait = watch_wait(&shared.settings, family, mode);
+        let (wait, timeout) = watch_times(&shared.settings, family, mode);
         // Discards interruptions that arrived after the end of the previous watch.
         while interruptions.try_recv().is_ok() {}
         if shared.watch_progress().must_list(family) {
@@ -247,7 +257,12 @@
                 };
             }
             WatchOutcome::Unreachable(reason) => {
-                return Interruption::failed(Position::Interrupted(revision), reason);
+                let now = shared.now();
+                let shows_outage = shared.watch_progress().shows_outage(now, family, mode);
+                return Interruption {
+                    position: Position::Interrupted(revision),
+                    failure: shows_outage.then_some(reason),
+                };
             }
         }
     }
@@ -265,6 +280,22 @@
     }
 }
 
+/// Logs families whose state in use may be old: for `MAX_STATE_AGE`, neither the store nor a store reader has shown that
+/// this VM has all changes.
+pub(crate) fn log_state_ages(shared: &Shared, now: Millis) {
+    let age_changes = shared.watch_progress().take_age_changes(now, MAX_STATE_AGE);
+    for (family, is_outdated) in age_changes {
+        if is_outdated {
+            log::warn!(
+                family = family.as_str(), age_ms = MAX_STATE_AGE.0;
+                "state may be old: neither the store nor a store reader has confirmed it"
+            );
+        } else {
+            log::info!(family = family.as_str(); "state confirmed again");
+        }
+    }
+}
+
 /// The revision of the last of the changes that a watch from `known` returned; `None` if it returned none. The revision
 /// of the response, `watched`, is higher if entries of other families have changed meanwhile; a VM that knows all changes
 /// of the family need not reach it. It is used if a change states no revision above `known`.
--- a/crates/waxwingrail/src/edge/watch_progress.rs
+++ b/crates/waxwingrail/src/edge/watch_progress.rs
@@ -25,7 +25,7 @@
 /// changes is 2.5 s, which must cover the sum of four times: the time for which the reader batches changes of
 /// targets (0.9 s), this constant, two periods (250 ms each) of the check for outdated watches, and one call to the
 /// store.
-const MAX_LAG: Millis = Millis(400);
+pub(super) const MAX_LAG: Millis = Millis(400);
 /// Time for which a recent state may lack a reported revision of the entries of VMs. No limit on the delay of changes
 /// depends on these entries: heartbeats show which VMs are live. When a large fleet starts, recent states lag by 4 s and more.
 const MAX_VMS_LAG: Millis = Millis::from_secs(8);
@@ -78,6 +78,8 @@
     reported: (Revision, Millis),
     /// Last time at which this VM was known to have all changes.
     confirmed_at: Millis,
+    /// Whether the last call of [`WatchProgress::take_age_changes`] found the state too old.
+    is_outdated: bool,
     /// Start and freshness of the running watch, `None` between two watches.
     current_watch: Option<(Millis, Freshness)>,
     /// Channel on which the running watch is interrupted.
@@ -126,6 +128,7 @@
             last_change: Revision::default(),
             reported: (Revision::default(), Millis::ZERO),
             confirmed_at: self.started_at,
+            is_outdated: false,
             current_watch: None,
             interruptions,
         };
@@ -304,7 +307,8 @@
             if *revision > progress.reported.0 {
                 progress.reported = (*revision, now);
             }
-            if !progress.is_behind() {
+            let is_listed = progress.epoch == epoch;
+            if is_listed && !progress.is_behind() {
                 progress.confirmed_at = now;
             }
         }
@@ -317,6 +321,25 @@
         progress.map_or(Millis::ZERO, |progress| now.since(progress.confirmed_at))
     }
 
+    /// Whether the failure of a watch shows that the store cannot be reached now. A watch of a recent state may have met a
+    /// silence of the store long ago. If a store reader has confirmed the state since, only that watch has failed.
+    pub(crate) fn shows_outage(&self, now: Millis, family: Family, mode: WatchMode) -> bool {
+        mode != WatchMode::Recent || self.state_age(now, family) >= READER_TIMEOUT
+    }
+
+    /// Returns the families whose state has become older than `max_age`, or younger again, since the last call, with
+    /// whether it is too old now.
+    pub(crate) fn take_age_changes(&mut self, now: Millis, max_age: Millis) -> Vec<(Family, bool)> {
+        let mut age_changes = Vec::new();
+        for (family, progress) in &mut self.families {
+            let is_outdated = now.since(progress.confirmed_at) > max_age;
+            if std::mem::replace(&mut progress.is_outdated, is_outdated) != is_outdated {
+                age_changes.push((*family, is_outdated));
+            }
+        }
+        age_changes
+    }
+
     /// Time for which the running watch of a family has waited, zero between two watches.
     pub(crate) fn watch_age(&self, now: Millis, family: Family) -> Millis {
         let progress = self.families.get(&family);
