--- a/crates/waxwing_http/src/exchange.rs
+++ b/crates/waxwing_http/src/exchange.rs
@@ -16,13 +16,15 @@
     Unsent(String),
     /// The request may have taken effect.
     Sent(String),
+    /// The answer is longer than allowed. The request may have taken effect.
+    TooLong(String),
 }
 
 impl ExchangeError {
     /// The reason.
     pub fn reason(self) -> String {
         match self {
-            Self::Unsent(reason) | Self::Sent(reason) => reason,
+            Self::Unsent(reason) | Self::Sent(reason) | Self::TooLong(reason) => reason,
         }
     }
 }
@@ -49,7 +51,7 @@
             }
         };
         let (head, body) = response.into_parts();
-        let body = read(body, max).await.map_err(ExchangeError::Sent)?;
+        let body = read(body, max).await?;
         Ok(Response::from_parts(head, body))
     };
     // The time may be over between sending and answering, so a write counts as sent.
@@ -62,14 +64,16 @@
 
 /// Reads frame by frame: the compiler cannot show that the future of [`crate::collect`] over a
 /// [`Body`] is `Send`.
-async fn read(mut body: Body, max: usize) -> Result<Vec<u8>, String> {
+async fn read(mut body: Body, max: usize) -> Result<Vec<u8>, ExchangeError> {
     let mut whole = Vec::new();
     while let Some(frame) = body.frame().await {
-        let Ok(data) = frame.map_err(|e| e.to_string())?.into_data() else {
+        let frame = frame.map_err(|e| ExchangeError::Sent(e.to_string()))?;
+        let Ok(data) = frame.into_data() else {
             continue;
         };
         if whole.len() + data.len() > max {
-            return Err(format!("the answer exceeds {max} bytes"));
+            let reason = format!("the answer exceeds {max} bytes");
+            return Err(ExchangeError::TooLong(reason));
         }
         whole.extend_from_slice(&data);
     }
--- a/crates/waxwing_store/src/http.rs
+++ b/crates/waxwing_store/src/http.rs
@@ -60,7 +60,9 @@
         match self.call(request, timeout).await {
             Ok(answer) => write_outcome(&answer),
             Err(ExchangeError::Unsent(reason)) => WriteOutcome::Unreachable(reason),
-            Err(ExchangeError::Sent(reason)) => WriteOutcome::Unknown(reason),
+            Err(ExchangeError::Sent(reason) | ExchangeError::TooLong(reason)) => {
+                WriteOutcome::Unknown(reason)
+            }
         }
     }
 
