Warn of an answer to another request as documented

Cause: the close of connections on which an answer to another request arrived dropped the warning that the operations page lists, and left a debug line. Ruled out: nothing. Change: the warning is back. Conclusion: operators see repeated answers as before.

--- a/crates/waxwingrail/src/edge/forward.rs
+++ b/crates/waxwingrail/src/edge/forward.rs
@@ -158,6 +158,12 @@
     let response = match result.await {
         Ok(response) => response,
         Err(error) => {
+            if matches!(error, SendError::Unmatched) {
+                log::warn!(
+                    target_id = attempt.target.id.as_str();
+                    "the answer belongs to another request"
+                );
+            }
             log::debug!(
                 target_id = attempt.target.id.as_str(), error = error.to_string().as_str();
                 "request to target failed"
--- a/crates/waxwingrail/tests/edge_extremes.rs
+++ b/crates/waxwingrail/tests/edge_extremes.rs
@@ -1,4 +1,4 @@
-//! Tests of the edge daemon with entries whose numbers are as large as their types allow.
+//! Tests of the edge daemon with entries whose numbers are as large as their types allow, or that cannot be read.
 
 #[path = "edge/fixture.rs"]
 mod fixture;
@@ -98,3 +98,26 @@
         assert_eq!(fixture.panic_count(), 0);
     });
 }
+
+/// Guards against an entry without a readable name or content that takes the deployment out of force, or targets out of use that
+/// it does not name.
+#[test]
+fn unreadable_entries_leave_the_deployment_and_the_targets_in_use() {
+    run_test(async |fixture| {
+        let (daemon, _target) = fixture.daemon_with_target().await;
+        for family in Family::ALL {
+            for name in ["", "main", "odd"] {
+                let entry = Entry::Unreadable("recursion limit exceeded".into());
+                fixture.registry.put(family, name, entry);
+            }
+        }
+        wait_until("the entries are counted", async || {
+            let (_, metrics) = fixture.get(daemon.metrics_address(), "/metrics", "").await;
+            let counts = metrics.lines().filter(|line| line.contains("unreadable"));
+            counts.filter(|line| line.ends_with(" 3")).count() == Family::ALL.len()
+        })
+        .await;
+        assert_eq!(fixture.call(&daemon, "unsafe").await.status, 200);
+        assert_eq!(fixture.panic_count(), 0);
+    });
+}
