--- a/crates/waxwingrail/tests/edge/fixture.rs
+++ b/crates/waxwingrail/tests/edge/fixture.rs
@@ -169,9 +169,20 @@
 
     /// Creates or replaces the registry entry of a target of service `s` in failure domain `a`.
     pub(crate) fn register_target(&self, id: &str, address: SocketAddr, state: TargetState) {
+        self.register_process(id, 1, address, state);
+    }
+
+    /// Creates or replaces the registry entry of a process of a target.
+    pub(crate) fn register_process(
+        &self,
+        id: &str,
+        incarnation: u64,
+        address: SocketAddr,
+        state: TargetState,
+    ) {
         let entry = Registration {
             id: id.into(),
-            incarnation: Incarnation(1),
+            incarnation: Incarnation(incarnation),
             service: "s".into(),
             address,
             domain: "a".into(),
@@ -191,7 +202,7 @@
         let list = self
             .registry
             .list(Family::Vms, Freshness::Latest, Millis::from_secs(1));
-        let ListOutcome::Listed { entries, .. } = list.await else {
+        let ListOutcome::Listed { entries, .. } = list.await.outcome else {
             panic!("no list");
         };
         let peer = entries.into_iter().find_map(|change| match change.entry {
