Send nothing to a target that says in a response that it leaves

Cause: the daemon read no header by which a target says that it is leaving. Ruled out: telling the other VMs in heartbeats (docs/platform.md); a mark in the target only, which the removal of its entry would drop. `is_usable` and with it the capacities of regions follow it at once. The dialects name the header, `edge/notice.rs` reads it after the check of the request id and of 421. Conclusion: a process that has said that it is leaving gets nothing more from that VM, whatever the registry says.

--- a/crates/waxwing_edge/src/lib.rs
+++ b/crates/waxwing_edge/src/lib.rs
@@ -25,6 +25,7 @@
 pub use retry_budget::{RetryBudgetConfig, RetryBudgets};
 pub use routing_table::{RouteMatch, RoutingTable};
 pub use target::{
-    ColdStartLimit, LoadReport, SelectedTarget, Selection, TargetCriteria, TargetKey,
-    TargetObservation, TargetOutcome, TargetPool, Topology,
+    ColdStartLimit, LoadReport, NoticeChange, NoticeKind, NoticedTarget, SelectedTarget, Selection,
+    TargetCriteria, TargetKey, TargetNotice, TargetObservation, TargetOutcome, TargetPool,
+    Topology,
 };
--- a/crates/waxwing_edge/src/target/mod.rs
+++ b/crates/waxwing_edge/src/target/mod.rs
@@ -5,6 +5,7 @@
 //! A cold target tolerates only a few requests ([`ColdStartLimit`]).
 
 mod cold_start;
+mod notice;
 mod observation;
 mod pool;
 mod select;
@@ -13,10 +14,11 @@
 use std::net::SocketAddr;
 
 use slotmap::new_key_type;
-use waxwing_types::{DomainId, Millis, RegionId, ServiceId, TargetId, common_derives};
+use waxwing_types::{DomainId, Incarnation, Millis, RegionId, ServiceId, TargetId, common_derives};
 
 use crate::Priority;
 
+pub use notice::{NoticeChange, NoticeKind, NoticedTarget, TargetNotice};
 pub use observation::TargetObservation;
 pub use pool::TargetPool;
 
@@ -70,6 +72,8 @@
         /// Id of the target. The request carries this id, by which another process at the same address
         /// detects that the request is not meant for it ([`TargetOutcome::Misdirected`]).
         pub id: TargetId,
+        /// The process of the target.
+        pub incarnation: Incarnation,
         /// Address to send the request to.
         pub address: SocketAddr,
         /// Region of the target.
--- a/crates/waxwing_edge/src/target/pool.rs
+++ b/crates/waxwing_edge/src/target/pool.rs
@@ -6,6 +6,7 @@
 use waxwing_records::Registration;
 use waxwing_types::{DomainId, Millis, RegionId, ServiceId, TargetId};
 
+use super::notice::NoticeMemory;
 use super::tracked::{OtherVmLoadEstimator, TrackedTarget, short_hash};
 use super::{ColdStartLimit, LoadReport, TargetKey, TargetOutcome, Topology};
 use crate::hash::hash_bytes;
@@ -48,9 +49,10 @@
     pub(crate) regions: Vec<RegionId>,
     pub(crate) own_region_index: usize,
     pub(crate) targets: SlotMap<TargetKey, TrackedTarget>,
-    keys_by_id: HashMap<TargetId, TargetKey>,
+    pub(super) keys_by_id: HashMap<TargetId, TargetKey>,
     pub(super) keys_by_short_hash: HashMap<u32, TargetKey>,
     pub(crate) services: HashMap<ServiceId, ServiceTargets>,
+    pub(super) notice_memory: NoticeMemory,
     evacuated_domains: HashSet<DomainId>,
     /// Hash of this VM's id.
     pub(super) own_vm_hash: u64,
@@ -73,14 +75,15 @@
         )
     }
 
-    /// Whether a target may get a request now. The target must be ready (by its registration), must not be
-    /// ejected (after failures), and must not be in an evacuated failure domain. If the target is cold, this VM
+    /// Whether a target may get a request now. The target must be ready (by its registration and by what it said
+    /// itself), must not be ejected (after failures), and must not be in an evacuated failure domain. If the target is cold, this VM
     /// also needs a cold start token for the target.
     pub(crate) fn is_usable(&self, now: Millis, key: TargetKey) -> bool {
         let Some(target) = self.targets.get(key) else {
             return false;
         };
         target.is_ready()
+            && target.notices.allows_requests()
             && target.is_not_ejected(now)
             && !self.evacuated_domains.contains(&target.registration.domain)
             && (!target.is_cold(now) || target.has_cold_start_token())
@@ -149,6 +152,7 @@
             keys_by_id: HashMap::new(),
             keys_by_short_hash: HashMap::new(),
             services: HashMap::new(),
+            notice_memory: NoticeMemory::default(),
             evacuated_domains: HashSet::new(),
             own_vm_hash,
             region_vm_hashes: vec![own_vm_hash],
@@ -182,7 +186,7 @@
                 target.update(now, registration);
                 return;
             }
-            self.remove(&registration.id);
+            self.remove(now, &registration.id);
         }
         let region_index_and_id = self.region_index_and_id_of(&registration.domain);
         let region_index = region_index_and_id.0;
@@ -190,13 +194,17 @@
         let id_hash = hash_bytes(registration.id.as_str().as_bytes());
         let service_id = registration.service.clone();
         let id = registration.id.clone();
-        let target = TrackedTarget::new(
+        let notices = self
+            .notice_memory
+            .recall(now, &id, registration.incarnation);
+        let mut target = TrackedTarget::new(
             now,
             registration,
             region_index_and_id,
             in_own_domain,
             id_hash,
         );
+        target.notices = notices;
         let key = self.targets.insert(target);
         self.keys_by_id.insert(id, key);
         self.keys_by_short_hash.insert(short_hash(id_hash), key);
@@ -205,17 +213,22 @@
         service.region_totals[region_index].target_count += 1;
     }
 
-    /// Removes a target whose registration was deleted.
-    pub fn remove(&mut self, id: &TargetId) {
+    /// Removes a target whose registration was deleted. Its notices are remembered, because the registration of the same
+    /// process may be listed again.
+    pub fn remove(&mut self, now: Millis, id: &TargetId) {
         let Some(key) = self.keys_by_id.remove(id) else {
             return;
         };
         if let Some(target) = self.targets.get(key) {
             self.keys_by_short_hash.remove(&short_hash(target.id_hash));
         }
-        if let Some(target) = self.targets.remove(key)
-            && let Some(service) = self.services.get_mut(&target.registration.service)
-        {
+        let Some(target) = self.targets.remove(key) else {
+            return;
+        };
+        let incarnation = target.registration.incarnation;
+        self.notice_memory
+            .remember(now, id, incarnation, target.notices);
+        if let Some(service) = self.services.get_mut(&target.registration.service) {
             service.keys.retain(|k| *k != key);
             let totals = &mut service.region_totals[target.region_index];
             totals.target_count = totals.target_count.saturating_sub(1);
--- a/crates/waxwing_edge/src/target/select.rs
+++ b/crates/waxwing_edge/src/target/select.rs
@@ -119,6 +119,7 @@
         let target = &self.targets[key];
         let selected = SelectedTarget {
             id: target.registration.id.clone(),
+            incarnation: target.registration.incarnation,
             address: target.registration.address,
             region: target.region.clone(),
             expected_wait,
--- a/crates/waxwing_edge/src/target/tracked.rs
+++ b/crates/waxwing_edge/src/target/tracked.rs
@@ -3,6 +3,7 @@
 use waxwing_records::{Registration, TargetState};
 use waxwing_types::{Millis, RegionId};
 
+use super::notice::NoticeState;
 use super::observation::{TargetHealth, TargetObservation, UnsentOutcomes, bounded_load};
 use super::{ColdStartLimit, LoadReport, TargetOutcome};
 
@@ -114,6 +115,8 @@
     failure_rate: f64,
     last_sample: Millis,
     last_response: Millis,
+    /// What the target said of itself.
+    pub(crate) notices: NoticeState,
     /// Outcomes of the requests of all VMs of the failure domain.
     health: TargetHealth,
     /// What the next heartbeat tells other VMs.
@@ -225,6 +228,7 @@
             failure_rate: 0.0,
             last_sample: Millis::ZERO,
             last_response: Millis::ZERO,
+            notices: NoticeState::default(),
             health: TargetHealth::default(),
             unsent: UnsentOutcomes::default(),
             cold_start_tokens: 0,
--- a/crates/waxwing_http/src/dialect.rs
+++ b/crates/waxwing_http/src/dialect.rs
@@ -21,6 +21,8 @@
     pub load: HeaderName,
     /// Says that the request was not run.
     pub not_run: HeaderName,
+    /// Says with the value 1 that the target is leaving.
+    pub leaving: HeaderName,
     /// Cookie that names the object of a request.
     pub object: &'static str,
     /// Scheme of keys in `Authorization`.
@@ -68,6 +70,7 @@
                 workspace: HeaderName::from_static("x-workspace"),
                 load: HeaderName::from_static("x-load"),
                 not_run: HeaderName::from_static("x-not-run"),
+                leaving: HeaderName::from_static("x-target-leaving"),
                 object: "affinity",
                 scheme: "Bearer",
             },
--- a/crates/waxwingrail/src/edge/apply.rs
+++ b/crates/waxwingrail/src/edge/apply.rs
@@ -67,7 +67,7 @@
                     "entry not read"
                 );
                 if family == Family::Targets {
-                    shared.targets().remove(&TargetId(change.name));
+                    shared.targets().remove(now, &TargetId(change.name));
                 }
             }
             None => apply_removal(shared, now, family, change.name),
@@ -113,7 +113,7 @@
         }
         status.pending_removals.remove(&id);
     }
-    shared.targets().remove(&id);
+    shared.targets().remove(now, &id);
 }
 
 /// Removes the targets whose entries expired in a store outage and were not restored in time.
@@ -124,7 +124,7 @@
     }
     let mut targets = shared.targets();
     for id in &due {
-        targets.remove(id);
+        targets.remove(now, id);
     }
 }
 
--- a/crates/waxwingrail/src/edge/forward.rs
+++ b/crates/waxwingrail/src/edge/forward.rs
@@ -11,6 +11,7 @@
 use waxwing_types::{Millis, WorkspaceId};
 
 use super::body::{TimedBody, buffer_body};
+use super::notice::apply_notice;
 use super::peers;
 use super::state::Shared;
 
@@ -184,6 +185,7 @@
         slot.release(TargetOutcome::Misdirected);
         return AttemptOutcome::NotRun;
     }
+    apply_notice(shared, &attempt.target, response.headers());
     if response.headers().contains_key(&header_names.not_run) {
         slot.release(TargetOutcome::Shed);
         return AttemptOutcome::NotRun;
--- a/crates/waxwingrail/src/edge/metric.rs
+++ b/crates/waxwingrail/src/edge/metric.rs
@@ -6,6 +6,7 @@
 use metrics::{Counter, Gauge, Histogram, counter, gauge, histogram, with_local_recorder};
 use metrics_exporter_prometheus::{PrometheusHandle, PrometheusRecorder};
 use smol_str::SmolStr;
+use waxwing_edge::NoticeKind;
 use waxwing_store::Family;
 use waxwing_types::{Millis, RefusalReason, RetryReason, common_derives};
 
@@ -41,6 +42,7 @@
     handle: PrometheusHandle,
     refusals: Vec<Counter>,
     retries: Vec<Counter>,
+    target_notices: Vec<Counter>,
     store_failures: HashMap<Family, Counter>,
     unreadable_entries: HashMap<Family, Counter>,
     state_ages: HashMap<Family, Gauge>,
@@ -52,6 +54,8 @@
     pub(crate) deployment_version: Gauge,
     /// Number of registered VMs that run an edge daemon, including this one.
     pub(crate) registered_vms: Gauge,
+    /// Number of known targets that said that they are leaving.
+    pub(crate) leaving_targets: Gauge,
     /// 1 if callers may send requests to this VM, else 0.
     pub(crate) ready: Gauge,
 }
@@ -64,6 +68,7 @@
         let handle = recorder.handle();
         let refusal = |reason: &RefusalReason| counter!("waxwing_edge_refusals_total", "reason" => reason.as_str());
         let retry = |reason: &RetryReason| counter!("waxwing_edge_retries_total", "reason" => reason.as_str());
+        let notice = |kind: &NoticeKind| counter!("waxwing_edge_target_notices_total", "kind" => kind.as_str());
         let store_failure = |family: Family| counter!("waxwing_edge_store_failures_total", "family" => family.as_str());
         let unreadable =
             |family: Family| counter!("waxwing_edge_unreadable_total", "family" => family.as_str());
@@ -75,6 +80,7 @@
             handle,
             refusals: RefusalReason::ALL.iter().map(refusal).collect(),
             retries: RetryReason::ALL.iter().map(retry).collect(),
+            target_notices: NoticeKind::ALL.iter().map(notice).collect(),
             store_failures: Family::ALL
                 .into_iter()
                 .map(|family| (family, store_failure(family)))
@@ -95,6 +101,7 @@
             running_requests: gauge!("waxwing_edge_requests_running"),
             deployment_version: gauge!("waxwing_edge_deployment_version"),
             registered_vms: gauge!("waxwing_edge_vms"),
+            leaving_targets: gauge!("waxwing_edge_targets_leaving"),
             ready: gauge!("waxwing_edge_ready"),
             recorder: Arc::clone(&recorder),
         })
@@ -108,6 +115,11 @@
         self.retries[reason as usize].increment(1);
     }
 
+    /// Counts what a target said of itself in a response.
+    pub(crate) fn count_notice(&self, kind: NoticeKind) {
+        self.target_notices[kind as usize].increment(1);
+    }
+
     /// Counts a failed call to the store. A family is a kind of registry entries, such as targets or VMs.
     pub(crate) fn count_store_failure(&self, family: Family) {
         if let Some(counter) = self.store_failures.get(&family) {
--- a/crates/waxwingrail/src/edge/mod.rs
+++ b/crates/waxwingrail/src/edge/mod.rs
@@ -8,6 +8,7 @@
 mod forward;
 mod handlers;
 mod metric;
+mod notice;
 mod peers;
 mod refusal;
 mod request;
--- a/crates/waxwingrail/src/edge/state.rs
+++ b/crates/waxwingrail/src/edge/state.rs
@@ -303,6 +303,8 @@
         let ready = self.is_ready();
         let version = self.routing_table().map_or(0, |table| table.version());
         let vms = self.fleet().vm_count();
+        let noticed = self.targets().noticed_targets();
+        let leaving = noticed.iter().filter(|target| target.leaving).count();
         let metrics = &self.metrics;
         {
             let now = self.now();
@@ -317,6 +319,7 @@
             .set(self.running_requests.load(Ordering::Relaxed) as f64);
         metrics.deployment_version.set(version as f64);
         metrics.registered_vms.set(vms as f64);
+        metrics.leaving_targets.set(leaving as f64);
         metrics.ready.set(f64::from(u8::from(ready)));
         metrics.render()
     }
--- a/crates/waxwingrail/tests/edge/fixture.rs
+++ b/crates/waxwingrail/tests/edge/fixture.rs
@@ -162,9 +162,20 @@
 
     /// Creates or replaces the registry entry of a target of service `s` in failure domain `a`.
     pub(crate) fn register_target(&self, id: &str, address: SocketAddr, state: TargetState) {
+        self.register_process(id, 1, address, state);
+    }
+
+    /// Like [`Self::register_target`], for a given process of the target.
+    pub(crate) fn register_process(
+        &self,
+        id: &str,
+        incarnation: u64,
+        address: SocketAddr,
+        state: TargetState,
+    ) {
         let entry = Registration {
             id: id.into(),
-            incarnation: Incarnation(1),
+            incarnation: Incarnation(incarnation),
             service: "s".into(),
             address,
             domain: "a".into(),
--- a/crates/waxwingrail/tests/edge/target.rs
+++ b/crates/waxwingrail/tests/edge/target.rs
@@ -9,6 +9,7 @@
 use async_io::Timer;
 use futures_lite::future;
 use hyper::body::Incoming;
+use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use waxwing_http::{Body, Handler, Server, ServerLimits, full};
 
@@ -19,8 +20,18 @@
     Answer,
     /// Responds with 503 and the `x-not-run` header, which states that the target did not run the request.
     Shed,
+    /// Responds with 200 and says that it is leaving.
+    Leave,
+    /// Responds with 503 and `x-not-run`, and says that it is leaving.
+    ShedAndLeave,
+    /// Responds with 500 and says that it is leaving.
+    FailAndLeave,
+    /// Responds with 421, as another process than the expected one, and says that it is leaving.
+    MisdirectedAndLeaving,
     /// Responds with the request id of another request.
     WrongRequestId,
+    /// Responds with the request id of another request, and says that it is leaving.
+    WrongRequestIdAndLeaving,
     /// Closes the connection after the request was read.
     BreakConnection,
     /// Never responds.
@@ -41,6 +52,8 @@
 #[derive(Default)]
 struct TargetActivity {
     received: Vec<ReceivedRequest>,
+    /// Replaces the behavior with which the target was started.
+    behavior: Option<TargetBehavior>,
     running_requests: usize,
 }
 
@@ -75,6 +88,11 @@
         self.activity.lock().expect("lock").received.clone()
     }
 
+    /// Sets how the target responds to further requests.
+    pub(crate) fn set_behavior(&self, behavior: TargetBehavior) {
+        self.activity.lock().expect("lock").behavior = Some(behavior);
+    }
+
     /// Number of requests that the target is handling.
     pub(crate) fn running_requests(&self) -> usize {
         self.activity.lock().expect("lock").running_requests
@@ -90,6 +108,33 @@
     }
 }
 
+/// Sets the headers with which a target says something of itself or of the request.
+fn set_headers(response: &mut Response<Body>, behavior: TargetBehavior) {
+    let headers = response.headers_mut();
+    if matches!(
+        behavior,
+        TargetBehavior::Leave
+            | TargetBehavior::ShedAndLeave
+            | TargetBehavior::FailAndLeave
+            | TargetBehavior::MisdirectedAndLeaving
+            | TargetBehavior::WrongRequestIdAndLeaving
+    ) {
+        headers.insert("x-target-leaving", HeaderValue::from_static("1"));
+    }
+    if matches!(
+        behavior,
+        TargetBehavior::Shed | TargetBehavior::ShedAndLeave
+    ) {
+        headers.insert("x-not-run", HeaderValue::from_static("1"));
+    }
+    if matches!(
+        behavior,
+        TargetBehavior::WrongRequestId | TargetBehavior::WrongRequestIdAndLeaving
+    ) {
+        headers.insert("x-request-id", HeaderValue::from_static("id-2"));
+    }
+}
+
 impl Handler for TargetHandler {
     fn handle(
         self: Arc<Self>,
@@ -99,31 +144,35 @@
         Box::pin(async move {
             let headers = request.headers().clone();
             let request_id = headers.get("x-request-id").cloned();
-            {
+            let behavior = {
                 let mut activity = self.activity.lock().expect("lock");
                 activity.received.push(ReceivedRequest { headers });
                 activity.running_requests += 1;
-            }
+                activity.behavior.unwrap_or(self.behavior)
+            };
             let _guard = RunningRequestGuard(Arc::clone(&self.activity));
             let mut response = Response::new(full("answer"));
             if let Some(request_id) = request_id {
                 response.headers_mut().insert("x-request-id", request_id);
             }
-            match self.behavior {
-                TargetBehavior::Answer => {}
-                TargetBehavior::Shed => {
+            set_headers(&mut response, behavior);
+            match behavior {
+                TargetBehavior::Answer
+                | TargetBehavior::Leave
+                | TargetBehavior::WrongRequestId
+                | TargetBehavior::WrongRequestIdAndLeaving => {}
+                TargetBehavior::Shed | TargetBehavior::ShedAndLeave => {
                     *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-                    let value = "1".parse().expect("a value");
-                    response.headers_mut().insert("x-not-run", value);
                 }
-                TargetBehavior::WrongRequestId => {
-                    let other_id = "id-2".parse().expect("a value");
-                    response.headers_mut().insert("x-request-id", other_id);
+                TargetBehavior::MisdirectedAndLeaving => {
+                    *response.status_mut() = StatusCode::MISDIRECTED_REQUEST;
                 }
                 // The panic ends the task of the connection, and with it the connection.
                 TargetBehavior::BreakConnection => panic!("the target breaks its connection"),
                 TargetBehavior::Hang => future::pending().await,
-                TargetBehavior::Fail => *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR,
+                TargetBehavior::Fail | TargetBehavior::FailAndLeave => {
+                    *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+                }
                 TargetBehavior::AnswerAfterMs(ms) => {
                     Timer::after(Duration::from_millis(ms)).await;
                 }
