Send nothing to a target in a pause that it asked for

Cause: the daemon read no `Retry-After` of a target. Ruled out: telling the other VMs; dates (they need the time of day); 429. Change: `target/pause.rs` reads the value and says until when all targets of a service are in a pause; `target/notice.rs` keeps the pause with what the process said otherwise. Requests are refused with the new reason `targets_paused` and the earliest end, spread over the length of the pause. A request whose connection is still being opened is withdrawn (`Client::send_unless`, retry reason `target_withdrew`). Counters, gauge, log lines. Conclusion: a process that asks for a pause gets nothing more from that VM until its end, but for requests that were on their way.

--- a/crates/waxwing_core/src/flow/refusal.rs
+++ b/crates/waxwing_core/src/flow/refusal.rs
@@ -64,6 +64,7 @@
         | RefusalReason::QueueFull
         | RefusalReason::NoTarget
         | RefusalReason::TargetsShedding
+        | RefusalReason::TargetsPaused
         | RefusalReason::ClaimUnavailable
         | RefusalReason::Stopping => 503,
         RefusalReason::DeadlineExceeded | RefusalReason::TargetTimeout => 504,
@@ -81,6 +82,7 @@
         | RefusalReason::DeadlineExceeded
         | RefusalReason::NoTarget
         | RefusalReason::TargetsShedding
+        | RefusalReason::TargetsPaused
         | RefusalReason::ClaimUnavailable
         | RefusalReason::DuplicateInFlight
         | RefusalReason::Stopping => true,
--- a/crates/waxwing_core/src/flow/sending.rs
+++ b/crates/waxwing_core/src/flow/sending.rs
@@ -217,7 +217,7 @@
     /// Returns whether the request may be sent again, and if so, takes the retry from the budget.
     fn try_take_retry(&mut self, ctx: &mut StepContext<'_, '_>, reason: RetryReason) -> bool {
         let allowed = match reason {
-            RetryReason::ConnectFailed => true,
+            RetryReason::ConnectFailed | RetryReason::TargetWithdrew => true,
             RetryReason::TargetShed | RetryReason::RegionRefused => {
                 self.may_resend_if_not_run() && !self.body_consumed
             }
@@ -320,6 +320,7 @@
     match reason {
         RetryReason::ConnectFailed => RefusalReason::NoTarget,
         RetryReason::TargetShed => RefusalReason::TargetsShedding,
+        RetryReason::TargetWithdrew => RefusalReason::TargetsPaused,
         RetryReason::ConnectionBroken | RetryReason::TargetFailed => RefusalReason::TargetFailed,
         RetryReason::RegionRefused => RefusalReason::RegionFull,
     }
--- a/crates/waxwing_edge/src/lib.rs
+++ b/crates/waxwing_edge/src/lib.rs
@@ -21,11 +21,11 @@
     Admission, NoTokenAction, QuotaCoordinator, TokenExchange, WorkspaceQuotas, WorkspaceTokens,
 };
 pub use rank_admission::Priority;
-pub use retry_after::{spread_retry_after, startup_retry_after};
+pub use retry_after::{pause_retry_after, spread_retry_after, startup_retry_after};
 pub use retry_budget::{RetryBudgetConfig, RetryBudgets};
 pub use routing_table::{RouteMatch, RoutingTable};
 pub use target::{
-    ColdStartLimit, LoadReport, NoticeChange, NoticeKind, NoticedTarget, SelectedTarget, Selection,
-    TargetCriteria, TargetKey, TargetNotice, TargetObservation, TargetOutcome, TargetPool,
-    Topology,
+    ColdStartLimit, LoadReport, NoticeChange, NoticeKind, NoticedTarget, Pause, PauseRequest,
+    SelectedTarget, Selection, TargetCriteria, TargetKey, TargetNotice, TargetObservation,
+    TargetOutcome, TargetPool, Topology,
 };
--- a/crates/waxwing_edge/src/target/mod.rs
+++ b/crates/waxwing_edge/src/target/mod.rs
@@ -7,6 +7,7 @@
 mod cold_start;
 mod notice;
 mod observation;
+mod pause;
 mod pool;
 mod select;
 mod tracked;
@@ -20,6 +21,7 @@
 
 pub use notice::{NoticeChange, NoticeKind, NoticedTarget, TargetNotice};
 pub use observation::TargetObservation;
+pub use pause::{Pause, PauseRequest};
 pub use pool::TargetPool;
 
 new_key_type! {
@@ -117,6 +119,9 @@
             /// the next attempt, so that the queue becomes shorter.
             retry_after: Millis,
         },
+        /// No target may get the request, and at least one asked for a pause. The caller should come back when the first
+        /// pause has ended.
+        Paused(Pause),
         /// No target may get the request: none is usable, or each usable target was already tried or is in a
         /// region that is not allowed.
         NoTarget,
--- a/crates/waxwing_edge/src/target/notice.rs
+++ b/crates/waxwing_edge/src/target/notice.rs
@@ -1,12 +1,14 @@
 //! What targets say of themselves in their responses, and for how long that is remembered.
 //!
 //! Answers a fault of the registry: an entry may say that a target is ready, or may be listed again, although the target
-//! has said that it is leaving.
+//! has said that it is leaving. Also answers the load of a target in trouble: it asks for a pause, and gets further
+//! requests, above all retries.
 
 use std::collections::HashMap;
 
 use waxwing_types::{Incarnation, Millis, ServiceId, TargetId, common_derives};
 
+use super::pause::PauseRequest;
 use super::{SelectedTarget, TargetPool};
 
 /// Time for which a notice is remembered after its target was removed. An entry of a process that has left may be listed
@@ -15,6 +17,8 @@
 const MEMORY_TIME: Millis = Millis::from_secs(600);
 /// Maximum number of removed targets whose notices are remembered. The largest known deployment has fewer targets.
 const MAX_REMEMBERED: usize = 4096;
+/// Added to a pause, because its start is rounded down to a millisecond.
+const CLOCK_RESOLUTION: Millis = Millis(1);
 
 common_derives! {
     copy
@@ -23,6 +27,8 @@
     pub struct TargetNotice {
         /// Whether the target is leaving.
         pub leaving: bool,
+        /// The pause for which the target asks.
+        pub pause: Option<PauseRequest>,
     }
 }
 
@@ -32,6 +38,12 @@
     pub enum NoticeKind {
         /// The target is leaving.
         Leaving,
+        /// The target asks for a pause.
+        Pause,
+        /// The target asks for a pause that is longer than the longest one that is granted.
+        PauseCut,
+        /// The length of the pause cannot be read.
+        PauseUnusable,
     }
 }
 
@@ -42,6 +54,10 @@
     pub struct NoticeChange {
         /// Whether this is the first notice that the target is leaving.
         pub began_leaving: bool,
+        /// Length of the pause, if the target was not in a pause.
+        pub began_pause: Option<Millis>,
+        /// Whether this is the first value of the process that cannot be used as it is.
+        pub first_odd_value: bool,
     }
 }
 
@@ -56,6 +72,8 @@
         pub service: ServiceId,
         /// Whether the target said that it is leaving.
         pub leaving: bool,
+        /// Time until the end of the pause for which the target asked, zero without one.
+        pub pause_left: Millis,
         /// Whether the entry of the target says so as well.
         pub entry_drains: bool,
     }
@@ -63,12 +81,20 @@
 
 impl NoticeKind {
     /// All kinds.
-    pub const ALL: &'static [Self] = &[Self::Leaving];
+    pub const ALL: &'static [Self] = &[
+        Self::Leaving,
+        Self::Pause,
+        Self::PauseCut,
+        Self::PauseUnusable,
+    ];
 
     /// The kind as a metric label.
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::Leaving => "leaving",
+            Self::Pause => "pause",
+            Self::PauseCut => "pause_cut",
+            Self::PauseUnusable => "pause_unusable",
         }
     }
 }
@@ -76,34 +102,74 @@
 impl TargetNotice {
     /// The kinds of which the notice is.
     pub fn kinds(self) -> impl Iterator<Item = NoticeKind> {
-        self.leaving.then_some(NoticeKind::Leaving).into_iter()
+        let pause = self.pause.map(|pause| match pause {
+            PauseRequest::Unusable => NoticeKind::PauseUnusable,
+            PauseRequest::For(_) => NoticeKind::Pause,
+            PauseRequest::TooLong => NoticeKind::PauseCut,
+        });
+        let leaving = self.leaving.then_some(NoticeKind::Leaving);
+        leaving.into_iter().chain(pause)
     }
 }
 
 /// What the notices of one process of a target say together.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct NoticeState {
-    leaving: bool,
+    pub(super) leaving: bool,
+    pub(super) paused_from: Millis,
+    pub(super) paused_until: Millis,
+    /// Whether the process sent a value that cannot be used as it is.
+    has_odd_value: bool,
 }
 
 impl NoticeState {
     /// Whether the target may get requests.
-    pub(crate) fn allows_requests(self) -> bool {
-        !self.leaving
+    pub(crate) fn allows_requests(self, now: Millis) -> bool {
+        !self.leaving && !self.is_paused(now)
     }
 
-    fn is_empty(self) -> bool {
-        !self.leaving
+    pub(super) fn is_paused(self, now: Millis) -> bool {
+        now < self.paused_until
     }
 
-    fn apply(&mut self, notice: TargetNotice) -> NoticeChange {
-        let began_leaving = notice.leaving && !self.leaving;
+    /// Time from which on the state says nothing about a target that was removed at `now`.
+    fn expires_at(self, now: Millis) -> Millis {
+        let leaving_until = if self.leaving { now + MEMORY_TIME } else { now };
+        leaving_until.max(self.paused_until)
+    }
+
+    fn apply(&mut self, now: Millis, notice: TargetNotice) -> NoticeChange {
+        let mut change = NoticeChange {
+            began_leaving: notice.leaving && !self.leaving,
+            ..NoticeChange::default()
+        };
         self.leaving |= notice.leaving;
-        NoticeChange { began_leaving }
+        let Some(pause) = notice.pause else {
+            return change;
+        };
+        if pause.is_odd() {
+            change.first_odd_value = !self.has_odd_value;
+            self.has_odd_value = true;
+        }
+        let length = pause.length();
+        if length > Millis::ZERO {
+            if !self.is_paused(now) {
+                change.began_pause = Some(length);
+                self.paused_from = now;
+            }
+            // The target may have asked for a longer pause before.
+            self.paused_until = self.paused_until.max(now + length + CLOCK_RESOLUTION);
+        }
+        change
     }
 
     fn merge(&mut self, other: Self) {
         self.leaving |= other.leaving;
+        self.has_odd_value |= other.has_odd_value;
+        if other.paused_until > self.paused_until {
+            self.paused_from = other.paused_from;
+            self.paused_until = other.paused_until;
+        }
     }
 }
 
@@ -142,7 +208,7 @@
         incarnation: Incarnation,
         mut state: NoticeState,
     ) {
-        if state.is_empty() {
+        if state.allows_requests(now) {
             return;
         }
         match self.targets.get(id) {
@@ -154,7 +220,7 @@
         let remembered = RememberedNotices {
             incarnation,
             state,
-            expires_at: now + MEMORY_TIME,
+            expires_at: state.expires_at(now),
         };
         self.targets.insert(id.clone(), remembered);
     }
@@ -177,23 +243,39 @@
 /// Queries.
 impl TargetPool {
     /// The targets that get no requests because of their notices.
-    pub fn noticed_targets(&self) -> Vec<NoticedTarget> {
+    pub fn noticed_targets(&self, now: Millis) -> Vec<NoticedTarget> {
         let noticed = self
             .targets
             .values()
-            .filter(|t| !t.notices.allows_requests());
+            .filter(|t| !t.notices.allows_requests(now));
         let mut noticed: Vec<_> = noticed
             .map(|target| NoticedTarget {
                 id: target.registration.id.clone(),
                 incarnation: target.registration.incarnation,
                 service: target.registration.service.clone(),
                 leaving: target.notices.leaving,
+                pause_left: target.notices.paused_until.since(now),
                 entry_drains: !target.is_ready(),
             })
             .collect();
         noticed.sort_unstable_by(|a, b| a.id.cmp(&b.id));
         noticed
     }
+
+    /// Whether a process that was selected for a request has said since that it wants no requests.
+    pub fn is_withdrawn(&self, now: Millis, selected: &SelectedTarget) -> bool {
+        let key = self.keys_by_id.get(&selected.id);
+        let target = key.and_then(|key| self.targets.get(*key));
+        let target = target.filter(|t| t.registration.incarnation == selected.incarnation);
+        let notices = target.map_or_else(
+            || {
+                self.notice_memory
+                    .recall(now, &selected.id, selected.incarnation)
+            },
+            |target| target.notices,
+        );
+        !notices.allows_requests(now)
+    }
 }
 
 /// Commands.
@@ -211,10 +293,10 @@
         if let Some(target) = key.and_then(|key| self.targets.get_mut(*key))
             && target.registration.incarnation == incarnation
         {
-            return target.notices.apply(notice);
+            return target.notices.apply(now, notice);
         }
         let mut state = self.notice_memory.recall(now, id, incarnation);
-        let change = state.apply(notice);
+        let change = state.apply(now, notice);
         self.notice_memory.remember(now, id, incarnation, state);
         change
     }
--- a/crates/waxwing_edge/src/target/pool.rs
+++ b/crates/waxwing_edge/src/target/pool.rs
@@ -83,12 +83,16 @@
             return false;
         };
         target.is_ready()
-            && target.notices.allows_requests()
+            && target.notices.allows_requests(now)
             && target.is_not_ejected(now)
-            && !self.evacuated_domains.contains(&target.registration.domain)
+            && !self.is_evacuated(target)
             && (!target.is_cold(now) || target.has_cold_start_token())
     }
 
+    pub(super) fn is_evacuated(&self, target: &TrackedTarget) -> bool {
+        self.evacuated_domains.contains(&target.registration.domain)
+    }
+
     /// Returns an estimator for the requests of other VMs at a service's targets in a region. The estimator
     /// assumes that each other VM sends about as many requests to these targets as this VM does.
     pub(crate) fn other_vm_load_estimator(
--- a/crates/waxwing_edge/src/target/select.rs
+++ b/crates/waxwing_edge/src/target/select.rs
@@ -66,7 +66,8 @@
             .filter(|key| (criteria.region_allowed)(&self.targets[*key].region))
             .collect();
         if usable.is_empty() {
-            return Selection::NoTarget;
+            let pause = self.pause(now, criteria.service, criteria.region_allowed);
+            return pause.map_or(Selection::NoTarget, Selection::Paused);
         }
         let region_index = self.select_region(service, &usable, criteria, rng);
         let affinity_hash = criteria.affinity_hash.unwrap_or_else(|| rng.u64(..));
--- a/crates/waxwing_edge/src/target/tracked.rs
+++ b/crates/waxwing_edge/src/target/tracked.rs
@@ -108,7 +108,7 @@
     slots: u32,
     reported_load: Option<ReportedLoad>,
     consecutive_failures: u32,
-    ejected_until: Millis,
+    pub(super) ejected_until: Millis,
     /// Average latency in ms, 0 before the first response.
     latency_ms: f64,
     /// Moving average of the fraction of failed requests.
--- a/crates/waxwing_edge/tests/notices.rs
+++ b/crates/waxwing_edge/tests/notices.rs
@@ -1,44 +1,17 @@
-//! Tests of what targets say of themselves in their responses, in virtual time.
+//! Tests of targets that say in their responses that they are leaving, in virtual time.
 
 mod common;
+#[path = "common/process.rs"]
+mod process;
 
 use assert_matches::assert_matches;
-use common::{criteria, pool, target};
-use waxwing_edge::{SelectedTarget, Selection, TargetNotice, TargetPool};
-use waxwing_records::Registration;
-use waxwing_types::{Incarnation, Millis, ServiceId};
+use common::{pool, target};
+use process::{LEAVING, NOW, process, select, selected};
+use waxwing_edge::{Selection, TargetPool};
+use waxwing_types::{Incarnation, Millis};
 
-/// Time at which most tests select targets.
-const NOW: Millis = Millis(10_000);
 /// Time for which notices of removed targets are remembered.
 const MEMORY_TIME: Millis = Millis::from_secs(600);
-const LEAVING: TargetNotice = TargetNotice { leaving: true };
-
-/// Selects a target for a request to service `s`. All regions are allowed.
-fn select(pool: &mut TargetPool, now: Millis) -> Selection {
-    let service = ServiceId::from("s");
-    let criteria = criteria(&service, 1, &|_| true);
-    pool.select(now, &criteria, &mut fastrand::Rng::with_seed(1))
-}
-
-/// A process as it was selected for a request.
-fn selected(registration: &Registration) -> SelectedTarget {
-    SelectedTarget {
-        id: registration.id.clone(),
-        incarnation: registration.incarnation,
-        address: registration.address,
-        region: "r1".into(),
-        expected_wait: Millis::ZERO,
-    }
-}
-
-/// A registration of target `t1`.
-fn process(incarnation: u64) -> Registration {
-    Registration {
-        incarnation: Incarnation(incarnation),
-        ..target("t1", "a")
-    }
-}
 
 /// A pool with a process of target `t1` that has said that it is leaving.
 fn pool_with_leaving_target(incarnation: u64) -> TargetPool {
@@ -157,7 +130,7 @@
 fn the_list_shows_leaving_targets_and_what_their_entries_say() {
     let mut pool = pool_with_leaving_target(3);
     pool.upsert(NOW, target("t2", "a"));
-    let noticed = pool.noticed_targets();
+    let noticed = pool.noticed_targets(NOW);
     assert_eq!(noticed.len(), 1);
     assert_eq!(
         (noticed[0].id.as_str(), noticed[0].incarnation),
--- a/crates/waxwing_edge/tests/rank_admission.rs
+++ b/crates/waxwing_edge/tests/rank_admission.rs
@@ -109,7 +109,7 @@
                     });
                 }
                 Selection::Overloaded { .. } => count.refused += if is_counted { 1.0 } else { 0.0 },
-                Selection::NoTarget => panic!("the targets are usable"),
+                Selection::Paused(_) | Selection::NoTarget => panic!("the targets are usable"),
             }
         }
     }
--- a/crates/waxwing_edge/tests/retry_after.rs
+++ b/crates/waxwing_edge/tests/retry_after.rs
@@ -1,6 +1,6 @@
 //! Tests of the times after which refused callers come back, by playing their return.
 
-use waxwing_edge::{spread_retry_after, startup_retry_after};
+use waxwing_edge::{Pause, pause_retry_after, spread_retry_after, startup_retry_after};
 use waxwing_types::Millis;
 
 /// Length of the windows in which returning callers are counted.
@@ -58,3 +58,26 @@
         }
     }
 }
+
+/// Guards against callers that return within a pause, or all at its end: 50 are refused in each 100 ms of the pause.
+#[test]
+fn callers_return_over_time_after_a_pause() {
+    for length in [Millis(500), Millis(2000)] {
+        let mut rng = fastrand::Rng::with_seed(7);
+        let mut windows = std::collections::BTreeMap::<u64, usize>::new();
+        for refused_at in (0..length.0).step_by(2) {
+            let left = length - Millis(refused_at);
+            let wait = pause_retry_after(Pause { left, length }, rng.f64());
+            let returns_at = Millis(refused_at) + wait;
+            assert!(returns_at >= length, "{returns_at} of {length}");
+            *windows.entry(returns_at.0 / WINDOW.0).or_default() += 1;
+        }
+        let peak = windows.into_values().max().unwrap_or_default();
+        assert!(peak <= 75, "{length}: {peak}");
+    }
+    let cut_off = Pause {
+        left: Millis::MAX,
+        length: Millis::MAX,
+    };
+    assert_eq!(pause_retry_after(cut_off, 0.999), Millis::MAX);
+}
--- a/crates/waxwing_http/src/client.rs
+++ b/crates/waxwing_http/src/client.rs
@@ -47,6 +47,8 @@
 pub enum SendError {
     /// The connection could not be opened; no byte was written and the body is untouched.
     Connect(io::Error),
+    /// No byte was written, because the request was withdrawn while a connection was opened.
+    Withdrawn,
     /// No byte was written, but part of the body may have been taken from its source.
     NotSent(hyper::Error),
     /// The connection broke after the first byte was written; the request may have run.
@@ -64,6 +66,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Connect(error) => write!(f, "cannot connect: {error}"),
+            Self::Withdrawn => f.write_str("withdrawn before it was sent"),
             Self::NotSent(error) => write!(f, "nothing sent: {error}"),
             Self::Broken(error) => write!(f, "connection broke: {error}"),
         }
@@ -112,9 +115,23 @@
     /// # Errors
     /// See [`SendError`].
     pub async fn send(
+        &self,
+        address: SocketAddr,
+        request: Request<Body>,
+    ) -> Result<Response<Body>, SendError> {
+        self.send_unless(address, request, || false).await
+    }
+
+    /// Like [`Self::send`], but sends nothing if `is_withdrawn` returns true once a new connection is open. Opening one may
+    /// take as long as [`ClientLimits::connect`].
+    ///
+    /// # Errors
+    /// See [`SendError`].
+    pub async fn send_unless(
         &self,
         address: SocketAddr,
         mut request: Request<Body>,
+        is_withdrawn: impl Fn() -> bool,
     ) -> Result<Response<Body>, SendError> {
         set_host(&mut request, address);
         while let Some(mut conn) = self.inner.pool.take(address) {
@@ -127,6 +144,10 @@
             }
         }
         let mut conn = self.open(address).await.map_err(SendError::Connect)?;
+        if is_withdrawn() {
+            self.inner.pool.put(address, conn);
+            return Err(SendError::Withdrawn);
+        }
         let outcome = conn.send(request).await;
         self.finish(address, conn, outcome)
     }
--- a/crates/waxwing_http/src/exchange.rs
+++ b/crates/waxwing_http/src/exchange.rs
@@ -41,7 +41,7 @@
     let answer = async {
         let response = match client.send(address, request).await {
             Ok(response) => response,
-            Err(error @ (SendError::Connect(_) | SendError::NotSent(_))) => {
+            Err(error @ (SendError::Connect(_) | SendError::Withdrawn | SendError::NotSent(_))) => {
                 return Err(ExchangeError::Unsent(error.to_string()));
             }
             Err(error @ SendError::Broken(_)) => {
--- a/crates/waxwing_http/tests/exchange.rs
+++ b/crates/waxwing_http/tests/exchange.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use common::{address, get, limits, rig, serve, text};
@@ -60,6 +61,32 @@
     });
 }
 
+/// Guards against a request that is sent although it was withdrawn while its connection was opened.
+#[test]
+fn withdrawn_request_is_not_sent_on_a_new_connection() {
+    rig(|executor| async move {
+        let requests = Arc::new(AtomicUsize::new(0));
+        let counted = Arc::clone(&requests);
+        let server = serve(&executor, limits(), move |_| {
+            counted.fetch_add(1, Ordering::Relaxed);
+            async { text("hello") }
+        })
+        .await;
+        let client = Client::new(Arc::clone(&executor), ClientLimits::default());
+        let sent = client
+            .send_unless(server.address(), get("/"), || true)
+            .await;
+        let error = sent.unwrap_err();
+        assert!(matches!(error, SendError::Withdrawn), "{error}");
+        assert!(!error.may_have_run());
+        let sent = client
+            .send_unless(server.address(), get("/"), || false)
+            .await;
+        collect(sent.unwrap().into_body(), 100).await.unwrap();
+        assert_eq!(requests.load(Ordering::Relaxed), 1);
+    });
+}
+
 /// Guards against a broken connection that is taken for a request that was never sent.
 #[test]
 fn connection_that_breaks_after_the_request_is_broken() {
--- a/crates/waxwing_types/src/reason.rs
+++ b/crates/waxwing_types/src/reason.rs
@@ -90,6 +90,8 @@
         NoTarget => "no_target",
         /// Every target that was tried refused the request without running it.
         TargetsShedding => "targets_shedding",
+        /// Every target that could run the request asked for a pause.
+        TargetsPaused => "targets_paused",
         /// The target's connection broke while it ran the request.
         TargetFailed => "target_failed",
         /// The target did not answer before the deadline.
@@ -120,6 +122,8 @@
         ConnectionBroken => "connection_broken",
         /// The target answered an idempotent request with a failure.
         TargetFailed => "target_failed",
+        /// The target wanted no more requests before this one was sent.
+        TargetWithdrew => "target_withdrew",
         /// The region that was asked refused the request without running it.
         RegionRefused => "region_refused",
     }
--- a/crates/waxwingrail/src/edge/attempts.rs
+++ b/crates/waxwingrail/src/edge/attempts.rs
@@ -1,6 +1,6 @@
 //! Record of the attempts to forward one request to targets.
 
-use waxwing_edge::TargetKey;
+use waxwing_edge::{Pause, TargetKey};
 use waxwing_types::{Millis, RefusalReason};
 
 use super::refusal::Refusal;
@@ -31,6 +31,15 @@
         self.last_failure == Some(RefusalReason::TargetFailed)
     }
 
+    /// The refusal to return when no target is left, because targets asked for a pause.
+    pub(super) fn paused_refusal(&self, pause: Pause) -> Refusal {
+        if self.may_have_run() {
+            return Refusal::new(RefusalReason::TargetFailed);
+        }
+        let reason = self.last_failure.unwrap_or(RefusalReason::TargetsPaused);
+        Refusal::after_pause(reason, pause)
+    }
+
     /// The refusal to return when no further attempt is made. The reason is that of the last failed send, or
     /// `fallback_reason` if the request was sent to no target. `retry_after` is ignored if a target may have
     /// run the request.
--- a/crates/waxwingrail/src/edge/forward.rs
+++ b/crates/waxwingrail/src/edge/forward.rs
@@ -45,6 +45,8 @@
     Failed(Response<Body>),
     /// No byte of the request was sent.
     NotSent,
+    /// No byte of the request was sent, because the target said meanwhile that it wants no requests.
+    Withdrawn,
     /// The target stated that it did not run the request.
     NotRun,
     /// The connection broke, the response has the id of another request, or the response has a content
@@ -130,6 +132,7 @@
                 .quarantine()
                 .on_connection_broken(now, attempt.fingerprint, attempt.key);
         }
+        AttemptOutcome::Withdrawn => slot.release(TargetOutcome::Cancelled),
         AttemptOutcome::NotSent => {
             slot.release(TargetOutcome::ConnectFailed);
             let crash_fingerprints = shared
@@ -148,8 +151,11 @@
     request: Request<Body>,
     slot: &mut TargetSlot,
 ) -> AttemptOutcome {
-    let result = shared.client.send(attempt.target.address, request).await;
-    let response = match result {
+    let is_withdrawn = || shared.targets().is_withdrawn(shared.now(), &attempt.target);
+    let sending = shared
+        .client
+        .send_unless(attempt.target.address, request, is_withdrawn);
+    let response = match sending.await {
         Ok(response) => response,
         Err(error) => {
             log::debug!(
@@ -157,6 +163,7 @@
                 "request to target failed"
             );
             return match error {
+                SendError::Withdrawn => AttemptOutcome::Withdrawn,
                 SendError::Connect(_) | SendError::NotSent(_) => AttemptOutcome::NotSent,
                 SendError::Broken(_) => AttemptOutcome::NoUsableResponse,
             };
@@ -185,7 +192,7 @@
         slot.release(TargetOutcome::Misdirected);
         return AttemptOutcome::NotRun;
     }
-    apply_notice(shared, &attempt.target, response.headers());
+    apply_notice(shared, &attempt.target, &response);
     if response.headers().contains_key(&header_names.not_run) {
         slot.release(TargetOutcome::Shed);
         return AttemptOutcome::NotRun;
--- a/crates/waxwingrail/src/edge/metric.rs
+++ b/crates/waxwingrail/src/edge/metric.rs
@@ -56,6 +56,8 @@
     pub(crate) registered_vms: Gauge,
     /// Number of known targets that said that they are leaving.
     pub(crate) leaving_targets: Gauge,
+    /// Number of known targets in a pause for which they asked.
+    pub(crate) paused_targets: Gauge,
     /// 1 if callers may send requests to this VM, else 0.
     pub(crate) ready: Gauge,
 }
@@ -102,6 +104,7 @@
             deployment_version: gauge!("waxwing_edge_deployment_version"),
             registered_vms: gauge!("waxwing_edge_vms"),
             leaving_targets: gauge!("waxwing_edge_targets_leaving"),
+            paused_targets: gauge!("waxwing_edge_targets_paused"),
             ready: gauge!("waxwing_edge_ready"),
             recorder: Arc::clone(&recorder),
         })
--- a/crates/waxwingrail/src/edge/refusal.rs
+++ b/crates/waxwingrail/src/edge/refusal.rs
@@ -2,7 +2,7 @@
 
 use hyper::header::{HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
-use waxwing_edge::{spread_retry_after, startup_retry_after};
+use waxwing_edge::{Pause, pause_retry_after, spread_retry_after, startup_retry_after};
 use waxwing_http::{Body, announce_close, empty};
 use waxwing_types::{Millis, RefusalReason};
 
@@ -35,6 +35,14 @@
         }
     }
 
+    /// Creates a refusal of a request to a service that is in a pause.
+    pub(crate) fn after_pause(reason: RefusalReason, pause: Pause) -> Self {
+        Self {
+            reason,
+            retry_after: Some(pause_retry_after(pause, fastrand::f64())),
+        }
+    }
+
     /// Creates a refusal while this VM loads its state. `caller_time` is the time that the caller waits for a response.
     pub(crate) fn starting(shared: &Shared, caller_time: Option<Millis>) -> Self {
         // If only some VMs are starting, other VMs serve the caller at once.
@@ -93,6 +101,7 @@
         | RefusalReason::DeadlineExceeded
         | RefusalReason::NoTarget
         | RefusalReason::TargetsShedding
+        | RefusalReason::TargetsPaused
         | RefusalReason::ClaimUnavailable
         | RefusalReason::DuplicateInFlight
         | RefusalReason::DuplicateAnswered
--- a/crates/waxwingrail/src/edge/request.rs
+++ b/crates/waxwingrail/src/edge/request.rs
@@ -256,6 +256,7 @@
                 Selection::Overloaded { retry_after } => {
                     return Err(attempts.refusal(RefusalReason::QueueFull, retry_after));
                 }
+                Selection::Paused(pause) => return Err(attempts.paused_refusal(pause)),
                 Selection::NoTarget => {
                     return Err(attempts.refusal(RefusalReason::NoTarget, NO_TARGET_WAIT));
                 }
@@ -291,6 +292,7 @@
                     RetryReason::TargetFailed
                 }
                 AttemptOutcome::NotSent => RetryReason::ConnectFailed,
+                AttemptOutcome::Withdrawn => RetryReason::TargetWithdrew,
                 AttemptOutcome::NotRun => {
                     attempts.record_failed_send(RefusalReason::TargetsShedding);
                     RetryReason::TargetShed
@@ -301,7 +303,7 @@
                 }
             };
             if !replayable || !self.may_retry(routed, &attempts) {
-                return Err(attempts.refusal(RefusalReason::NoTarget, NO_TARGET_WAIT));
+                return Err(self.final_refusal(routed, &attempts));
             }
             shared.metrics.count_retry(retry_reason);
             if attempts.send_count > 0 {
@@ -310,6 +312,20 @@
         }
     }
 
+    /// The refusal of a request for which no further attempt is allowed.
+    fn final_refusal(&self, routed: &RoutedRequest<'_>, attempts: &Attempts) -> Refusal {
+        let region_allowed = |region: &RegionId| routed.route_match.allows_region(region);
+        let now = self.shared.now();
+        let pause = self
+            .shared
+            .targets()
+            .pause(now, &routed.service, &region_allowed);
+        pause.map_or_else(
+            || attempts.refusal(RefusalReason::NoTarget, NO_TARGET_WAIT),
+            |pause| attempts.paused_refusal(pause),
+        )
+    }
+
     fn select_target(&self, routed: &RoutedRequest<'_>, tried: &[TargetKey]) -> Selection {
         let shared = self.shared;
         let now = shared.now();
--- a/crates/waxwingrail/src/edge/state.rs
+++ b/crates/waxwingrail/src/edge/state.rs
@@ -15,8 +15,8 @@
 use async_executor::Executor;
 use async_io::Async;
 use waxwing_edge::{
-    Fleet, Quarantine, RetryBudgetConfig, RetryBudgets, RoutingTable, TargetPool, Topology,
-    WorkspaceQuotas,
+    Fleet, NoticedTarget, Quarantine, RetryBudgetConfig, RetryBudgets, RoutingTable, TargetPool,
+    Topology, WorkspaceQuotas,
 };
 use waxwing_http::{Client, CoarseSleep, CoarseTimer, Dialect};
 use waxwing_records::VmEntry;
@@ -303,8 +303,10 @@
         let ready = self.is_ready();
         let version = self.routing_table().map_or(0, |table| table.version());
         let vms = self.fleet().vm_count();
-        let noticed = self.targets().noticed_targets();
+        let noticed = self.targets().noticed_targets(self.now());
         let leaving = noticed.iter().filter(|target| target.leaving).count();
+        let is_paused = |target: &&NoticedTarget| target.pause_left > Millis::ZERO;
+        let paused = noticed.iter().filter(is_paused).count();
         let metrics = &self.metrics;
         {
             let now = self.now();
@@ -320,6 +322,7 @@
         metrics.deployment_version.set(version as f64);
         metrics.registered_vms.set(vms as f64);
         metrics.leaving_targets.set(leaving as f64);
+        metrics.paused_targets.set(paused as f64);
         metrics.ready.set(f64::from(u8::from(ready)));
         metrics.render()
     }
--- a/crates/waxwingrail/tests/edge/target.rs
+++ b/crates/waxwingrail/tests/edge/target.rs
@@ -9,7 +9,7 @@
 use async_io::Timer;
 use futures_lite::future;
 use hyper::body::Incoming;
-use hyper::header::HeaderValue;
+use hyper::header::{HeaderValue, RETRY_AFTER};
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use waxwing_http::{Body, Handler, Server, ServerLimits, full};
 
@@ -20,6 +20,10 @@
     Answer,
     /// Responds with 503 and the `x-not-run` header, which states that the target did not run the request.
     Shed,
+    /// Responds with 503, `x-not-run` and this `Retry-After`.
+    ShedFor(&'static str),
+    /// Responds with 503 and this `Retry-After`, without the statement that the request was not run.
+    RejectFor(&'static str),
     /// Responds with 200 and says that it is leaving.
     Leave,
     /// Responds with 503 and `x-not-run`, and says that it is leaving.
@@ -111,6 +115,9 @@
 /// Sets the headers with which a target says something of itself or of the request.
 fn set_headers(response: &mut Response<Body>, behavior: TargetBehavior) {
     let headers = response.headers_mut();
+    if let TargetBehavior::ShedFor(value) | TargetBehavior::RejectFor(value) = behavior {
+        headers.insert(RETRY_AFTER, HeaderValue::from_static(value));
+    }
     if matches!(
         behavior,
         TargetBehavior::Leave
@@ -123,7 +130,7 @@
     }
     if matches!(
         behavior,
-        TargetBehavior::Shed | TargetBehavior::ShedAndLeave
+        TargetBehavior::Shed | TargetBehavior::ShedAndLeave | TargetBehavior::ShedFor(_)
     ) {
         headers.insert("x-not-run", HeaderValue::from_static("1"));
     }
@@ -161,7 +168,10 @@
                 | TargetBehavior::Leave
                 | TargetBehavior::WrongRequestId
                 | TargetBehavior::WrongRequestIdAndLeaving => {}
-                TargetBehavior::Shed | TargetBehavior::ShedAndLeave => {
+                TargetBehavior::Shed
+                | TargetBehavior::ShedAndLeave
+                | TargetBehavior::ShedFor(_)
+                | TargetBehavior::RejectFor(_) => {
                     *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
                 }
                 TargetBehavior::MisdirectedAndLeaving => {
--- a/crates/waxwingrail/tests/edge_notices.rs
+++ b/crates/waxwingrail/tests/edge_notices.rs
@@ -1,9 +1,12 @@
-//! Tests of the edge daemon with targets that say in their responses that they are leaving.
+//! Tests of the edge daemon with targets that say in their responses that they are leaving, or ask for a pause.
 
 #[path = "edge/fixture.rs"]
 mod fixture;
 
+use std::time::{Duration, Instant};
+
 use fixture::{Fixture, Target, TargetBehavior, deployment, run_test, wait_until};
+use hyper::header::RETRY_AFTER;
 use waxwing_records::TargetState;
 use waxwing_store::Family;
 use waxwingrail::edge::EdgeDaemon;
@@ -121,3 +124,124 @@
         assert!(metrics.contains("waxwing_edge_targets_leaving 1"));
     });
 }
+
+/// Returns the value of a metric of a daemon.
+async fn metric(fixture: &Fixture, daemon: &EdgeDaemon, name: &str) -> f64 {
+    let (_, metrics) = fixture.get(daemon.metrics_address(), "/metrics", "").await;
+    let mut lines = metrics.lines();
+    let value = lines.find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
+    value.expect("a metric").parse().expect("a number")
+}
+
+/// Guards against requests in a pause, from callers and from retries, and against a target that gets none after it.
+#[test]
+fn a_target_gets_no_requests_in_its_pause() {
+    run_test(async |fixture| {
+        let (daemon, target) = fixture.daemon_with_target().await;
+        target.set_behavior(TargetBehavior::ShedFor("0.8"));
+        let started = Instant::now();
+        assert_eq!(fixture.call(&daemon, "safe").await.status, 503);
+        assert_eq!(target.received().len(), 1);
+        target.set_behavior(TargetBehavior::Answer);
+        wait_until("the target gets requests again", async || {
+            fixture.call(&daemon, "safe").await.status == 200
+        })
+        .await;
+        assert!(started.elapsed() >= Duration::from_millis(800));
+        assert_eq!(target.received().len(), 2);
+        assert!(
+            metric(
+                &fixture,
+                &daemon,
+                "waxwing_edge_refusals_total{reason=\"targets_paused\"}"
+            )
+            .await
+                >= 1.0
+        );
+        let kind = "waxwing_edge_target_notices_total{kind=\"pause\"}";
+        assert!((metric(&fixture, &daemon, kind).await - 1.0).abs() < 0.1);
+    });
+}
+
+/// Guards against retries to targets in a pause, and against a refusal that lets callers come back within it: all targets
+/// of the service ask for a pause.
+#[test]
+fn a_service_whose_targets_are_all_in_a_pause_gets_no_requests() {
+    run_test(async |fixture| {
+        fixture.deploy(deployment(1));
+        let first = fixture
+            .start_target("t1", TargetBehavior::ShedFor("20"))
+            .await;
+        let second = fixture
+            .start_target("t2", TargetBehavior::ShedFor("40"))
+            .await;
+        let daemon = fixture.ready_daemon().await;
+        wait_until("both targets ask for a pause", async || {
+            fixture.call(&daemon, "unsafe").await;
+            metric(&fixture, &daemon, "waxwing_edge_targets_paused").await > 1.5
+        })
+        .await;
+        let received = [first.received().len(), second.received().len()];
+        assert_eq!(received, [1, 1]);
+        for _ in 0..FURTHER_CALLS {
+            let response = fixture.call(&daemon, "unsafe").await;
+            assert_eq!(response.status, 503);
+            let wait = response.headers.get(RETRY_AFTER).expect("a time");
+            let secs: u64 = wait.to_str().expect("text").parse().expect("a number");
+            // The tests have a minute, of which the pause of the first target may have used a part.
+            assert!((1..=30).contains(&secs), "{secs}");
+        }
+        let received = [first.received().len(), second.received().len()];
+        assert_eq!(received, [1, 1]);
+    });
+}
+
+/// Guards against a rejection without the statement that the request was not run, after which an unsafe request is sent
+/// again, or which asks for a pause in vain.
+#[test]
+fn a_pause_is_no_promise_that_the_request_was_not_run() {
+    run_test(async |fixture| {
+        let (daemon, rejecting) = fixture.daemon_with_target().await;
+        rejecting.set_behavior(TargetBehavior::RejectFor("30"));
+        let response = fixture.call(&daemon, "unsafe").await;
+        assert_eq!(
+            (response.status, response.body.as_deref()),
+            (503, Some("answer"))
+        );
+        assert_eq!(response.headers.get(RETRY_AFTER).expect("a time"), "30");
+        let answering = fixture.start_target("t2", TargetBehavior::Answer).await;
+        call_until_received(&fixture, &daemon, &answering).await;
+        assert_eq!(further_requests(&fixture, &daemon, &rejecting).await, 0);
+        assert_eq!(rejecting.received().len(), 1);
+    });
+}
+
+/// Guards against a value of `Retry-After` that ends the process or keeps a target out of use without being a time.
+#[test]
+fn unusable_values_ask_for_no_pause() {
+    const VALUES: [&str; 7] = [
+        "",
+        "-1",
+        "inf",
+        "NaN",
+        "1e3",
+        "soon",
+        "Wed, 21 Oct 2026 07:28:00 GMT",
+    ];
+    run_test(async |fixture| {
+        let (daemon, target) = fixture.daemon_with_target().await;
+        for value in VALUES {
+            target.set_behavior(TargetBehavior::ShedFor(value));
+            assert_eq!(fixture.call(&daemon, "safe").await.status, 503, "{value}");
+            target.set_behavior(TargetBehavior::Answer);
+            assert_eq!(fixture.call(&daemon, "safe").await.status, 200, "{value}");
+        }
+        let kind = "waxwing_edge_target_notices_total{kind=\"pause_unusable\"}";
+        assert!((metric(&fixture, &daemon, kind).await - 7.0).abs() < 0.1);
+        target.set_behavior(TargetBehavior::ShedFor("99999999999999999999999999"));
+        assert_eq!(fixture.call(&daemon, "safe").await.status, 503);
+        assert_eq!(further_requests(&fixture, &daemon, &target).await, 0);
+        let kind = "waxwing_edge_target_notices_total{kind=\"pause_cut\"}";
+        assert!((metric(&fixture, &daemon, kind).await - 1.0).abs() < 0.1);
+    });
+}
