Show operators the targets that leave or pause by their own word

Cause: metrics count the targets that get nothing because of what they said, and log lines name each once; nothing listed them at a given moment. Ruled out: a second listener for the edge daemon, which has none but that of its metrics; labels with target ids, which grow with each release. Conclusion: an operator finds out why a target whose entry says ready gets nothing from a VM.

--- a/crates/waxwingctl/src/command/explain.rs
+++ b/crates/waxwingctl/src/command/explain.rs
@@ -1,4 +1,4 @@
-//! `explain`.
+//! `explain`, and other questions to a daemon whose answers are printed as they come.
 
 use std::fmt::{self, Write as _};
 use std::net::SocketAddr;
@@ -31,12 +31,30 @@
     admin: SocketAddr,
     question: &Explain,
     timeout: Millis,
+) -> Exit {
+    let uri = format!(
+        "/v1/explain?workspace={}&service={}&method={}&path={}",
+        encode(&question.workspace),
+        encode(&question.service),
+        encode(&question.method),
+        encode(&question.path),
+    );
+    print_answer(console, executor, admin, &uri, timeout).await
+}
+
+/// Prints the answer of a daemon to a `GET`.
+pub(crate) async fn print_answer(
+    console: &mut Console<'_>,
+    executor: &Arc<Executor<'static>>,
+    admin: SocketAddr,
+    uri: &str,
+    timeout: Millis,
 ) -> Exit {
     let expired = async {
         Timer::after(timeout.duration()).await;
         Err(format!("no answer within {timeout}"))
     };
-    match ask(executor, admin, question).or(expired).await {
+    match ask(executor, admin, uri).or(expired).await {
         Ok(answer) => {
             console.report(&Answer(answer));
             Exit::Done
@@ -48,15 +66,8 @@
 async fn ask(
     executor: &Arc<Executor<'static>>,
     admin: SocketAddr,
-    question: &Explain,
+    uri: &str,
 ) -> Result<Value, String> {
-    let uri = format!(
-        "/v1/explain?workspace={}&service={}&method={}&path={}",
-        encode(&question.workspace),
-        encode(&question.service),
-        encode(&question.method),
-        encode(&question.path),
-    );
     let request = Request::get(uri).body(empty()).map_err(|e| e.to_string())?;
     let client = Client::new(Arc::clone(executor), ClientLimits::default());
     let response = client
--- a/crates/waxwingctl/src/run.rs
+++ b/crates/waxwingctl/src/run.rs
@@ -26,6 +26,8 @@
   get [KIND [NAME]]        print records
   watch [--changes N]      print changes of records as they come; stop after N
   entries FAMILY [NAME]    print entries of the platform's registry: deployment, targets, evacuations, vms
+  notices                  print the targets to which an edge daemon sends nothing because they said that they are
+                           leaving, or asked for a pause
   status                   print revision in force, its age and VMs of each failure domain
   explain --workspace W --service S --method M --path P
                            ask a daemon how it would treat a request
@@ -36,7 +38,8 @@
 Options, with the environment variable that sets them; a flag takes precedence:
   --store IP:PORT          WAXWINGCTL_STORE       address of the store
   --registry IP:PORT       WAXWINGCTL_REGISTRY    address of the platform's registry, for entries
-  --admin IP:PORT          WAXWINGCTL_ADMIN       admin address of a daemon, for explain
+  --admin IP:PORT          WAXWINGCTL_ADMIN       admin address of a daemon, for explain; metrics address of an
+                                                  edge daemon, for notices
   --timeout-ms N           WAXWINGCTL_TIMEOUT_MS  time for one call (default 5000)
   --json                   WAXWINGCTL_JSON=1      print JSON
   --help
@@ -104,6 +107,9 @@
         (Command::Explain(question), _, Some(admin)) => {
             explain::explain(&mut console, executor, admin, question, timeout).await
         }
+        (Command::Notices, _, Some(admin)) => {
+            explain::print_answer(&mut console, executor, admin, "/v1/notices", timeout).await
+        }
         (Command::Entries(family, name), _, _) => {
             let Some(registry) = sources.registry else {
                 return console.fail(Exit::Usage, &["--registry: missing".into()]);
@@ -133,9 +139,11 @@
         Command::Watch(limit) => watch::watch(console, store, *limit, timeout).await,
         Command::Status => status::status(console, store, unix_secs(), timeout).await,
         Command::Sweep(hours) => sweep::sweep(console, store, *hours, unix_secs(), timeout).await,
-        Command::Explain(_) | Command::Entries(..) | Command::KeyNew(..) | Command::Help => {
-            console.fail(Exit::Usage, &["--admin: missing".into()])
-        }
+        Command::Explain(_)
+        | Command::Notices
+        | Command::Entries(..)
+        | Command::KeyNew(..)
+        | Command::Help => console.fail(Exit::Usage, &["--admin: missing".into()]),
     }
 }
 
--- a/crates/waxwingctl/src/settings.rs
+++ b/crates/waxwingctl/src/settings.rs
@@ -43,6 +43,8 @@
         Entries(Family, Option<String>),
         /// Print the state of the failure domains.
         Status,
+        /// Ask an edge daemon which targets get no requests because of what they said.
+        Notices,
         /// Ask a daemon how it would treat a request.
         Explain(Explain),
         /// Delete idempotency records older than this many hours.
@@ -63,7 +65,7 @@
         pub store: Option<SocketAddr>,
         /// Address of the platform's registry.
         pub registry: Option<SocketAddr>,
-        /// Admin address of a daemon.
+        /// Admin address of a daemon, for edge daemons that of the metrics.
         pub admin: Option<SocketAddr>,
         /// Time for one call.
         pub timeout: Millis,
@@ -176,6 +178,7 @@
             .family(family)
             .map(|family| Command::Entries(family, Some((*name).to_owned()))),
         ["status"] => Some(Command::Status),
+        ["notices"] => Some(Command::Notices),
         ["explain"] => raw.explain(),
         ["sweep"] => raw.sweep(),
         ["key", "new"] => raw.key_new(),
@@ -320,7 +323,7 @@
         let name = match command {
             "apply" | "withdraw" | "get" | "watch" | "status" | "sweep" => "store",
             "entries" => "registry",
-            "explain" => "admin",
+            "explain" | "notices" => "admin",
             _ => return,
         };
         let missing = missing.contains(&(name, true));
--- a/crates/waxwingctl/tests/commands.rs
+++ b/crates/waxwingctl/tests/commands.rs
@@ -173,6 +173,10 @@
         _peer: SocketAddr,
     ) -> Pin<Box<dyn Future<Output = Response<Body>> + Send>> {
         Box::pin(async move {
+            if request.uri().path() == "/v1/notices" {
+                let answer = json!({"targets": [{"id": "t-0", "why": ["leaving"]}]});
+                return waxwing_http::json(StatusCode::OK, answer.to_string());
+            }
             let answer = json!({"query": request.uri().query(), "limits": ["workspace/w"],
                 "targets": [{"name": "t-0", "usable": true}]});
             waxwing_http::json(StatusCode::OK, answer.to_string())
@@ -180,9 +184,8 @@
     }
 }
 
-/// Guards against a path that reaches the daemon cut off at a special character.
-#[test]
-fn explain_asks_the_daemon_and_prints_an_outline() {
+/// Runs a command line, to which the address of a daemon is added, and returns what it prints.
+fn print_from_daemon(command: &str) -> String {
     let executor = Arc::new(Executor::new());
     block_on(executor.run(async {
         let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
@@ -190,19 +193,30 @@
         let server = Server::start(&executor, any, limits, Arc::new(Admin))
             .await
             .unwrap();
-        let line = format!(
-            "explain --admin {} --workspace w --service s --method GET --path /a?b=1&c",
-            server.address()
-        );
+        let line = format!("{command} --admin {}", server.address());
         let settings = parse(line.split(' ').map(Into::into), |_| None).unwrap();
         let (mut out, mut err) = (Vec::new(), Vec::new());
         let exit = run(&executor, &settings, Sources::default(), &mut out, &mut err).await;
         assert_eq!(exit, Exit::Done);
-        let expected = "limits: workspace/w\n\
-                        query: workspace=w&service=s&method=GET&path=/a%3Fb%3D1%26c\n\
-                        targets:\n  -\n    name: t-0\n    usable: true\n";
-        assert_eq!(String::from_utf8(out).unwrap(), expected);
-    }));
+        String::from_utf8(out).unwrap()
+    }))
+}
+
+/// Guards against a path that reaches the daemon cut off at a special character.
+#[test]
+fn explain_asks_the_daemon_and_prints_an_outline() {
+    let out = print_from_daemon("explain --workspace w --service s --method GET --path /a?b=1&c");
+    let expected = "limits: workspace/w\n\
+                    query: workspace=w&service=s&method=GET&path=/a%3Fb%3D1%26c\n\
+                    targets:\n  -\n    name: t-0\n    usable: true\n";
+    assert_eq!(out, expected);
+}
+
+/// Guards against notices that are asked for at a path that the daemon does not serve.
+#[test]
+fn notices_prints_the_targets_that_get_no_requests() {
+    let out = print_from_daemon("notices");
+    assert_eq!(out, "targets:\n  -\n    id: t-0\n    why: leaving\n");
 }
 
 /// Guards against a command line whose second fault is found only after the first was mended.
--- a/crates/waxwingrail/src/edge/handlers.rs
+++ b/crates/waxwingrail/src/edge/handlers.rs
@@ -11,6 +11,7 @@
 use hyper::{Request, Response, StatusCode};
 use waxwing_http::{Body, Handler, empty, full, json};
 
+use super::notice::render_notices;
 use super::request::CallerRequest;
 use super::state::Shared;
 
@@ -29,7 +30,8 @@
 /// Responds to readiness checks with 200 if callers may send requests to this VM, otherwise with 503.
 pub(crate) struct ReadinessHandler(pub(crate) Arc<Shared>);
 
-/// Serves the metrics at `/metrics`, as Prometheus text.
+/// Serves the metrics at `/metrics`, as Prometheus text, and at `/v1/notices` the targets that get no requests because of
+/// what they said.
 pub(crate) struct MetricsHandler(pub(crate) Arc<Shared>);
 
 /// Guard that counts a request in [`Shared::running_requests`] until the guard is dropped.
@@ -81,12 +83,14 @@
 
 impl Handler for MetricsHandler {
     fn handle(self: Arc<Self>, request: Request<Incoming>, _peer: SocketAddr) -> ResponseFuture {
-        let response = if request.uri().path() == "/metrics" {
-            let mut response = Response::new(full(self.0.render_metrics()));
-            response.headers_mut().insert(CONTENT_TYPE, PROMETHEUS_TEXT);
-            response
-        } else {
-            empty_response(StatusCode::NOT_FOUND)
+        let response = match request.uri().path() {
+            "/metrics" => {
+                let mut response = Response::new(full(self.0.render_metrics()));
+                response.headers_mut().insert(CONTENT_TYPE, PROMETHEUS_TEXT);
+                response
+            }
+            "/v1/notices" => json(StatusCode::OK, render_notices(&self.0)),
+            _ => empty_response(StatusCode::NOT_FOUND),
         };
         Box::pin(std::future::ready(response))
     }
--- a/crates/waxwingrail/src/edge/notice.rs
+++ b/crates/waxwingrail/src/edge/notice.rs
@@ -1,8 +1,10 @@
-//! Reads what targets say of themselves from the heads of their responses.
+//! Reads what targets say of themselves from the heads of their responses, and shows it to operators.
 
 use hyper::header::RETRY_AFTER;
 use hyper::{Response, StatusCode};
-use waxwing_edge::{PauseRequest, SelectedTarget, TargetNotice};
+use serde::Serialize;
+use waxwing_edge::{NoticeKind, NoticedTarget, PauseRequest, SelectedTarget, TargetNotice};
+use waxwing_types::{Incarnation, Millis, ServiceId, TargetId};
 
 use super::state::Shared;
 
@@ -51,3 +53,53 @@
             .max(),
     }
 }
+
+/// A target that gets no requests because of what it said.
+#[derive(Serialize)]
+struct NoticeRow {
+    id: TargetId,
+    incarnation: Incarnation,
+    service: ServiceId,
+    /// What the target said, as in the label of the metric.
+    why: Vec<&'static str>,
+    /// Time until the end of the pause, zero without one.
+    pause_ms: Millis,
+    /// What the entry of the target says.
+    entry: &'static str,
+}
+
+#[derive(Serialize)]
+struct NoticeList {
+    targets: Vec<NoticeRow>,
+}
+
+/// Renders the targets that get no requests because of what they said, as JSON.
+pub(crate) fn render_notices(shared: &Shared) -> String {
+    let noticed = shared.targets().noticed_targets(shared.now());
+    let targets = noticed.into_iter().map(NoticeRow::from).collect();
+    // Numbers and texts cannot fail to be written.
+    serde_json::to_string(&NoticeList { targets }).unwrap_or_default()
+}
+
+impl From<NoticedTarget> for NoticeRow {
+    fn from(target: NoticedTarget) -> Self {
+        let leaving = target.leaving.then_some(NoticeKind::Leaving);
+        let pause = (target.pause_left > Millis::ZERO).then_some(NoticeKind::Pause);
+        Self {
+            why: leaving
+                .into_iter()
+                .chain(pause)
+                .map(NoticeKind::as_str)
+                .collect(),
+            id: target.id,
+            incarnation: target.incarnation,
+            service: target.service,
+            pause_ms: target.pause_left,
+            entry: if target.entry_drains {
+                "draining"
+            } else {
+                "ready"
+            },
+        }
+    }
+}
--- a/crates/waxwingrail/tests/edge_notices.rs
+++ b/crates/waxwingrail/tests/edge_notices.rs
@@ -111,9 +111,9 @@
     });
 }
 
-/// Guards against a leaving target that metrics do not show.
+/// Guards against a leaving target that an operator does not find, in metrics or by name.
 #[test]
-fn metrics_show_leaving_targets() {
+fn operators_see_leaving_targets() {
     run_test(async |fixture| {
         fixture.deploy(deployment(1));
         fixture.start_target("t1", TargetBehavior::Leave).await;
@@ -122,6 +122,11 @@
         let (_, metrics) = fixture.get(daemon.metrics_address(), "/metrics", "").await;
         assert!(metrics.contains("waxwing_edge_target_notices_total{kind=\"leaving\"} 1"));
         assert!(metrics.contains("waxwing_edge_targets_leaving 1"));
+        let (status, notices) = fixture
+            .get(daemon.metrics_address(), "/v1/notices", "")
+            .await;
+        let expected = r#"{"targets":[{"id":"t1","incarnation":1,"service":"s","why":["leaving"],"pause_ms":0,"entry":"ready"}]}"#;
+        assert_eq!((status, notices.as_str()), (200, expected));
     });
 }
 
