--- a/crates/waxwingrail/tests/edge_notices.rs
+++ b/crates/waxwingrail/tests/edge_notices.rs
@@ -39,7 +39,7 @@
 }
 
 /// Guards against requests to a target after it has said that it is leaving, while its entry says ready: in a success, a
-/// failure or a refusal.
+/// failure or a refusal, on a connection that was used before.
 #[test]
 fn a_target_that_says_that_it_is_leaving_gets_no_further_requests() {
     for behavior in [
@@ -49,9 +49,10 @@
     ] {
         run_test(async |fixture| {
             let (daemon, leaving) = fixture.daemon_with_target().await;
+            assert_eq!(fixture.call(&daemon, "safe").await.status, 200);
             leaving.set_behavior(behavior);
             fixture.call(&daemon, "safe").await;
-            assert_eq!(leaving.received().len(), 1, "{behavior:?}");
+            assert_eq!(leaving.received().len(), 2, "{behavior:?}");
             let further = further_requests(&fixture, &daemon, &leaving).await;
             assert_eq!(further, 0, "{behavior:?}");
             fixture.start_target("t2", TargetBehavior::Answer).await;
@@ -59,7 +60,7 @@
                 fixture.call(&daemon, "safe").await.status == 200
             })
             .await;
-            assert_eq!(leaving.received().len(), 1, "{behavior:?}");
+            assert_eq!(leaving.received().len(), 2, "{behavior:?}");
         });
     }
 }
