Remember the notices of each process of a target

Cause: the memory held one process for each id. If a later process under the same id had asked for a pause and was removed as well, it took the place of an earlier one that had left; an old entry of the earlier process then got requests. Change: the memory is keyed by id and incarnation. A process inherits the notices of later ones, whose start ended it.

--- a/crates/waxwing_edge/src/target/notice.rs
+++ b/crates/waxwing_edge/src/target/notice.rs
@@ -4,7 +4,7 @@
 //! has said that it is leaving. Also answers the load of a target in trouble: it asks for a pause, and gets further
 //! requests, above all retries.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 use waxwing_types::{Incarnation, Millis, ServiceId, TargetId, common_derives};
 
@@ -15,7 +15,7 @@
 /// again for some seconds: in a list that is old, or after an outage of the store. A process that is leaving ends seconds
 /// after its notice.
 const MEMORY_TIME: Millis = Millis::from_secs(600);
-/// Maximum number of removed targets whose notices are remembered. The largest known deployment has fewer targets.
+/// Maximum number of processes of removed targets whose notices are remembered. The largest known deployment has fewer targets.
 const MAX_REMEMBERED: usize = 4096;
 /// Added to a pause, because its start is rounded down to a millisecond.
 const CLOCK_RESOLUTION: Millis = Millis(1);
@@ -175,7 +175,6 @@
 
 /// The notices of a process whose target was removed.
 struct RememberedNotices {
-    incarnation: Incarnation,
     state: NoticeState,
     expires_at: Millis,
 }
@@ -183,21 +182,25 @@
 /// The notices of targets that were removed. Their entries may be listed again.
 #[derive(Default)]
 pub(crate) struct NoticeMemory {
-    targets: HashMap<TargetId, RememberedNotices>,
+    processes: BTreeMap<(TargetId, Incarnation), RememberedNotices>,
 }
 
 impl NoticeMemory {
     /// What a process of a target, or a later process under the same id, said before its target was removed. A later
-    /// process says nothing about itself, but its start ended the earlier one.
+    /// process says nothing about an earlier one, but its start ended that one.
     pub(crate) fn recall(
         &self,
         now: Millis,
         id: &TargetId,
         incarnation: Incarnation,
     ) -> NoticeState {
-        let remembered = self.targets.get(id);
-        let remembered = remembered.filter(|r| r.incarnation >= incarnation && now < r.expires_at);
-        remembered.map_or_else(NoticeState::default, |r| r.state)
+        let processes = (id.clone(), incarnation)..=(id.clone(), Incarnation(u64::MAX));
+        let remembered = self.processes.range(processes);
+        let mut state = NoticeState::default();
+        for (_, remembered) in remembered.filter(|(_, r)| now < r.expires_at) {
+            state.merge(remembered.state);
+        }
+        state
     }
 
     /// Remembers the notices of a process whose target is removed.
@@ -211,30 +214,28 @@
         if state.allows_requests(now) {
             return;
         }
-        match self.targets.get(id) {
-            Some(known) if known.incarnation > incarnation => return,
-            Some(known) if known.incarnation == incarnation => state.merge(known.state),
-            Some(_) => {}
+        let process = (id.clone(), incarnation);
+        match self.processes.get(&process) {
+            Some(known) => state.merge(known.state),
             None => self.make_room(now),
         }
         let remembered = RememberedNotices {
-            incarnation,
             state,
             expires_at: state.expires_at(now),
         };
-        self.targets.insert(id.clone(), remembered);
+        self.processes.insert(process, remembered);
     }
 
     /// Drops what has expired if the memory is full, and otherwise what expires first.
     fn make_room(&mut self, now: Millis) {
-        if self.targets.len() < MAX_REMEMBERED {
+        if self.processes.len() < MAX_REMEMBERED {
             return;
         }
-        self.targets.retain(|_, r| now < r.expires_at);
-        if self.targets.len() >= MAX_REMEMBERED {
-            let first = self.targets.iter().min_by_key(|(_, r)| r.expires_at);
-            if let Some(id) = first.map(|(id, _)| id.clone()) {
-                self.targets.remove(&id);
+        self.processes.retain(|_, r| now < r.expires_at);
+        if self.processes.len() >= MAX_REMEMBERED {
+            let first = self.processes.iter().min_by_key(|(_, r)| r.expires_at);
+            if let Some(process) = first.map(|(process, _)| process.clone()) {
+                self.processes.remove(&process);
             }
         }
     }
