--- a/crates/waxwingrail/src/edge/forward.rs
+++ b/crates/waxwingrail/src/edge/forward.rs
@@ -11,6 +11,7 @@
 use waxwing_types::{Millis, WorkspaceId};
 
 use super::body::{TimedBody, buffer_body};
+use super::notice::apply_notice;
 use super::peers;
 use super::state::Shared;
 
@@ -44,6 +45,8 @@
     Failed(Response<Body>),
     /// No byte of the request was sent.
     NotSent,
+    /// No byte of the request was sent, because the target said meanwhile that it wants no requests.
+    Withdrawn,
     /// The target stated that it did not run the request.
     NotRun,
     /// The connection broke, the response lacks the id of the request, or the response has a content
@@ -129,6 +132,7 @@
                 .quarantine()
                 .on_connection_broken(now, attempt.fingerprint, attempt.key);
         }
+        AttemptOutcome::Withdrawn => slot.release(TargetOutcome::Cancelled),
         AttemptOutcome::NotSent => {
             slot.release(TargetOutcome::ConnectFailed);
             let crash_fingerprints = shared
@@ -153,9 +157,12 @@
     let matches = |headers: &HeaderMap| {
         has_request_id(attempt.request_head, headers, &header_names.request_id)
     };
+    let is_withdrawn = || shared.targets().is_withdrawn(shared.now(), &attempt.target);
     let address = attempt.target.address;
-    let result = shared.client.send_matching(address, request, matches);
-    let response = match result.await {
+    let sending = shared
+        .client
+        .send_unless(address, request, is_withdrawn, matches);
+    let response = match sending.await {
         Ok(response) => response,
         Err(error) => {
             if matches!(error, SendError::Unmatched) {
@@ -169,6 +176,7 @@
                 "request to target failed"
             );
             return match error {
+                SendError::Withdrawn => AttemptOutcome::Withdrawn,
                 SendError::Connect(_) | SendError::NotSent(_) => AttemptOutcome::NotSent,
                 SendError::Broken(_) | SendError::Unmatched => AttemptOutcome::NoUsableResponse,
             };
@@ -183,6 +191,7 @@
         slot.release(TargetOutcome::Misdirected);
         return AttemptOutcome::NotRun;
     }
+    apply_notice(shared, &attempt.target, &response);
     if response.headers().contains_key(&header_names.not_run) {
         slot.release(TargetOutcome::Shed);
         return AttemptOutcome::NotRun;
