--- a/crates/waxwing_edge/src/target/mod.rs
+++ b/crates/waxwing_edge/src/target/mod.rs
@@ -5,7 +5,9 @@
 //! A cold target tolerates only a few requests ([`ColdStartLimit`]).
 
 mod cold_start;
+mod notice;
 mod observation;
+mod pause;
 mod pool;
 mod select;
 mod tracked;
@@ -13,11 +15,13 @@
 use std::net::SocketAddr;
 
 use slotmap::new_key_type;
-use waxwing_types::{DomainId, Millis, RegionId, ServiceId, TargetId, common_derives};
+use waxwing_types::{DomainId, Incarnation, Millis, RegionId, ServiceId, TargetId, common_derives};
 
 use crate::Priority;
 
+pub use notice::{NoticeChange, NoticeKind, NoticedTarget, TargetNotice};
 pub use observation::TargetObservation;
+pub use pause::{Pause, PauseRequest};
 pub use pool::TargetPool;
 
 new_key_type! {
@@ -70,6 +74,8 @@
         /// Id of the target. The request carries this id, by which another process at the same address
         /// detects that the request is not meant for it ([`TargetOutcome::Misdirected`]).
         pub id: TargetId,
+        /// The process of the target.
+        pub incarnation: Incarnation,
         /// Address to send the request to.
         pub address: SocketAddr,
         /// Region of the target.
@@ -113,6 +119,9 @@
             /// the next attempt, so that the queue becomes shorter.
             retry_after: Millis,
         },
+        /// No target may get the request, and at least one asked for a pause. The caller should come back when the first
+        /// pause has ended.
+        Paused(Pause),
         /// No target may get the request: none is usable, or each usable target was already tried or is in a
         /// region that is not allowed.
         NoTarget,
--- a/crates/waxwingrail/src/edge/mod.rs
+++ b/crates/waxwingrail/src/edge/mod.rs
@@ -9,6 +9,7 @@
 mod handlers;
 mod list;
 mod metric;
+mod notice;
 mod peers;
 mod refusal;
 mod request;
