Let only store readers poll the latest state after a restore of the store

Ruled out: a shorter time; a recent state may be that of before the restore for as long as it lags. Change: a mode of its own for VMs that read the latest state only because of the restore. They wait for as long as on a recent state; readers report what they miss.

--- a/crates/waxwingrail/src/edge/watch.rs
+++ b/crates/waxwingrail/src/edge/watch.rs
@@ -182,7 +182,7 @@
     let answer_time = timeout.min(MAX_ANSWER_TIME);
     match (mode, family) {
         (WatchMode::CatchUp, _) => (Millis::ZERO, timeout),
-        (WatchMode::Recent, _) => (longest, timeout),
+        (WatchMode::Recent | WatchMode::Restored, _) => (longest, timeout),
         (WatchMode::Latest, Family::Vms) => (longest.min(MAX_VMS_WATCH_WAIT), answer_time),
         (WatchMode::Latest, Family::Deployment | Family::Targets | Family::Evacuations) => {
             let wait = settings.store_recovery - REPORT_MARGIN - answer_time;
--- a/crates/waxwingrail/src/edge/watch/tests.rs
+++ b/crates/waxwingrail/src/edge/watch/tests.rs
@@ -51,3 +51,13 @@
         }
     }
 }
+
+/// Guards against a fleet in which every VM reads the latest state again and again after a restore of the store.
+#[test]
+fn only_store_readers_poll_after_a_restore() {
+    let settings = settings(4000);
+    for family in Family::ALL {
+        let recent = watch_times(&settings, family, WatchMode::Recent);
+        assert_eq!(watch_times(&settings, family, WatchMode::Restored), recent);
+    }
+}
--- a/crates/waxwingrail/src/edge/watch_progress.rs
+++ b/crates/waxwingrail/src/edge/watch_progress.rs
@@ -40,8 +40,11 @@
     copy
     /// Which state of the store the next watch of a family reads, and for how long it waits.
     pub(crate) enum WatchMode {
-        /// The latest state, for as long as the history of the store allows.
+        /// The latest state, for as long as a silence of the store may last unnoticed.
         Latest,
+        /// The latest state, for as long as the history of the store allows: after a restore, when a recent state may be that
+        /// of before.
+        Restored,
         /// A recent state, for as long as the history of the store allows.
         Recent,
         /// The latest state, without waiting, to fetch changes that other VMs have reported.
@@ -60,7 +63,7 @@
 impl WatchMode {
     pub(crate) const fn freshness(self) -> Freshness {
         match self {
-            Self::Latest | Self::CatchUp => Freshness::Latest,
+            Self::Latest | Self::Restored | Self::CatchUp => Freshness::Latest,
             Self::Recent => Freshness::Recent,
         }
     }
@@ -80,8 +83,8 @@
     confirmed_at: Millis,
     /// Whether the last call of [`WatchProgress::take_age_changes`] found the state too old.
     is_outdated: bool,
-    /// Start and freshness of the running watch, `None` between two watches.
-    current_watch: Option<(Millis, Freshness)>,
+    /// Start and mode of the running watch, `None` between two watches.
+    current_watch: Option<(Millis, WatchMode)>,
     /// Channel on which the running watch is interrupted.
     interruptions: Sender<()>,
 }
@@ -150,17 +153,18 @@
             WatchMode::CatchUp
         } else if self.must_watch_latest(now, is_store_reader) {
             WatchMode::Latest
+        } else if self.is_recent_state_void(now) {
+            WatchMode::Restored
         } else {
             WatchMode::Recent
         }
     }
 
-    /// Whether this VM must watch the latest state: as the store reader, because no reader sends reports, or after a
-    /// restore. Not in the startup: a watch of a recent state that still waits at its end is interrupted then.
+    /// Whether this VM must watch the latest state, either as the store reader or because no reader sends
+    /// reports. Not in the startup: a watch of a recent state that still waits at its end is interrupted then.
     fn must_watch_latest(&self, now: Millis, is_store_reader: bool) -> bool {
         let startup_ended = now.since(self.started_at) >= STARTUP_TIME;
-        let has_no_reports = now.since(self.last_report_at) >= READER_TIMEOUT;
-        startup_ended && (is_store_reader || has_no_reports) || self.is_recent_state_void(now)
+        startup_ended && (is_store_reader || now.since(self.last_report_at) >= READER_TIMEOUT)
     }
 
     /// Whether a recent state may still be that of before a restore of the store.
@@ -239,7 +243,7 @@
     /// Records the start of a watch.
     pub(crate) fn watch_started(&mut self, now: Millis, family: Family, mode: WatchMode) {
         if let Some(progress) = self.families.get_mut(&family) {
-            progress.current_watch = Some((now, mode.freshness()));
+            progress.current_watch = Some((now, mode));
         }
     }
 
@@ -321,10 +325,11 @@
         progress.map_or(Millis::ZERO, |progress| now.since(progress.confirmed_at))
     }
 
-    /// Whether the failure of a watch shows that the store cannot be reached now. A watch of a recent state may have met a
-    /// silence of the store long ago. If a store reader has confirmed the state since, only that watch has failed.
+    /// Whether the failure of a watch shows that the store cannot be reached now. A long watch may have met a silence of the
+    /// store long ago. If a store reader has confirmed the state since, only that watch has failed.
     pub(crate) fn shows_outage(&self, now: Millis, family: Family, mode: WatchMode) -> bool {
-        mode != WatchMode::Recent || self.state_age(now, family) >= READER_TIMEOUT
+        let is_long = matches!(mode, WatchMode::Recent | WatchMode::Restored);
+        !is_long || self.state_age(now, family) >= READER_TIMEOUT
     }
 
     /// Returns the families whose state has become older than `max_age`, or younger again, since the last call, with
@@ -361,13 +366,14 @@
     pub(crate) fn interrupt_outdated(&self, now: Millis, is_store_reader: bool) -> Vec<Family> {
         let mut interrupted_families = Vec::new();
         for (family, progress) in &self.families {
-            let Some((watch_started_at, freshness)) = progress.current_watch else {
+            let Some((watch_started_at, mode)) = progress.current_watch else {
                 continue;
             };
             let lag_exceeded =
                 now.since(watch_started_at.max(progress.reported.1)) >= max_lag(*family);
-            let must_switch =
-                self.must_watch_latest(now, is_store_reader) && freshness == Freshness::Recent;
+            let is_long = matches!(mode, WatchMode::Recent | WatchMode::Restored);
+            let must_switch = is_long && self.must_watch_latest(now, is_store_reader)
+                || mode == WatchMode::Recent && self.is_recent_state_void(now);
             let must_end = progress.is_behind() && lag_exceeded || self.is_later_epoch_reported;
             if (must_end || must_switch) && progress.interruptions.try_send(()).is_ok() {
                 interrupted_families.push(*family);
