--- a/crates/waxwingrail/src/edge/watch.rs
+++ b/crates/waxwingrail/src/edge/watch.rs
@@ -5,17 +5,23 @@
 //! store, or a recent state, which may lag by some seconds and costs the store less. One VM of each failure
 //! domain, the store reader, watches the latest state and reports the revisions of changes to the other VMs.
 
+#[cfg(test)]
+mod tests;
+
 use std::sync::Arc;
 
 use async_channel::Receiver;
 use async_executor::Task;
 use async_io::Timer;
 use futures_lite::future;
-use waxwing_store::{Change, Family, Freshness, ListOutcome, WatchOutcome};
+use waxwing_store::{Change, Family, Freshness, WatchOutcome};
 use waxwing_types::{Millis, Revision};
 
 use super::apply::{apply_changes, apply_list};
-use super::peers;
+use super::list::{
+    Interruption, Listed, Position, current_outcome, list, list_after_restore, list_again,
+    record_and_announce,
+};
 use super::settings::EdgeSettings;
 use super::state::Shared;
 use super::watch_progress::WatchMode;
@@ -25,12 +31,15 @@
 /// Margin between the longest watch and `store_history`, the time for which the store keeps changes. If the store
 /// has dropped the changes that the next watch needs, the family must be listed again, an additional call.
 const HISTORY_MARGIN: Millis = Millis::from_secs(2);
-/// Part of `store_recovery` in which a change that a store reader has read after an outage reaches the other VMs.
-const REPORT_MARGIN: Millis = Millis(1000);
+/// Part of `store_recovery` after the failure of a watch in which its changes reach all VMs: backoff, calls of a slow store,
+/// and the time for which other VMs may lack a reported revision.
+const REPORT_MARGIN: Millis = Millis(1600);
+/// Time after the end of its wait within which a watch of the latest state must be answered, also by a slow store.
+const MAX_ANSWER_TIME: Millis = Millis(1000);
 /// Minimum wait of a watch, however short `store_recovery` is.
 const MIN_WATCH_WAIT: Millis = Millis(500);
-/// Maximum wait of a watch of the latest entries of VMs. No limit on the delay of changes depends on them.
-const MAX_VMS_WATCH_WAIT: Millis = Millis::from_secs(8);
+/// Maximum wait of a watch of the latest entries of VMs. Until a new VM is known, it gets no callers.
+const MAX_VMS_WATCH_WAIT: Millis = Millis::from_secs(3);
 /// Initial and maximum backoff after failed calls, without jitter. Calls must succeed within `store_recovery` after an
 /// outage: then the limits on the delay of changes, `max_apply_delay` and `max_drain_delay`, apply again.
 const RETRY_BACKOFF: (Millis, Millis) = (Millis(60), Millis(800));
@@ -77,39 +86,15 @@
     }
 }
 
-/// Where the reading of a family continues.
-#[derive(Clone, Copy)]
-enum Position {
-    /// The family has not been listed yet.
-    Unlisted,
-    /// The store dropped changes after this revision. The family must be listed again.
-    HistoryGone(Revision),
-    /// A call failed. All changes up to this revision are known.
-    Interrupted(Revision),
-}
-
-/// Why the reading of a family stopped, and where it continues.
-struct Interruption {
-    position: Position,
-    /// The failure of a call; `None` if the store only dropped its history.
-    failure: Option<String>,
-}
-
-impl Interruption {
-    fn failed(position: Position, reason: String) -> Self {
-        Self {
-            position,
-            failure: Some(reason),
-        }
-    }
-}
-
 async fn list_and_watch_with_retries(shared: Arc<Shared>, family: Family) {
     let interruptions = shared.watch_progress().add_family(family);
     let (min_pause, max_pause) = RETRY_BACKOFF;
     let mut pause = min_pause;
     let mut position = Position::Unlisted;
     loop {
+        if shared.watch_progress().must_list(family) {
+            position = Position::Restored;
+        }
         let interruption = match resume(&shared, family, position).await {
             Ok(revision) => {
                 pause = min_pause;
@@ -144,7 +129,9 @@
     let known = match position {
         Position::Unlisted => {
             let freshness = first_list_freshness(family);
-            let (entries, revision) = list(shared, family, freshness, position).await?;
+            let Listed {
+                entries, revision, ..
+            } = list(shared, family, freshness, position).await?;
             shared.record_store_success(family);
             apply_list(shared, family, freshness, entries);
             // If the first list counted as a change, a store reader would report its revision, and all VMs of the
@@ -158,12 +145,14 @@
         }
         Position::HistoryGone(known) => return list_again(shared, family, known, position).await,
         Position::Interrupted(known) => known,
+        Position::Restored => return list_after_restore(shared, family).await,
     };
     let timeout = shared.settings.store_timeout;
+    let freshness = shared.watch_progress().recent_freshness(shared.now());
     let probe = shared
         .registry
-        .watch(family, known, Freshness::Recent, Millis::ZERO, timeout);
-    match probe.await {
+        .watch(family, known, freshness, Millis::ZERO, timeout);
+    match current_outcome(shared, probe.await)? {
         WatchOutcome::Changed { changes, revision } => {
             let last_change = last_change_revision(&changes, known, revision);
             let revision = revision.max(known);
@@ -182,64 +171,22 @@
     }
 }
 
-/// Lists a family again. A recent state is enough if it is not older than the known revision: it would restore entries whose
-/// removal this process has already applied. After a loss of history it must be newer. Otherwise the latest state is listed.
-async fn list_again(
-    shared: &Arc<Shared>,
-    family: Family,
-    known: Revision,
-    position: Position,
-) -> Result<Revision, Interruption> {
-    let mut freshness = Freshness::Recent;
-    let (mut entries, mut revision) = list(shared, family, freshness, position).await?;
-    let own_name = shared.own_entry.id.as_str();
-    let lacks_own_vm = family == Family::Vms && entries.iter().all(|entry| entry.name != own_name);
-    let history_gone = matches!(position, Position::HistoryGone(_));
-    if revision < known || (history_gone && revision == known) || lacks_own_vm {
-        freshness = Freshness::Latest;
-        (entries, revision) = list(shared, family, freshness, position).await?;
-    }
-    shared.record_store_success(family);
-    apply_list(shared, family, freshness, entries);
-    // The list may contain changes that no watch returned, if the store has dropped them.
-    record_and_announce(shared, family, revision, history_gone.then_some(revision));
-    Ok(revision)
-}
-
-/// Calls the store for a list. Reading continues at `position` if the call fails.
-async fn list(
-    shared: &Shared,
-    family: Family,
-    freshness: Freshness,
-    position: Position,
-) -> Result<(Vec<Change>, Revision), Interruption> {
-    let timeout = shared.settings.store_timeout;
-    match shared.registry.list(family, freshness, timeout).await {
-        ListOutcome::Listed { entries, revision } => {
-            if freshness == Freshness::Latest {
-                let now = shared.now();
-                shared.watch_progress().record_latest_state(now, family);
-            }
-            Ok((entries, revision))
-        }
-        ListOutcome::Unreachable(reason) => Err(Interruption::failed(position, reason)),
-    }
-}
-
-/// Wait of the next watch of a family.
+/// Wait of the next watch of a family, and the time after its end within which the store must answer.
 ///
 /// A watch that meets a silence of the store may stay without an answer for good, on a connection that looks healthy. Only
 /// the end of its wait shows that. A watch of the latest state therefore waits no longer than `store_recovery` allows. A
 /// watch of a recent state may wait longer, because store readers report what it lacks.
-fn watch_wait(settings: &EdgeSettings, family: Family, mode: WatchMode) -> Millis {
+fn watch_times(settings: &EdgeSettings, family: Family, mode: WatchMode) -> (Millis, Millis) {
     let longest = (settings.store_history - HISTORY_MARGIN).min(MAX_WATCH_WAIT);
+    let timeout = settings.store_timeout;
+    let answer_time = timeout.min(MAX_ANSWER_TIME);
     match (mode, family) {
-        (WatchMode::CatchUp, _) => Millis::ZERO,
-        (WatchMode::Recent, _) => longest,
-        (WatchMode::Latest, Family::Vms) => longest.min(MAX_VMS_WATCH_WAIT),
+        (WatchMode::CatchUp, _) => (Millis::ZERO, timeout),
+        (WatchMode::Recent, _) => (longest, timeout),
+        (WatchMode::Latest, Family::Vms) => (longest.min(MAX_VMS_WATCH_WAIT), answer_time),
         (WatchMode::Latest, Family::Deployment | Family::Targets | Family::Evacuations) => {
-            let silence = settings.store_recovery - REPORT_MARGIN;
-            longest.min((silence - settings.store_timeout).max(MIN_WATCH_WAIT))
+            let wait = settings.store_recovery - REPORT_MARGIN - answer_time;
+            (longest.min(wait.max(MIN_WATCH_WAIT)), answer_time)
         }
     }
 }
@@ -251,7 +198,6 @@
     mut revision: Revision,
     interruptions: &Receiver<()>,
 ) -> Interruption {
-    let timeout = shared.settings.store_timeout;
     loop {
         let now = shared.now();
         let is_store_reader = shared.fleet().is_store_reader(now);
@@ -261,19 +207,29 @@
             progress.watch_started(now, family, mode);
             mode
         };
-        let wait = watch_wait(&shared.settings, family, mode);
+        let (wait, timeout) = watch_times(&shared.settings, family, mode);
         // Discards interruptions that arrived after the end of the previous watch.
         while interruptions.try_recv().is_ok() {}
+        if shared.watch_progress().must_list(family) {
+            return Interruption {
+                position: Position::Restored,
+                failure: None,
+            };
+        }
         let call = shared
             .registry
             .watch(family, revision, mode.freshness(), wait, timeout);
         let watch = async { Some(call.await) };
         let interruption = async { interruptions.recv().await.ok().and(None) };
-        let outcome = future::or(watch, interruption).await;
+        let answer = future::or(watch, interruption).await;
         shared.watch_progress().watch_ended(family);
-        let Some(outcome) = outcome else {
+        let Some(answer) = answer else {
             continue;
         };
+        let outcome = match current_outcome(shared, answer) {
+            Ok(outcome) => outcome,
+            Err(interruption) => return interruption,
+        };
         match outcome {
             WatchOutcome::Changed {
                 changes,
@@ -301,7 +257,12 @@
                 };
             }
             WatchOutcome::Unreachable(reason) => {
-                return Interruption::failed(Position::Interrupted(revision), reason);
+                let now = shared.now();
+                let shows_outage = shared.watch_progress().shows_outage(now, family, mode);
+                return Interruption {
+                    position: Position::Interrupted(revision),
+                    failure: shows_outage.then_some(reason),
+                };
             }
         }
     }
@@ -348,21 +309,6 @@
     Some(if first > known { last } else { watched })
 }
 
-/// Records the known revision of a family. The store reader also announces a new change to the VMs of the region.
-fn record_and_announce(
-    shared: &Shared,
-    family: Family,
-    revision: Revision,
-    last_change: Option<Revision>,
-) {
-    if shared
-        .watch_progress()
-        .record_and_check_new_change(family, revision, last_change)
-    {
-        peers::announce_revisions_as_reader(shared);
-    }
-}
-
 /// Pause between two calls for a family. Changes in this time are read as a batch, as each call has a cost.
 fn batch_time(shared: &Shared, family: Family) -> Millis {
     let settings = &shared.settings;
