--- a/crates/waxwingrail/src/edge/apply.rs
+++ b/crates/waxwingrail/src/edge/apply.rs
@@ -100,7 +100,7 @@
                     "entry not read"
                 );
                 if family == Family::Targets {
-                    shared.targets().remove(&TargetId(change.name));
+                    shared.targets().remove(now, &TargetId(change.name));
                 }
             }
             None => apply_removal(shared, now, family, change.name),
@@ -160,7 +160,7 @@
         let grace = &mut shared.store_status().restore_grace;
         grace.on_target_left(now, id.clone(), incarnation);
     }
-    shared.targets().remove(id);
+    shared.targets().remove(now, id);
 }
 
 /// Ends what this VM has kept or withheld for a limited time after an outage or a restore of the store.
