--- a/crates/waxwingrail/tests/soak.rs
+++ b/crates/waxwingrail/tests/soak.rs
@@ -17,10 +17,16 @@
 const WORKER_THREADS: usize = 2;
 
 /// Seeds that once showed a fault, with the fault.
-const SEEDS: [(u64, &str); 1] = [(
-    1,
-    "a workspace got 161 requests of 152 in a window after planned stops: two coordinators refilled the same shares",
-)];
+const SEEDS: [(u64, &str); 2] = [
+    (
+        1,
+        "a workspace got 161 requests of 152 in a window after planned stops: two coordinators refilled the same shares",
+    ),
+    (
+        40,
+        "401, 404 and a withdrawn key in use after the store was silent, and again after it came back from a copy",
+    ),
+];
 
 /// Guards against promises of the daemon that do not hold under faults that overlap: each seed once broke one.
 #[test]
