--- a/crates/waxwing_edge/src/retry_after.rs
+++ b/crates/waxwing_edge/src/retry_after.rs
@@ -1,7 +1,8 @@
 //! When a refused caller may come back.
 //!
 //! Answers three loads: a wave of callers that are refused at the same time by busy targets or by a quota, those that are
-//! refused while all targets of a service are in a pause, and the callers of a fleet of which all VMs are starting. Callers that are told the same time would come back as a wave.
+//! refused while all targets of a service are in a pause, and the callers of a fleet of which all VMs are starting.
+//! Callers that are told the same time would come back as a wave.
 
 use waxwing_types::Millis;
 
--- a/crates/waxwing_edge/src/target/pool.rs
+++ b/crates/waxwing_edge/src/target/pool.rs
@@ -82,8 +82,8 @@
     }
 
     /// Whether a target may get a request now. The target must be ready (by its registration and by what it said
-    /// itself), must not be ejected (after failures), and must not be in an evacuated failure domain. If the target is cold, this VM
-    /// also needs a cold start token for the target.
+    /// itself), must not be ejected (after failures), and must not be in an evacuated failure domain. If the target is
+    /// cold, this VM also needs a cold start token for the target.
     pub(crate) fn is_usable(&self, now: Millis, key: TargetKey) -> bool {
         let Some(target) = self.targets.get(key) else {
             return false;
--- a/crates/waxwingrail/src/edge/watch_progress.rs
+++ b/crates/waxwingrail/src/edge/watch_progress.rs
@@ -33,7 +33,8 @@
 /// Time without a report from a store reader after which a VM watches the latest state itself. A reader sends a
 /// report every second while its calls to the store succeed. Reports are datagrams, which may be lost.
 const READER_TIMEOUT: Millis = Millis(3500);
-/// Time after a restore of the store for which this VM watches the latest state. A recent state may be that of before the restore.
+/// Time after a restore of the store for which this VM watches the latest state. A recent state may be that of before the
+/// restore.
 const RESTORE_TIME: Millis = Millis::from_secs(8);
 
 common_derives! {
@@ -361,8 +362,9 @@
         Family::ALL.iter().map(last_change_revision).collect()
     }
 
-    /// Interrupts watches that have lacked a reported revision for too long, or if a later epoch was reported. Also interrupts watches of a
-    /// recent state if this VM must now watch the latest state. Returns the families of the interrupted watches.
+    /// Interrupts watches that have lacked a reported revision for too long, or all if a later epoch was reported. Also
+    /// interrupts long watches if this VM must now poll the latest state, and watches of a recent state after a restore.
+    /// Returns the families of the interrupted watches.
     pub(crate) fn interrupt_outdated(&self, now: Millis, is_store_reader: bool) -> Vec<Family> {
         let mut interrupted_families = Vec::new();
         for (family, progress) in &self.families {
