Start the two daemons of the watch tests in one fixture

Cause: three tests of edge_watch.rs wrote the same start of two daemons; one of them was new. Change: Fixture::two_ready_daemons. No check changes. Conclusion: the setup stands once.

--- a/crates/waxwingrail/tests/edge/fixture.rs
+++ b/crates/waxwingrail/tests/edge/fixture.rs
@@ -122,6 +122,18 @@
         daemon
     }
 
+    /// Starts daemons `v1` and `v2` together and waits until both are ready.
+    pub(crate) async fn two_ready_daemons(&self) -> [EdgeDaemon; 2] {
+        let daemons = [
+            self.start_daemon("v1", 1).await,
+            self.start_daemon("v2", 1).await,
+        ];
+        for daemon in &daemons {
+            self.wait_until_ready(daemon).await;
+        }
+        daemons
+    }
+
     pub(crate) async fn wait_until_ready(&self, daemon: &EdgeDaemon) {
         wait_until("the daemon is ready", async || {
             self.get(daemon.readiness_address(), "/readyz", "").await.0 == 200
--- a/crates/waxwingrail/tests/edge_watch.rs
+++ b/crates/waxwingrail/tests/edge_watch.rs
@@ -150,13 +150,7 @@
     run_test(async |fixture| {
         fixture.deploy(deployment(1));
         fixture.start_target("t1", TargetBehavior::Answer).await;
-        let daemons = [
-            fixture.start_daemon("v1", 1).await,
-            fixture.start_daemon("v2", 1).await,
-        ];
-        for daemon in &daemons {
-            fixture.wait_until_ready(daemon).await;
-        }
+        let daemons = fixture.two_ready_daemons().await;
         wait_until("a VM is the store reader", async || {
             let watches = fixture.registry.watches(Family::Deployment);
             watches.contains(&Freshness::Latest)
@@ -239,13 +233,7 @@
     run_test(async |fixture| {
         fixture.deploy(deployment(1));
         fixture.start_target("t1", TargetBehavior::Answer).await;
-        let daemons = [
-            fixture.start_daemon("v1", 1).await,
-            fixture.start_daemon("v2", 1).await,
-        ];
-        for daemon in &daemons {
-            fixture.wait_until_ready(daemon).await;
-        }
+        let _daemons = fixture.two_ready_daemons().await;
         wait_until_one_vm_reads(&fixture).await;
         fixture.start_target("t2", TargetBehavior::Answer).await;
         fixture.registry.set_lag(true);
@@ -280,13 +268,7 @@
     run_test(async |fixture| {
         fixture.deploy(deployment(1));
         let target = fixture.start_target("t1", TargetBehavior::Answer).await;
-        let daemons = [
-            fixture.start_daemon("v1", 1).await,
-            fixture.start_daemon("v2", 1).await,
-        ];
-        for daemon in &daemons {
-            fixture.wait_until_ready(daemon).await;
-        }
+        let daemons = fixture.two_ready_daemons().await;
         wait_until_one_vm_reads(&fixture).await;
         fixture.registry.set_lag(true);
         leave(&fixture, &target);
