review: case 1 with steadier traffic

Change: 100 ms of work, 9 slots as in the site file. Conclusion: the verdict no longer depends on where requests go by chance.

--- a/review/standin/src/case/drain.rs
+++ b/review/standin/src/case/drain.rs
@@ -40,7 +40,7 @@
         "tukar",
         6,
         &["klang-a", "klang-b"],
-        Duration::from_millis(150),
+        Duration::from_millis(100),
     );
     let mut scene = Scene::start(record, store, config, &specs, &ZONES)?;
     scene.note("traffic begins");
--- a/review/standin/src/scene.rs
+++ b/review/standin/src/scene.rs
@@ -256,7 +256,7 @@
         id: format!("i-{service}-{i:03}"),
         service: service.to_owned(),
         zone: zones[i % zones.len()].to_owned(),
-        slots: 7,
+        slots: 9,
         work,
         crashes_on: None,
     };
