--- a/crates/waxwing_edge/src/fleet.rs
+++ b/crates/waxwing_edge/src/fleet.rs
@@ -18,6 +18,10 @@
 /// Time within which the VMs of a fleet that starts as a whole register and read each other's entries: 2 s until the second
 /// read of the entries, and the time by which a recent state lags.
 const FLEET_START_TIME: Millis = Millis::from_secs(3);
+/// Time after the start of this VM from which on a VM that is noticed has joined later.
+const FLEET_NOTICE_TIME: Millis = Millis(2500);
+/// Time from the notice of a process until it acts as the store reader: its own startup, and the delay of the notice.
+const READER_START_TIME: Millis = Millis::from_secs(3);
 /// Number of shards into which the workspaces are divided. In each failure domain, every shard has its own
 /// quota coordinator.
 const WORKSPACE_SHARDS: u64 = 4;
@@ -49,6 +53,7 @@
     earlier_entry_read: bool,
     /// Whether the first list of entries lacked this VM, so that the other VMs do not know it yet. `None` before that list.
     was_unlisted: Option<bool>,
+    started_at: Millis,
 }
 
 /// Queries.
@@ -119,11 +124,11 @@
 
     /// Whether this VM is the store reader of its failure domain. The store reader reads the newest state of
     /// the store and tells the other VMs what changed. If no other VM of the domain is live, this VM is the
-    /// store reader.
+    /// store reader. A VM that joins later does not read in its startup; until its end, this VM stays the reader.
     pub fn is_store_reader(&self, now: Millis) -> bool {
         let mut live = self
             .other_vms_in_domain()
-            .filter(|vm| self.takes_duties(vm, now));
+            .filter(|vm| self.takes_duties(vm, now) && !self.joins_later(vm, now));
         let own_score = shard_score(&self.own.id, STORE_READER_SHARD);
         live.all(|vm| shard_score(&vm.entry.id, STORE_READER_SHARD) < own_score)
     }
@@ -251,6 +256,12 @@
         vm.is_live(now) || starts && vm.responds(now)
     }
 
+    /// Whether a VM has joined after the startup of this VM, and is still in its own.
+    fn joins_later(&self, vm: &Vm, now: Millis) -> bool {
+        let joined_later = vm.noticed_at >= self.started_at + FLEET_NOTICE_TIME;
+        joined_later && now.since(vm.noticed_at) < READER_START_TIME
+    }
+
     fn other_vms(&self) -> impl Iterator<Item = &Vm> {
         self.vms.values().filter(|vm| vm.entry.id != self.own.id)
     }
@@ -258,6 +269,12 @@
 
 /// Commands.
 impl Fleet {
+    /// The same fleet, known by a VM that started at this time instead of the origin of its clock.
+    #[must_use]
+    pub fn with_start(self, started_at: Millis) -> Self {
+        Self { started_at, ..self }
+    }
+
     /// Creates a fleet that consists of this VM only.
     pub fn new(own: VmEntry) -> Self {
         Self {
@@ -266,6 +283,7 @@
             earlier_vm_ready: false,
             earlier_entry_read: false,
             was_unlisted: None,
+            started_at: Millis::ZERO,
         }
     }
 
@@ -275,6 +293,9 @@
         match self.vms.get_mut(&entry.id) {
             Some(vm) if vm.entry == entry => vm.missing_since = None,
             Some(vm) => {
+                if entry.incarnation > vm.entry.incarnation {
+                    vm.noticed_at = now;
+                }
                 vm.entry = entry;
                 vm.registered_at = Some(now);
                 vm.missing_since = None;
@@ -282,7 +303,7 @@
             }
             None => {
                 let id = entry.id.clone();
-                self.vms.insert(id, Vm::new(entry, Some(now)));
+                self.vms.insert(id, Vm::new(entry, now, Some(now)));
             }
         }
     }
@@ -312,13 +333,13 @@
 
     /// Merges an entry of the first list after a restore of the store with what this VM knows. An entry of an earlier process is
     /// replaced by the known one. A VM that was not known counts as live from its first heartbeat on.
-    pub fn merge_restored(&mut self, entry: &mut VmEntry) {
+    pub fn merge_restored(&mut self, now: Millis, entry: &mut VmEntry) {
         match self.vms.get(&entry.id) {
             Some(vm) if vm.entry.incarnation > entry.incarnation => *entry = vm.entry.clone(),
             Some(_) => {}
             None => {
                 let id = entry.id.clone();
-                self.vms.insert(id, Vm::new(entry.clone(), None));
+                self.vms.insert(id, Vm::new(entry.clone(), now, None));
             }
         }
     }
@@ -344,6 +365,9 @@
             return;
         };
         if incarnation >= vm.entry.incarnation {
+            if incarnation > vm.entry.incarnation {
+                vm.noticed_at = now;
+            }
             vm.was_ready = ready || vm.was_ready && incarnation == vm.entry.incarnation;
             vm.entry.incarnation = incarnation;
             vm.last_heartbeat = Some(now);
--- a/crates/waxwing_edge/src/fleet/vm.rs
+++ b/crates/waxwing_edge/src/fleet/vm.rs
@@ -18,6 +18,8 @@
     /// When the VM registered or its entry last changed. `None` if its entry was first read in a copy from which the store was
     /// restored: the VM may have ended.
     pub(super) registered_at: Option<Millis>,
+    /// When its present process was first noticed, by its entry or by a heartbeat.
+    pub(super) noticed_at: Millis,
     /// Since when its entry is missing because the store was restored from an older copy.
     pub(super) missing_since: Option<Millis>,
     pub(super) last_heartbeat: Option<Millis>,
@@ -30,10 +32,11 @@
 }
 
 impl Vm {
-    pub(super) fn new(entry: VmEntry, registered_at: Option<Millis>) -> Self {
+    pub(super) fn new(entry: VmEntry, noticed_at: Millis, registered_at: Option<Millis>) -> Self {
         Self {
             entry,
             registered_at,
+            noticed_at,
             missing_since: None,
             last_heartbeat: None,
             ready: true,
--- a/crates/waxwing_edge/src/peer_message.rs
+++ b/crates/waxwing_edge/src/peer_message.rs
@@ -1,7 +1,7 @@
 //! The datagrams that VMs send to each other.
 
 use serde::{Deserialize, Serialize};
-use waxwing_types::{Incarnation, Revision, StoreEpoch, VmId, common_derives};
+use waxwing_types::{Incarnation, Millis, Revision, StoreEpoch, VmId, common_derives};
 
 use crate::{TargetObservation, WorkspaceTokens};
 
@@ -34,7 +34,7 @@
             /// Whether a caller's request is waiting for the requested tokens.
             urgent: bool,
         },
-        /// Reports the last changes of the registry that the sender has read.
+        /// Reports up to which change the sender knows the registry, and as of when.
         #[serde(rename = "news")]
         WatchProgress {
             /// Revision of the last change of each family. A family is one kind of registry entries. The
@@ -44,6 +44,10 @@
             /// Epoch of the store in which the revisions hold, if the sender knows one.
             #[serde(default, skip_serializing_if = "Option::is_none")]
             epoch: Option<StoreEpoch>,
+            /// Age of the sender's state of each family, in the same order: time since which the sender is known to have
+            /// all changes. `None` if that is not known. A report without ages confirms nothing.
+            #[serde(default, skip_serializing_if = "Vec::is_empty")]
+            ages: Vec<Option<Millis>>,
         },
         /// Reports a request that was running when its target crashed.
         #[serde(rename = "crash")]
--- a/crates/waxwing_edge/tests/decisions.rs
+++ b/crates/waxwing_edge/tests/decisions.rs
@@ -307,7 +307,7 @@
 
     let (mut ended, mut earlier) = (vm("v2", "a", 2), vm("v3", "a", 3));
     for entry in [&mut ended, &mut earlier] {
-        fleet.merge_restored(entry);
+        fleet.merge_restored(now, entry);
         fleet.upsert(now, entry.clone());
     }
 
@@ -316,3 +316,34 @@
     fleet.on_heartbeat(now, &"v2".into(), ended.incarnation, true);
     assert_eq!(live(&fleet), 2);
 }
+
+/// Guards against a failure domain in which no VM reads the latest state of the store: a VM that joins, or a new process of a VM,
+/// ranks higher than the reader and does not read in its own startup.
+#[test]
+fn a_vm_stays_the_store_reader_until_a_joining_vm_reads() {
+    let pair = ["v1", "v2"].map(|own| {
+        let other = if own == "v1" { "v2" } else { "v1" };
+        let mut fleet = Fleet::new(vm(own, "a", 1));
+        fleet.upsert(Millis::ZERO, vm(other, "a", 2));
+        fleet.on_heartbeat(Millis::ZERO, &other.into(), Incarnation(1), true);
+        (fleet, other)
+    });
+    // In a fleet that starts as a whole, exactly one of the two is the reader from the start on.
+    let readers = pair.iter().filter(|(f, _)| f.is_store_reader(Millis(100)));
+    assert_eq!(readers.count(), 1);
+    let (mut fleet, other) = pair
+        .into_iter()
+        .find(|(fleet, _)| !fleet.is_store_reader(Millis(100)))
+        .expect("a VM that is not the reader");
+    let restarted_at = Millis(20_000);
+
+    let is_reader_after = |fleet: &mut Fleet, time: Millis| {
+        let now = restarted_at + time;
+        fleet.on_heartbeat(now, &other.into(), Incarnation(2), true);
+        fleet.is_store_reader(now)
+    };
+
+    assert!(is_reader_after(&mut fleet, Millis::ZERO));
+    assert!(is_reader_after(&mut fleet, Millis(2900)));
+    assert!(!is_reader_after(&mut fleet, Millis(3000)));
+}
--- a/crates/waxwingrail/src/edge/apply.rs
+++ b/crates/waxwingrail/src/edge/apply.rs
@@ -64,7 +64,7 @@
         fleet.keep_missing(shared.now(), &listed);
         for change in &mut changes {
             if let Some(Entry::Vm(entry)) = &mut change.entry {
-                fleet.merge_restored(entry);
+                fleet.merge_restored(shared.now(), entry);
             }
         }
     }
--- a/crates/waxwingrail/src/edge/daemon.rs
+++ b/crates/waxwingrail/src/edge/daemon.rs
@@ -17,7 +17,7 @@
 use super::handlers::{DirectoryHandler, MetricsHandler, ReadinessHandler, RequestHandler};
 use super::settings::EdgeSettings;
 use super::state::Shared;
-use super::{peers, ticks, watch};
+use super::{peers, state_age, ticks, watch};
 use crate::run::{Workers, new_incarnation};
 use crate::signal::StopSignals;
 
@@ -75,6 +75,7 @@
         let (caller_address, directory_address, readiness_address) =
             (settings.listen, settings.directory, settings.readiness);
         let metrics_address = settings.metrics;
+        state_age::log_short_limits(&settings);
         let shared = Arc::new(Shared::new(settings, own_entry, socket, components));
         let readiness_handler = Arc::new(ReadinessHandler(Arc::clone(&shared)));
         let readiness_server = start_server(
--- a/crates/waxwingrail/src/edge/list.rs
+++ b/crates/waxwingrail/src/edge/list.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use waxwing_store::{Answer, Change, Family, Freshness, ListOutcome};
-use waxwing_types::{Revision, StoreEpoch};
+use waxwing_types::{Millis, Revision, StoreEpoch};
 
 use super::apply::{apply_list, apply_restored_list};
 use super::peers;
@@ -58,11 +58,12 @@
         freshness = Freshness::Latest;
         listed = list(shared, family, freshness, position).await?;
     }
-    let revision = listed.revision;
+    let (revision, as_of) = (listed.revision, listed.as_of);
     shared.record_store_success(family);
     apply_list(shared, family, freshness, listed.entries);
     // The list may contain changes that no watch returned, if the store has dropped them.
-    record_and_announce(shared, family, revision, history_gone.then_some(revision));
+    let last_change = history_gone.then_some(revision);
+    record_and_report(shared, family, revision, last_change, as_of);
     Ok(revision)
 }
 
@@ -80,7 +81,7 @@
         apply_list(shared, family, Freshness::Latest, listed.entries);
     }
     let mut progress = shared.watch_progress();
-    progress.record_restored_list(family, listed.epoch, listed.revision);
+    progress.record_restored_list(family, listed.epoch, listed.revision, listed.as_of);
     Ok(listed.revision)
 }
 
@@ -88,6 +89,8 @@
 pub(crate) struct Listed {
     pub(crate) entries: Vec<Change>,
     pub(crate) revision: Revision,
+    /// Time up to which the list holds all changes, `None` for a list of a recent state.
+    pub(crate) as_of: Option<Millis>,
     epoch: Option<StoreEpoch>,
 }
 
@@ -112,35 +115,35 @@
     position: Position,
 ) -> Result<Listed, Interruption> {
     let timeout = shared.settings.store_timeout;
+    let sent_at = shared.now();
     let answer = shared.registry.list(family, freshness, timeout).await;
     let epoch = answer.epoch;
     match current_outcome(shared, answer)? {
-        ListOutcome::Listed { entries, revision } => {
-            if freshness == Freshness::Latest {
-                let now = shared.now();
-                shared.watch_progress().record_latest_state(now, family);
-            }
-            Ok(Listed {
-                entries,
-                revision,
-                epoch,
-            })
-        }
+        ListOutcome::Listed { entries, revision } => Ok(Listed {
+            entries,
+            revision,
+            as_of: (freshness == Freshness::Latest).then_some(sent_at),
+            epoch,
+        }),
         ListOutcome::Unreachable(reason) => Err(Interruption::failed(position, reason)),
     }
 }
 
-/// Records the known revision of a family. The store reader also announces a new change to the VMs of the region.
-pub(crate) fn record_and_announce(
+/// Records that an answer of the store is in use: the revision up to which all changes are known, the revision of the last
+/// change in it, and the time up to which the answer holds all changes, `None` if it is of a recent state. The store reader
+/// also reports a new change or a new time to the VMs of the region.
+pub(crate) fn record_and_report(
     shared: &Shared,
     family: Family,
     revision: Revision,
     last_change: Option<Revision>,
+    as_of: Option<Millis>,
 ) {
-    if shared
-        .watch_progress()
-        .record_and_check_new_change(family, revision, last_change)
-    {
-        peers::announce_revisions_as_reader(shared);
+    let has_new_change = {
+        let mut progress = shared.watch_progress();
+        progress.record_answer(family, revision, last_change, as_of)
+    };
+    if has_new_change || as_of.is_some() && family != Family::Vms {
+        peers::report_state_as_reader(shared);
     }
 }
--- a/crates/waxwingrail/src/edge/mod.rs
+++ b/crates/waxwingrail/src/edge/mod.rs
@@ -16,6 +16,9 @@
 mod restore;
 mod settings;
 mod state;
+mod state_age;
+#[cfg(test)]
+mod test_settings;
 mod ticks;
 mod watch;
 mod watch_progress;
--- a/crates/waxwingrail/src/edge/peers.rs
+++ b/crates/waxwingrail/src/edge/peers.rs
@@ -22,6 +22,7 @@
 
 use super::restore::{self, AnswerEpoch};
 use super::state::Shared;
+use super::watch_progress::StateReport;
 
 /// Period of heartbeats. Other VMs treat a VM as down after three and a half periods without a heartbeat.
 const HEARTBEAT_PERIOD: Duration = Duration::from_secs(1);
@@ -91,9 +92,17 @@
         } => {
             handle_quota(shared, now, &granted, (requested, urgent), from);
         }
-        PeerMessage::WatchProgress { revisions, epoch } => {
-            let mut progress = shared.watch_progress();
-            progress.record_report(now, epoch, &revisions);
+        PeerMessage::WatchProgress {
+            revisions,
+            epoch,
+            ages,
+        } => {
+            let report = StateReport {
+                epoch,
+                revisions,
+                ages,
+            };
+            shared.watch_progress().record_report(now, &report);
         }
         PeerMessage::TargetCrash { fingerprint } => {
             shared.quarantine().on_target_crash(now, fingerprint);
@@ -153,18 +162,14 @@
 
 async fn send_heartbeats(shared: Arc<Shared>) {
     loop {
-        let recipients = send_heartbeat(&shared);
-        let store_available = shared.store_status().unavailable.is_empty();
-        if store_available && shared.fleet().is_store_reader(shared.now()) {
-            send_revisions(&shared, &recipients);
-        }
+        send_heartbeat(&shared);
         Timer::after(HEARTBEAT_PERIOD).await;
     }
 }
 
-/// Sends the revisions of the last changes to the VMs of the region if this VM is the store reader of its failure
-/// domain. Otherwise does nothing.
-pub(crate) fn announce_revisions_as_reader(shared: &Shared) {
+/// Reports the state of this VM to the VMs of the region if this VM is the store reader of its failure domain. Otherwise does
+/// nothing.
+pub(crate) fn report_state_as_reader(shared: &Shared) {
     let region_peers = {
         let fleet = shared.fleet();
         if fleet.is_store_reader(shared.now()) {
@@ -173,21 +178,23 @@
             Vec::new()
         }
     };
-    send_revisions(shared, &region_peers);
-}
-
-fn send_revisions(shared: &Shared, to: &[SocketAddr]) {
-    if !to.is_empty() {
-        let (revisions, epoch) = {
-            let progress = shared.watch_progress();
-            (progress.last_change_revisions(), progress.epoch())
+    if !region_peers.is_empty() {
+        let StateReport {
+            epoch,
+            revisions,
+            ages,
+        } = shared.watch_progress().report(shared.now());
+        let message = PeerMessage::WatchProgress {
+            revisions,
+            epoch,
+            ages,
         };
-        send(shared, &PeerMessage::WatchProgress { revisions, epoch }, to);
+        send(shared, &message, &region_peers);
     }
 }
 
-/// Sends a heartbeat to other VMs and returns their addresses.
-fn send_heartbeat(shared: &Shared) -> Vec<SocketAddr> {
+/// Sends a heartbeat to other VMs.
+fn send_heartbeat(shared: &Shared) {
     let message = PeerMessage::Heartbeat {
         vm: shared.own_entry.id.clone(),
         incarnation: shared.own_entry.incarnation,
@@ -198,7 +205,6 @@
     };
     let recipients = shared.fleet().heartbeat_peers(&mut fastrand::Rng::new());
     send(shared, &message, &recipients);
-    recipients
 }
 
 /// Determines the quota coordinator of each workspace from the known VMs. Does nothing before about all VMs are known.
--- a/crates/waxwingrail/src/edge/settings.rs
+++ b/crates/waxwingrail/src/edge/settings.rs
@@ -37,6 +37,7 @@
     optional("history-s", "s", "20", "time for which the store keeps its history"),
     optional("apply-ms", "ms", "2500", "time within which a change of the deployment is in force"),
     optional("drain-ms", "ms", "2500", "time after which a target that leaves gets no request"),
+    optional("evacuate-ms", "ms", "5000", "time within which an evacuation is in force"),
     optional("recovery-ms", "ms", "4000", "time after an outage of the store from which changes are in force in time again"),
     optional("retry-window-s", "s", "10", "window of the budget of repeated requests"),
     optional("retry-ratio", "part", "0.1", "repeated requests for each request, over all VMs"),
@@ -75,7 +76,9 @@
         pub max_apply_delay: Millis,
         /// Time after which a target that starts to drain must get no requests (`--drain-ms`).
         pub max_drain_delay: Millis,
-        /// Time after an outage of the store from which `max_apply_delay` and `max_drain_delay` apply again
+        /// Time within which an evacuation must be in force (`--evacuate-ms`).
+        pub max_evacuation_delay: Millis,
+        /// Time after an outage of the store from which the limits on the delay of changes apply again
         /// (`--recovery-ms`).
         pub store_recovery: Millis,
         pub retry_window: Millis,
@@ -159,6 +162,7 @@
     let store_history = values.number("history-s", 3, 3600);
     let max_apply_delay = values.duration("apply-ms", 1);
     let max_drain_delay = values.duration("drain-ms", 1);
+    let max_evacuation_delay = values.duration("evacuate-ms", 1);
     let store_recovery = values.duration("recovery-ms", 1);
     let retry_window = values.number("retry-window-s", 1, 3600);
     let retry_permille = values.permille("retry-ratio");
@@ -189,6 +193,7 @@
         store_history: Millis::from_secs(store_history?),
         max_apply_delay: max_apply_delay?,
         max_drain_delay: max_drain_delay?,
+        max_evacuation_delay: max_evacuation_delay?,
         store_recovery: store_recovery?,
         retry_window: Millis::from_secs(retry_window?),
         retry_permille: retry_permille?,
--- a/crates/waxwingrail/src/edge/state.rs
+++ b/crates/waxwingrail/src/edge/state.rs
@@ -26,6 +26,7 @@
 use super::metric::Metrics;
 use super::restore::RestoreGrace;
 use super::settings::EdgeSettings;
+use super::state_age::AgeLimits;
 use super::watch_progress::WatchProgress;
 
 /// Resolution of the timer that ends requests at their deadlines.
@@ -173,8 +174,11 @@
             client: components.client,
             routing_table: RwLock::default(),
             store_status: Mutex::default(),
-            watch_progress: Mutex::new(WatchProgress::new(components.clock.now())),
-            fleet: Mutex::new(Fleet::new(own_entry.clone())),
+            watch_progress: Mutex::new(WatchProgress::new(
+                components.clock.now(),
+                AgeLimits::new(&settings),
+            )),
+            fleet: Mutex::new(Fleet::new(own_entry.clone()).with_start(components.clock.now())),
             targets: Mutex::new(TargetPool::new(settings.vm.as_str(), topology)),
             quota: Mutex::default(),
             budgets: Mutex::new(RetryBudgets::new(budget_config)),
--- a/crates/waxwingrail/src/edge/ticks.rs
+++ b/crates/waxwingrail/src/edge/ticks.rs
@@ -1,16 +1,16 @@
 //! The periodic work of the daemon.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use async_io::Timer;
+use waxwing_types::Millis;
 
 use super::state::Shared;
 use super::{apply, peers, watch};
 
 /// Period of the work in [`run_ticks`], such as the exchange of quota tokens and the adjustment of the region
 /// split. The region split is the distribution of the requests for a service over the regions.
-pub(super) const TICK_PERIOD: Duration = Duration::from_millis(250);
+pub(super) const TICK_PERIOD: Millis = Millis(250);
 /// Number of ticks between two cleanups of the metrics and of the idle connections to targets.
 const UPKEEP_TICKS: u64 = 20;
 
@@ -18,7 +18,7 @@
 pub(crate) async fn run_ticks(shared: Arc<Shared>) {
     let mut ticks = 0_u64;
     loop {
-        Timer::after(TICK_PERIOD).await;
+        Timer::after(TICK_PERIOD.duration()).await;
         ticks += 1;
         if ticks.is_multiple_of(UPKEEP_TICKS) {
             shared.metrics.run_upkeep();
--- a/crates/waxwingrail/src/edge/watch.rs
+++ b/crates/waxwingrail/src/edge/watch.rs
@@ -20,26 +20,21 @@
 use super::apply::{apply_changes, apply_list};
 use super::list::{
     Interruption, Listed, Position, current_outcome, list, list_after_restore, list_again,
-    record_and_announce,
+    record_and_report,
 };
 use super::settings::EdgeSettings;
 use super::state::Shared;
-use super::watch_progress::WatchMode;
+use super::state_age::{CALL_TIME, DATAGRAM_TIME, MAX_ANSWER_TIME, SEND_TIME};
+use super::ticks::TICK_PERIOD;
+use super::watch_progress::{MAX_LAG, WatchMode};
 
 /// Maximum wait of a watch. The platform does not accept a longer one.
 const MAX_WATCH_WAIT: Millis = Millis::from_secs(30);
 /// Margin between the longest watch and `store_history`, the time for which the store keeps changes. If the store
 /// has dropped the changes that the next watch needs, the family must be listed again, an additional call.
 const HISTORY_MARGIN: Millis = Millis::from_secs(2);
-/// Part of `store_recovery` after the failure of a watch in which its changes reach all VMs: backoff, calls of a slow store,
-/// and the time for which other VMs may lack a reported revision.
-const REPORT_MARGIN: Millis = Millis(1600);
-/// Time after the end of its wait within which a watch of the latest state must be answered, also by a slow store.
-const MAX_ANSWER_TIME: Millis = Millis(1000);
-/// Minimum wait of a watch, however short `store_recovery` is.
-const MIN_WATCH_WAIT: Millis = Millis(500);
-/// Maximum wait of a watch of the latest entries of VMs. Until a new VM is known, it gets no callers.
-const MAX_VMS_WATCH_WAIT: Millis = Millis::from_secs(3);
+/// Minimum wait of a watch of the latest state: changes that follow each other closely are read with one call.
+const MIN_WATCH_WAIT: Millis = Millis(50);
 /// Initial and maximum backoff after failed calls, without jitter. Calls must succeed within `store_recovery` after an
 /// outage: then the limits on the delay of changes, `max_apply_delay` and `max_drain_delay`, apply again.
 const RETRY_BACKOFF: (Millis, Millis) = (Millis(60), Millis(800));
@@ -54,10 +49,10 @@
 /// Part of `max_apply_delay` that is not used to batch changes of the deployment. The changes must be in use within
 /// `max_apply_delay`, and a slow store may need this time to return them.
 const APPLY_MARGIN: Millis = Millis(2000);
-/// Part of `max_drain_delay` that is not used to batch changes of targets. After `max_drain_delay`, no request may
-/// arrive at a draining target. A slow store may need a part of this time to return the state of the target, and
-/// requests may still be on their way to the target.
-const DRAIN_MARGIN: Millis = Millis(1600);
+/// Part of `max_drain_delay` that is not used to batch changes of targets: a reader reads and reports the change, another VM
+/// waits for it in a recent state, reads the latest state, and its last request arrives at the target.
+const DRAIN_MARGIN: Millis =
+    Millis(CALL_TIME.0 + DATAGRAM_TIME.0 + MAX_LAG.0 + TICK_PERIOD.0 + CALL_TIME.0 + SEND_TIME.0);
 /// Maximum batch time of the deployment and of targets. It delays new routes and the first request to a new target.
 const MAX_BATCH_TIME: Millis = Millis(2000);
 /// Time for which evacuations are batched. An evacuation should take effect within 1 s, because each further
@@ -130,16 +125,19 @@
         Position::Unlisted => {
             let freshness = first_list_freshness(family);
             let Listed {
-                entries, revision, ..
+                entries,
+                revision,
+                as_of,
+                ..
             } = list(shared, family, freshness, position).await?;
             shared.record_store_success(family);
             apply_list(shared, family, freshness, entries);
             // If the first list counted as a change, a store reader would report its revision, and all VMs of the
             // region would read the latest state again.
-            record_and_announce(shared, family, revision, None);
+            record_and_report(shared, family, revision, None, as_of);
             if family == Family::Vms {
                 // All VMs may start at once. After this delay, one call returns the entries of all VMs.
-                Timer::after(batch_time(shared, family).duration()).await;
+                Timer::after(batch_time(&shared.settings, family).duration()).await;
             }
             return Ok(revision);
         }
@@ -158,7 +156,7 @@
             let revision = revision.max(known);
             shared.record_store_success(family);
             apply_changes(shared, family, changes);
-            record_and_announce(shared, family, revision, last_change);
+            record_and_report(shared, family, revision, last_change, None);
             if family == Family::Targets {
                 return list_again(shared, family, revision, Position::Interrupted(revision)).await;
             }
@@ -174,23 +172,33 @@
 /// Wait of the next watch of a family, and the time after its end within which the store must answer.
 ///
 /// A watch that meets a silence of the store may stay without an answer for good, on a connection that looks healthy. Only
-/// the end of its wait shows that. A watch of the latest state therefore waits no longer than `store_recovery` allows. A
-/// watch of a recent state may wait longer, because store readers report what it lacks.
-fn watch_times(settings: &EdgeSettings, family: Family, mode: WatchMode) -> (Millis, Millis) {
+/// the end of its wait shows that. A watch of the latest state therefore waits no longer than `confirm_wait`, the time within
+/// which the store must confirm the state again. A watch of a recent state may wait longer, because store readers report what
+/// it lacks.
+fn watch_times(settings: &EdgeSettings, mode: WatchMode, confirm_wait: Millis) -> (Millis, Millis) {
     let longest = (settings.store_history - HISTORY_MARGIN).min(MAX_WATCH_WAIT);
     let timeout = settings.store_timeout;
-    let answer_time = timeout.min(MAX_ANSWER_TIME);
-    match (mode, family) {
-        (WatchMode::CatchUp, _) => (Millis::ZERO, timeout),
-        (WatchMode::Recent | WatchMode::Restored, _) => (longest, timeout),
-        (WatchMode::Latest, Family::Vms) => (longest.min(MAX_VMS_WATCH_WAIT), answer_time),
-        (WatchMode::Latest, Family::Deployment | Family::Targets | Family::Evacuations) => {
-            let wait = settings.store_recovery - REPORT_MARGIN - answer_time;
-            (longest.min(wait.max(MIN_WATCH_WAIT)), answer_time)
+    match mode {
+        WatchMode::CatchUp => (Millis::ZERO, timeout),
+        WatchMode::Recent | WatchMode::Restored => (longest, timeout),
+        WatchMode::Latest => {
+            let wait = longest.min(confirm_wait).max(MIN_WATCH_WAIT);
+            (wait, timeout.min(MAX_ANSWER_TIME))
         }
     }
 }
 
+/// Time up to which an answer of the latest state holds all changes. The store answers at once if there are changes, and at the
+/// end of the wait otherwise. The process may have been suspended before it read the answer, so that its receipt shows nothing.
+fn answered_as_of(sent_at: Millis, wait: Millis, now: Millis, has_changes: bool) -> Millis {
+    let wait_end = sent_at + wait;
+    if !has_changes && now >= wait_end {
+        wait_end
+    } else {
+        sent_at
+    }
+}
+
 /// Watches a family until a call fails or the store has dropped unread changes.
 async fn watch(
     shared: &Arc<Shared>,
@@ -201,13 +209,13 @@
     loop {
         let now = shared.now();
         let is_store_reader = shared.fleet().is_store_reader(now);
-        let mode = {
+        let (mode, confirm_wait) = {
             let mut progress = shared.watch_progress();
             let mode = progress.next_mode(now, family, is_store_reader);
             progress.watch_started(now, family, mode);
-            mode
+            (mode, progress.next_read(family, true).since(now))
         };
-        let (wait, timeout) = watch_times(&shared.settings, family, mode);
+        let (wait, timeout) = watch_times(&shared.settings, mode, confirm_wait);
         // Discards interruptions that arrived after the end of the previous watch.
         while interruptions.try_recv().is_ok() {}
         if shared.watch_progress().must_list(family) {
@@ -222,35 +230,42 @@
         let watch = async { Some(call.await) };
         let interruption = async { interruptions.recv().await.ok().and(None) };
         let answer = future::or(watch, interruption).await;
-        shared.watch_progress().watch_ended(family);
         let Some(answer) = answer else {
+            shared.watch_progress().watch_ended(family);
             continue;
         };
+        let answered_at = shared.now();
         let outcome = match current_outcome(shared, answer) {
             Ok(outcome) => outcome,
-            Err(interruption) => return interruption,
+            Err(interruption) => {
+                shared.watch_progress().watch_ended(family);
+                return interruption;
+            }
         };
         match outcome {
             WatchOutcome::Changed {
                 changes,
                 revision: watched_revision,
             } => {
-                if mode.freshness() == Freshness::Latest {
-                    let now = shared.now();
-                    shared.watch_progress().record_latest_state(now, family);
-                }
+                let as_of = answered_as_of(now, wait, answered_at, !changes.is_empty());
+                let as_of = (mode.freshness() == Freshness::Latest).then_some(as_of);
                 let last_change = last_change_revision(&changes, revision, watched_revision);
                 apply_changes(shared, family, changes);
                 revision = watched_revision.max(revision);
-                if mode == WatchMode::CatchUp {
-                    shared.watch_progress().record_catch_up(family);
+                {
+                    let mut progress = shared.watch_progress();
+                    if mode == WatchMode::CatchUp {
+                        progress.record_catch_up(family);
+                    }
+                    progress.watch_ended(family);
                 }
-                record_and_announce(shared, family, revision, last_change);
+                record_and_report(shared, family, revision, last_change, as_of);
                 if last_change.is_some() {
-                    Timer::after(batch_time(shared, family).duration()).await;
+                    pause_for_batch(shared, family).await;
                 }
             }
             WatchOutcome::HistoryGone => {
+                shared.watch_progress().watch_ended(family);
                 return Interruption {
                     position: Position::HistoryGone(revision),
                     failure: None,
@@ -258,7 +273,11 @@
             }
             WatchOutcome::Unreachable(reason) => {
                 let now = shared.now();
-                let shows_outage = shared.watch_progress().shows_outage(now, family, mode);
+                let shows_outage = {
+                    let mut progress = shared.watch_progress();
+                    progress.watch_ended(family);
+                    progress.shows_outage(now, family, mode)
+                };
                 return Interruption {
                     position: Position::Interrupted(revision),
                     failure: shows_outage.then_some(reason),
@@ -268,13 +287,30 @@
     }
 }
 
+/// Waits while changes of a family gather, until the next read of the latest state is due.
+async fn pause_for_batch(shared: &Shared, family: Family) {
+    let batch_end = shared.now() + batch_time(&shared.settings, family);
+    loop {
+        let now = shared.now();
+        let is_store_reader = shared.fleet().is_store_reader(now);
+        let next_read = shared.watch_progress().next_read(family, is_store_reader);
+        let end = batch_end.min(next_read);
+        if now >= end {
+            return;
+        }
+        Timer::after(end.since(now).duration()).await;
+    }
+}
+
 /// Interrupts watches that must be replaced by a read of the latest state. The reason is that the watch has not
-/// returned a reported change, that this VM has become the store reader, or that no reader sends reports.
+/// returned a reported change, that this VM has become the store reader, or that nothing has confirmed the state for too long.
 pub(crate) fn interrupt_outdated_watches(shared: &Shared, now: Millis) {
     let is_store_reader = shared.fleet().is_store_reader(now);
-    let interrupted_families = shared
-        .watch_progress()
-        .interrupt_outdated(now, is_store_reader);
+    let interrupted_families = {
+        let mut progress = shared.watch_progress();
+        progress.record_tick(now);
+        progress.interrupt_outdated(now, is_store_reader)
+    };
     for family in interrupted_families {
         log::debug!(family = family.as_str(), reader = is_store_reader; "watch interrupted");
     }
@@ -310,8 +346,7 @@
 }
 
 /// Pause between two calls for a family. Changes in this time are read as a batch, as each call has a cost.
-fn batch_time(shared: &Shared, family: Family) -> Millis {
-    let settings = &shared.settings;
+fn batch_time(settings: &EdgeSettings, family: Family) -> Millis {
     match family {
         Family::Deployment => (settings.max_apply_delay - APPLY_MARGIN).min(MAX_BATCH_TIME),
         Family::Targets => (settings.max_drain_delay - DRAIN_MARGIN).min(MAX_BATCH_TIME),
--- a/crates/waxwingrail/src/edge/watch_progress.rs
+++ b/crates/waxwingrail/src/edge/watch_progress.rs
@@ -2,37 +2,37 @@
 //!
 //! A family is one kind of entries, such as targets or VMs. In each failure domain one VM, the store reader,
 //! watches the latest state of the store. The reader reports the revisions of changes to the other VMs of the
-//! region. These VMs watch a recent state, which may lag by some seconds and costs the store a tenth. They read
-//! the latest state when the recent state lacks a reported revision.
+//! region, with the time up to which it has read all changes. These VMs watch a recent state, which may lag by some
+//! seconds and costs the store a tenth. They read the latest state when the recent state lacks a reported revision, or when
+//! nothing has confirmed for too long that they have all changes.
 
+mod family;
 #[cfg(test)]
 mod tests;
 
 use std::cmp::Ordering;
 use std::collections::BTreeMap;
 
-use async_channel::{Receiver, Sender};
+use async_channel::Receiver;
 use waxwing_store::{Family, Freshness};
 use waxwing_types::{Millis, Revision, StoreEpoch, common_derives};
 
 use super::restore::AnswerEpoch;
+use super::state_age::AgeLimits;
+use family::FamilyProgress;
 
-/// Time after startup in which a VM learns of the other VMs and does not act as the store reader yet. The limits
-/// on the delay of changes, `max_apply_delay` and `max_drain_delay`, apply only to processes that have run for
-/// 4 s.
+/// Time after startup in which a VM learns of the other VMs and does not act as the store reader yet.
 const STARTUP_TIME: Millis = Millis(2500);
-/// Time for which a recent state may lack a revision that another VM reported. The shortest limit on the delay of
-/// changes is 2.5 s, which must cover the sum of four times: the time for which the reader batches changes of
-/// targets (0.9 s), this constant, two periods (250 ms each) of the check for outdated watches, and one call to the
-/// store.
+/// Time for which a recent state may lack a revision that another VM reported.
 pub(super) const MAX_LAG: Millis = Millis(400);
 /// Time for which a recent state may lack a reported revision of the entries of VMs. No limit on the delay of changes
 /// depends on these entries: heartbeats show which VMs are live. When a large fleet starts, recent states lag by 4 s and more.
 const MAX_VMS_LAG: Millis = Millis::from_secs(8);
 
-/// Time without a report from a store reader after which a VM watches the latest state itself. A reader sends a
-/// report every second while its calls to the store succeed. Reports are datagrams, which may be lost.
-const READER_TIMEOUT: Millis = Millis(3500);
+/// Time without a tick after which this VM counts as suspended meanwhile, and time after its resumption in which reports
+/// confirm nothing: they may have waited in the socket.
+const SUSPENSION_TIME: Millis = Millis(1000);
+const RESUMPTION_TIME: Millis = Millis(250);
 /// Time after a restore of the store for which this VM watches the latest state. A recent state may be that of before the
 /// restore.
 const RESTORE_TIME: Millis = Millis::from_secs(8);
@@ -70,37 +70,24 @@
     }
 }
 
-/// The revisions of one family that this VM and other VMs know.
-struct FamilyProgress {
-    /// Epoch of the store in which the family was listed. In another epoch, the revisions are void.
-    epoch: Option<StoreEpoch>,
-    /// Revision up to which this VM knows all changes.
-    known_revision: Revision,
-    /// Revision of the last change of the family that this VM has read.
-    last_change: Revision,
-    /// Highest revision of a change that another VM has reported, and the time of this report.
-    reported: (Revision, Millis),
-    /// Last time at which this VM was known to have all changes.
-    confirmed_at: Millis,
-    /// Whether the last call of [`WatchProgress::take_age_changes`] found the state too old.
-    is_outdated: bool,
-    /// Start and mode of the running watch, `None` between two watches.
-    current_watch: Option<(Millis, WatchMode)>,
-    /// Channel on which the running watch is interrupted.
-    interruptions: Sender<()>,
-}
-
-impl FamilyProgress {
-    fn is_behind(&self) -> bool {
-        self.reported.0 > self.known_revision
-    }
+/// What a report states of the registry: for each family, in the order of [`Family::ALL`], the revision of the last change
+/// and the age of the state that holds it.
+pub(crate) struct StateReport {
+    /// Epoch of the store in which the revisions hold, `None` if the sender knows none.
+    pub(crate) epoch: Option<StoreEpoch>,
+    /// Revision of the last change of each family.
+    pub(crate) revisions: Vec<Revision>,
+    /// Time since which the sender is known to have all changes of each family, `None` if that is not known.
+    pub(crate) ages: Vec<Option<Millis>>,
 }
 
 /// The revisions of all families that this VM and other VMs know, and the watches that run.
 pub(crate) struct WatchProgress {
     started_at: Millis,
-    /// Time of the last report of another VM.
-    last_report_at: Millis,
+    limits: AgeLimits,
+    /// Time of the last tick, and end of the last suspension.
+    last_tick: Millis,
+    resumed_at: Option<Millis>,
     /// Highest epoch that an answer of the store has stated, `None` before the first one.
     epoch: Option<StoreEpoch>,
     /// Whether another VM has reported a higher epoch.
@@ -111,10 +98,12 @@
 }
 
 impl WatchProgress {
-    pub(crate) fn new(now: Millis) -> Self {
+    pub(crate) fn new(now: Millis, limits: AgeLimits) -> Self {
         Self {
             started_at: now,
-            last_report_at: now,
+            limits,
+            last_tick: now,
+            resumed_at: None,
             epoch: None,
             is_later_epoch_reported: false,
             restored_at: None,
@@ -126,16 +115,7 @@
     /// the family must end.
     pub(crate) fn add_family(&mut self, family: Family) -> Receiver<()> {
         let (interruptions, receiver) = async_channel::bounded(1);
-        let progress = FamilyProgress {
-            epoch: self.epoch,
-            known_revision: Revision::default(),
-            last_change: Revision::default(),
-            reported: (Revision::default(), Millis::ZERO),
-            confirmed_at: self.started_at,
-            is_outdated: false,
-            current_watch: None,
-            interruptions,
-        };
+        let progress = FamilyProgress::new(self.epoch, interruptions);
         self.families.insert(family, progress);
         receiver
     }
@@ -154,6 +134,8 @@
             WatchMode::CatchUp
         } else if self.must_watch_latest(now, is_store_reader) {
             WatchMode::Latest
+        } else if self.is_unconfirmed(now, family) {
+            WatchMode::CatchUp
         } else if self.is_recent_state_void(now) {
             WatchMode::Restored
         } else {
@@ -161,11 +143,41 @@
         }
     }
 
-    /// Whether this VM must watch the latest state, either as the store reader or because no reader sends
-    /// reports. Not in the startup: a watch of a recent state that still waits at its end is interrupted then.
+    /// Whether this VM must watch the latest state as the store reader. Not in the startup: a watch of a recent state that
+    /// still waits at its end is interrupted then.
     fn must_watch_latest(&self, now: Millis, is_store_reader: bool) -> bool {
-        let startup_ended = now.since(self.started_at) >= STARTUP_TIME;
-        startup_ended && (is_store_reader || now.since(self.last_report_at) >= READER_TIMEOUT)
+        is_store_reader && now.since(self.started_at) >= STARTUP_TIME
+    }
+
+    /// Whether neither the store nor a report has confirmed for too long that this VM has all changes of a family.
+    fn is_unconfirmed(&self, now: Millis, family: Family) -> bool {
+        now >= self.next_read(family, false)
+    }
+
+    /// Time at which the latest state of a family must be read next, unless it is confirmed before.
+    pub(crate) fn next_read(&self, family: Family, is_store_reader: bool) -> Millis {
+        let ages = self.limits.of(family);
+        let (max_age, startup) = if is_store_reader {
+            (ages.confirm, STARTUP_TIME)
+        } else {
+            (ages.max, self.limits.startup.max(STARTUP_TIME))
+        };
+        let progress = self.families.get(&family);
+        let confirmed_at = progress.and_then(|progress| progress.confirmed_at);
+        let due = confirmed_at.map_or(Millis::ZERO, |confirmed_at| confirmed_at + max_age);
+        due.max(self.started_at + startup)
+    }
+
+    /// Records a tick. A long time without one shows that this VM was suspended.
+    pub(crate) fn record_tick(&mut self, now: Millis) {
+        if self.is_suspended(now) {
+            self.resumed_at = Some(now);
+        }
+        self.last_tick = now;
+    }
+
+    fn is_suspended(&self, now: Millis) -> bool {
+        now.since(self.last_tick) >= SUSPENSION_TIME
     }
 
     /// Whether a recent state may still be that of before a restore of the store.
@@ -215,36 +227,38 @@
                 self.is_later_epoch_reported = false;
                 self.restored_at = Some(now);
                 for progress in self.families.values_mut() {
-                    progress.known_revision = Revision::default();
-                    progress.last_change = Revision::default();
-                    progress.reported = (Revision::default(), Millis::ZERO);
-                    // A message that waits already interrupts the watch as well.
-                    let _ = progress.interruptions.try_send(());
+                    progress.void();
                 }
                 AnswerEpoch::Restored(known)
             }
         }
     }
 
-    /// Records the first list of a family after a restore, with the epoch that the answer stated.
+    /// Records the first list of a family after a restore, with the epoch that the answer stated and the time up to which it
+    /// holds all changes.
     pub(crate) fn record_restored_list(
         &mut self,
         family: Family,
         epoch: Option<StoreEpoch>,
         revision: Revision,
+        as_of: Option<Millis>,
     ) {
         let current_epoch = self.epoch;
         if let Some(progress) = self.families.get_mut(&family) {
             progress.epoch = epoch.or(current_epoch);
             progress.known_revision = revision;
             progress.last_change = Revision::default();
+            progress.record_known(revision);
+            if let Some(as_of) = as_of {
+                progress.confirm(as_of);
+            }
         }
     }
 
     /// Records the start of a watch.
     pub(crate) fn watch_started(&mut self, now: Millis, family: Family, mode: WatchMode) {
         if let Some(progress) = self.families.get_mut(&family) {
-            progress.current_watch = Some((now, mode));
+            progress.watch_started(now, mode);
         }
     }
 
@@ -255,18 +269,23 @@
         }
     }
 
-    /// Records the revision of the response to a watch or list, and the revision of the last change in it; `None` if it
-    /// contained no changes. Returns whether the changes are new and must be reported to other VMs.
-    pub(crate) fn record_and_check_new_change(
+    /// Records the revision of the response to a watch or list, the revision of the last change in it, `None` if it contained
+    /// no changes, and the time up to which it holds all changes, `None` if it is of a recent state. Returns whether the
+    /// changes are new and must be reported to other VMs.
+    pub(crate) fn record_answer(
         &mut self,
         family: Family,
         revision: Revision,
         last_change: Option<Revision>,
+        as_of: Option<Millis>,
     ) -> bool {
         let Some(progress) = self.families.get_mut(&family) else {
             return false;
         };
-        progress.known_revision = progress.known_revision.max(revision);
+        progress.record_known(revision);
+        if let Some(as_of) = as_of {
+            progress.confirm(as_of);
+        }
         match last_change {
             Some(last_change) if last_change > progress.last_change => {
                 progress.last_change = last_change;
@@ -276,61 +295,51 @@
         }
     }
 
-    /// Records that the latest state was read in the known epoch. This state contains all reported revisions, and the store has
-    /// no later epoch.
+    /// Records that the running watch has read the latest state in the known epoch. This state contains all revisions that had
+    /// been reported before, and the store has no later epoch.
     pub(crate) fn record_catch_up(&mut self, family: Family) {
         self.is_later_epoch_reported = false;
         if let Some(progress) = self.families.get_mut(&family) {
-            progress.known_revision = progress.known_revision.max(progress.reported.0);
-        }
-    }
-
-    /// Records that the store has answered with the latest state of a family.
-    pub(crate) fn record_latest_state(&mut self, now: Millis, family: Family) {
-        if let Some(progress) = self.families.get_mut(&family) {
-            progress.confirmed_at = now;
+            progress.record_catch_up();
         }
     }
 
-    /// Records a report of another VM: the revision of the last change of each family, in the order of
-    /// [`Family::ALL`], and the epoch in which they hold. Revisions of another epoch cannot be compared.
-    pub(crate) fn record_report(
-        &mut self,
-        now: Millis,
-        epoch: Option<StoreEpoch>,
-        revisions: &[Revision],
-    ) {
-        if epoch != self.epoch {
-            self.is_later_epoch_reported |= self.epoch.is_some() && epoch > self.epoch;
+    /// Records a report of another VM. Revisions of another epoch cannot be compared. A report that does not state as of when
+    /// its sender knows the revisions confirms nothing.
+    pub(crate) fn record_report(&mut self, now: Millis, report: &StateReport) {
+        if report.epoch != self.epoch {
+            self.is_later_epoch_reported |= self.epoch.is_some() && report.epoch > self.epoch;
             return;
         }
-        self.last_report_at = now;
-        for (family, revision) in Family::ALL.iter().zip(revisions) {
+        let may_be_old = self.is_suspended(now)
+            || self
+                .resumed_at
+                .is_some_and(|resumed_at| now.since(resumed_at) < RESUMPTION_TIME);
+        let ages = report.ages.iter().copied().chain(std::iter::repeat(None));
+        for ((family, revision), age) in Family::ALL.iter().zip(&report.revisions).zip(ages) {
             let Some(progress) = self.families.get_mut(family) else {
                 continue;
             };
-            if *revision > progress.reported.0 {
-                progress.reported = (*revision, now);
-            }
-            let is_listed = progress.epoch == epoch;
-            if is_listed && !progress.is_behind() {
-                progress.confirmed_at = now;
+            let as_of = age.filter(|_| !may_be_old).map(|age| now - age);
+            if progress.epoch == report.epoch {
+                progress.record_report(now, *revision, as_of);
             }
         }
     }
 
-    /// Time since this VM was last known to have all changes of a family: by an answer of the store with the latest
-    /// state, or by a report of a store reader, which is older than the report by up to one watch of the reader.
+    /// Time since which this VM is known to have all changes of a family, by an answer of the store with the latest state or by
+    /// a report of a store reader; since the start of the process if it never was.
     pub(crate) fn state_age(&self, now: Millis, family: Family) -> Millis {
         let progress = self.families.get(&family);
-        progress.map_or(Millis::ZERO, |progress| now.since(progress.confirmed_at))
+        let confirmed_at = progress.and_then(|progress| progress.confirmed_at);
+        now.since(confirmed_at.unwrap_or(self.started_at))
     }
 
     /// Whether the failure of a watch shows that the store cannot be reached now. A long watch may have met a silence of the
     /// store long ago. If a store reader has confirmed the state since, only that watch has failed.
     pub(crate) fn shows_outage(&self, now: Millis, family: Family, mode: WatchMode) -> bool {
         let is_long = matches!(mode, WatchMode::Recent | WatchMode::Restored);
-        !is_long || self.state_age(now, family) >= READER_TIMEOUT
+        !is_long || self.state_age(now, family) >= self.limits.of(family).max
     }
 
     /// Returns the families whose state has become older than `max_age`, or younger again, since the last call, with
@@ -338,7 +347,8 @@
     pub(crate) fn take_age_changes(&mut self, now: Millis, max_age: Millis) -> Vec<(Family, bool)> {
         let mut age_changes = Vec::new();
         for (family, progress) in &mut self.families {
-            let is_outdated = now.since(progress.confirmed_at) > max_age;
+            let confirmed_at = progress.confirmed_at.unwrap_or(self.started_at);
+            let is_outdated = now.since(confirmed_at) > max_age;
             if std::mem::replace(&mut progress.is_outdated, is_outdated) != is_outdated {
                 age_changes.push((*family, is_outdated));
             }
@@ -350,32 +360,38 @@
     pub(crate) fn watch_age(&self, now: Millis, family: Family) -> Millis {
         let progress = self.families.get(&family);
         let watch = progress.and_then(|progress| progress.current_watch);
-        watch.map_or(Millis::ZERO, |(started_at, _)| now.since(started_at))
+        watch.map_or(Millis::ZERO, |watch| now.since(watch.started_at))
     }
 
-    /// The revision of the last change of each family that this VM knows, in the order of [`Family::ALL`].
-    pub(crate) fn last_change_revisions(&self) -> Vec<Revision> {
-        let last_change_revision = |family| {
-            let progress = self.families.get(family);
-            progress.map_or(Revision::default(), |progress| progress.last_change)
-        };
-        Family::ALL.iter().map(last_change_revision).collect()
+    /// What this VM reports to other VMs.
+    pub(crate) fn report(&self, now: Millis) -> StateReport {
+        let families = || Family::ALL.iter().map(|family| self.families.get(family));
+        let age = |progress: &FamilyProgress| progress.confirmed_at.map(|at| now.since(at));
+        StateReport {
+            epoch: self.epoch,
+            revisions: families()
+                .map(|progress| progress.map_or(Revision::default(), |p| p.last_change))
+                .collect(),
+            ages: families().map(|progress| progress.and_then(age)).collect(),
+        }
     }
 
     /// Interrupts watches that have lacked a reported revision for too long, or all if a later epoch was reported. Also
-    /// interrupts long watches if this VM must now poll the latest state, and watches of a recent state after a restore.
+    /// interrupts long watches if this VM must now read the latest state, and watches of a recent state after a restore.
     /// Returns the families of the interrupted watches.
     pub(crate) fn interrupt_outdated(&self, now: Millis, is_store_reader: bool) -> Vec<Family> {
         let mut interrupted_families = Vec::new();
         for (family, progress) in &self.families {
-            let Some((watch_started_at, mode)) = progress.current_watch else {
+            let Some(watch) = progress.current_watch else {
                 continue;
             };
             let lag_exceeded =
-                now.since(watch_started_at.max(progress.reported.1)) >= max_lag(*family);
-            let is_long = matches!(mode, WatchMode::Recent | WatchMode::Restored);
-            let must_switch = is_long && self.must_watch_latest(now, is_store_reader)
-                || mode == WatchMode::Recent && self.is_recent_state_void(now);
+                now.since(watch.started_at.max(progress.reported.1)) >= max_lag(*family);
+            let is_long = matches!(watch.mode, WatchMode::Recent | WatchMode::Restored);
+            let must_read_latest =
+                self.must_watch_latest(now, is_store_reader) || self.is_unconfirmed(now, *family);
+            let must_switch = is_long && must_read_latest
+                || watch.mode == WatchMode::Recent && self.is_recent_state_void(now);
             let must_end = progress.is_behind() && lag_exceeded || self.is_later_epoch_reported;
             if (must_end || must_switch) && progress.interruptions.try_send(()).is_ok() {
                 interrupted_families.push(*family);
--- a/crates/waxwingrail/src/edge/watch_progress/tests.rs
+++ b/crates/waxwingrail/src/edge/watch_progress/tests.rs
@@ -6,24 +6,38 @@
 use waxwing_store::{Family, Freshness};
 use waxwing_types::{Millis, Revision, StoreEpoch};
 
+use super::super::state_age::{AgeLimits, StateAges};
+use super::super::test_settings::settings;
 use super::{
-    AnswerEpoch, MAX_LAG, READER_TIMEOUT, RESTORE_TIME, STARTUP_TIME, WatchMode, WatchProgress,
+    AnswerEpoch, MAX_LAG, RESTORE_TIME, RESUMPTION_TIME, STARTUP_TIME, SUSPENSION_TIME,
+    StateReport, WatchMode, WatchProgress,
 };
 
 const STARTED_AT: Millis = Millis(10_000);
 const FAMILY: Family = Family::Targets;
 
+fn limits() -> AgeLimits {
+    AgeLimits::new(&settings(&[]))
+}
+
+fn ages() -> StateAges {
+    limits().of(FAMILY)
+}
+
 /// Returns the progress of a VM that knows the targets up to a revision, and the time at which the startup of
-/// the VM ends.
+/// the VM ends. The state was confirmed at that time.
 fn progress_and_startup_end(revision: u64) -> (WatchProgress, Millis) {
-    let mut progress = WatchProgress::new(STARTED_AT);
+    let mut progress = WatchProgress::new(STARTED_AT, limits());
     let _interruptions = progress.add_family(FAMILY);
-    progress.record_and_check_new_change(FAMILY, Revision(revision), Some(Revision(revision)));
-    (progress, STARTED_AT + STARTUP_TIME)
+    let startup_end = STARTED_AT + limits().startup.max(STARTUP_TIME);
+    let revision = Revision(revision);
+    progress.record_answer(FAMILY, revision, Some(revision), Some(startup_end));
+    progress.record_tick(startup_end);
+    (progress, startup_end)
 }
 
-/// The report of another VM that the targets changed at a revision, and the other families never.
-fn report(revision: u64) -> Vec<Revision> {
+/// The revision of the last change of each family: the targets changed at a revision, the other families never.
+fn revisions(revision: u64) -> Vec<Revision> {
     let revision = |family| if family == FAMILY { revision } else { 0 };
     Family::ALL
         .into_iter()
@@ -32,6 +46,27 @@
         .collect()
 }
 
+/// The report of a VM that has all changes up to `age` ago, the last one of the targets at a revision.
+fn report_of_age(revision: u64, age: Option<Millis>) -> StateReport {
+    StateReport {
+        epoch: None,
+        revisions: revisions(revision),
+        ages: vec![age; Family::ALL.len()],
+    }
+}
+
+/// The report of a VM that has all changes.
+fn report(revision: u64) -> StateReport {
+    report_of_age(revision, Some(Millis::ZERO))
+}
+
+fn report_in(epoch: Option<StoreEpoch>, revision: u64) -> StateReport {
+    StateReport {
+        epoch,
+        ..report(revision)
+    }
+}
+
 /// Guards against a failure domain in which every VM watches the latest state, which costs the store ten times
 /// as much. Also guards against a failure domain in which no VM watches the latest state.
 #[test]
@@ -50,9 +85,10 @@
 /// Guards against watches that end with the startup at every VM: only the reader must replace its own ones.
 #[test]
 fn the_end_of_the_startup_interrupts_only_the_watches_of_the_reader() {
-    let (mut progress, startup_end) = progress_and_startup_end(5);
+    let (mut progress, _) = progress_and_startup_end(5);
     let _interruptions = progress.add_family(FAMILY);
     progress.watch_started(STARTED_AT, FAMILY, WatchMode::Recent);
+    let startup_end = STARTED_AT + STARTUP_TIME;
     let before = startup_end - Millis(1);
     assert_eq!(progress.interrupt_outdated(before, true), []);
     assert_eq!(progress.interrupt_outdated(startup_end, false), []);
@@ -64,9 +100,9 @@
 fn a_watch_that_lacks_a_reported_revision_is_interrupted() {
     let (mut progress, now) = progress_and_startup_end(5);
     let interruptions = progress.add_family(FAMILY);
-    progress.record_and_check_new_change(FAMILY, Revision(5), Some(Revision(5)));
+    progress.record_answer(FAMILY, Revision(5), Some(Revision(5)), Some(now));
     progress.watch_started(now, FAMILY, WatchMode::Recent);
-    progress.record_report(now, None, &report(6));
+    progress.record_report(now, &report(6));
     assert_eq!(progress.interrupt_outdated(now, false), []);
     assert_eq!(progress.interrupt_outdated(now + MAX_LAG, false), [FAMILY]);
     assert!(interruptions.try_recv().is_ok());
@@ -76,6 +112,7 @@
         WatchMode::CatchUp
     );
     // The latest state contains all reported changes, also if it shows no new change of this family.
+    progress.watch_started(now + MAX_LAG, FAMILY, WatchMode::CatchUp);
     progress.record_catch_up(FAMILY);
     assert_eq!(
         progress.next_mode(now + MAX_LAG, FAMILY, false),
@@ -91,11 +128,11 @@
     let (mut progress, now) = progress_and_startup_end(5);
     let interruptions = progress.add_family(FAMILY);
     progress.watch_started(now, FAMILY, WatchMode::Recent);
-    progress.record_report(now, None, &report(6));
+    progress.record_report(now, &report(6));
     progress.watch_ended(FAMILY);
-    progress.record_and_check_new_change(FAMILY, Revision(6), Some(Revision(6)));
+    progress.record_answer(FAMILY, Revision(6), Some(Revision(6)), Some(now));
     assert_eq!(progress.interrupt_outdated(now + MAX_LAG, false), []);
-    progress.record_report(now + MAX_LAG, None, &report(7));
+    progress.record_report(now + MAX_LAG, &report(7));
     assert_eq!(
         progress.interrupt_outdated(now + MAX_LAG + MAX_LAG, false),
         []
@@ -120,28 +157,86 @@
     assert_eq!(progress.interrupt_outdated(now, true), []);
 }
 
-/// Guards against changes that the VMs of a failure domain miss because its reader cannot reach the store. Such a
-/// reader sends no reports, and the recent state that the other VMs watch may lack a change.
+/// Guards against changes that the VMs of a failure domain miss because its reader fails. The recent state that they watch may
+/// lack a change.
 #[test]
-fn a_vm_without_reports_from_a_reader_watches_the_latest_state() {
+fn a_vm_whose_state_nobody_confirms_reads_the_latest_state() {
     let (mut progress, now) = progress_and_startup_end(5);
     let _interruptions = progress.add_family(FAMILY);
-    progress.record_report(now, None, &report(0));
+    progress.record_answer(FAMILY, Revision(5), None, Some(now));
     progress.watch_started(now, FAMILY, WatchMode::Recent);
-    let timed_out = now + READER_TIMEOUT;
-    assert_eq!(
-        progress.interrupt_outdated(timed_out - Millis(1), false),
-        []
-    );
-    assert_eq!(progress.interrupt_outdated(timed_out, false), [FAMILY]);
-    assert_eq!(
-        progress.next_mode(timed_out, FAMILY, false),
-        WatchMode::Latest
-    );
-    progress.record_report(timed_out, None, &report(0));
+    let due = now + ages().max;
+    assert_eq!(progress.interrupt_outdated(due - Millis(1), false), []);
+    assert_eq!(progress.interrupt_outdated(due, false), [FAMILY]);
+    assert_eq!(progress.next_mode(due, FAMILY, false), WatchMode::CatchUp);
+    progress.record_report(due, &report(5));
+    // Ticks show that the VM was not suspended.
+    progress.record_tick(due);
+    progress.record_report(due + RESUMPTION_TIME, &report(5));
+    assert_eq!(progress.next_mode(due, FAMILY, false), WatchMode::Recent);
+}
+
+/// Guards against reports that confirm more than their sender knows: of a sender whose state is old, one that does not state
+/// since when it has its state, and one that names a change that this VM lacks.
+#[test]
+fn a_report_confirms_only_what_it_states() {
+    let later = Millis(900);
+    let old = report_of_age(5, Some(later));
+    let without_age = report_of_age(5, None);
+    let from_older_daemon = StateReport {
+        ages: Vec::new(),
+        ..report(5)
+    };
+    for report in [old, without_age, from_older_daemon, report(6)] {
+        let (mut progress, now) = progress_and_startup_end(5);
+        progress.record_tick(now + later);
+        progress.record_report(now + later, &report);
+        assert_eq!(progress.state_age(now + later, FAMILY), later);
+    }
+    let (mut progress, now) = progress_and_startup_end(5);
+    progress.record_tick(now + later);
+    progress.record_report(now + later, &report_of_age(5, Some(Millis(300))));
+    assert_eq!(progress.state_age(now + later, FAMILY), Millis(300));
+}
+
+/// Guards against a VM that reads the latest state although its recent state has reached the reported change meanwhile.
+#[test]
+fn a_report_confirms_the_state_once_its_change_is_known() {
+    let (mut progress, now) = progress_and_startup_end(5);
+    let reported_at = now + Millis(900);
+    progress.record_tick(reported_at);
+    progress.record_report(reported_at, &report(6));
+    assert_eq!(progress.state_age(reported_at, FAMILY), Millis(900));
+    progress.record_answer(FAMILY, Revision(6), Some(Revision(6)), None);
+    assert_eq!(progress.state_age(reported_at, FAMILY), Millis::ZERO);
+}
+
+/// Guards against a report that waited in the socket while this VM was suspended.
+#[test]
+fn a_report_confirms_nothing_after_a_suspension() {
+    let (mut progress, now) = progress_and_startup_end(5);
+    let resumed_at = now + SUSPENSION_TIME;
+    progress.record_report(resumed_at, &report(5));
+    assert_eq!(progress.state_age(resumed_at, FAMILY), SUSPENSION_TIME);
+    progress.record_tick(resumed_at);
+    progress.record_report(resumed_at, &report(5));
+    assert_eq!(progress.state_age(resumed_at, FAMILY), SUSPENSION_TIME);
+    let later = resumed_at + RESUMPTION_TIME;
+    progress.record_report(later, &report(5));
+    assert_eq!(progress.state_age(later, FAMILY), Millis::ZERO);
+}
+
+/// Guards against a report that arrives while the latest state is read and counts as contained in it.
+#[test]
+fn a_read_of_the_latest_state_contains_only_what_was_reported_before() {
+    let (mut progress, now) = progress_and_startup_end(5);
+    progress.record_report(now, &report(6));
+    progress.watch_started(now, FAMILY, WatchMode::CatchUp);
+    progress.record_report(now, &report(7));
+    progress.record_catch_up(FAMILY);
     assert_eq!(
-        progress.next_mode(timed_out, FAMILY, false),
-        WatchMode::Recent
+        progress.next_mode(now + MAX_LAG, FAMILY, false),
+        WatchMode::CatchUp
     );
 }
 
@@ -149,22 +244,22 @@
 #[test]
 fn each_change_is_announced_once() {
     let (mut progress, _) = progress_and_startup_end(5);
-    assert!(!progress.record_and_check_new_change(FAMILY, Revision(9), None));
+    assert!(!progress.record_answer(FAMILY, Revision(9), None, None));
     let last_change = Some(Revision(10));
-    assert!(progress.record_and_check_new_change(FAMILY, Revision(12), last_change));
-    assert!(!progress.record_and_check_new_change(FAMILY, Revision(13), last_change));
-    assert_eq!(progress.last_change_revisions(), report(10));
+    assert!(progress.record_answer(FAMILY, Revision(12), last_change, None));
+    assert!(!progress.record_answer(FAMILY, Revision(13), last_change, None));
+    assert_eq!(progress.report(STARTED_AT).revisions, revisions(10));
 }
 
 /// Guards against a VM whose configuration is old while its metrics show it as current.
 #[test]
 fn the_state_ages_until_the_store_or_a_reader_confirms_it() {
     let (mut progress, now) = progress_and_startup_end(5);
-    progress.record_latest_state(now, FAMILY);
     assert_eq!(progress.state_age(now + Millis(700), FAMILY), Millis(700));
-    progress.record_report(now + Millis(700), None, &report(5));
+    progress.record_report(now + Millis(700), &report(5));
     assert_eq!(progress.state_age(now + Millis(900), FAMILY), Millis(200));
-    progress.record_report(now + Millis(1000), None, &report(6));
+    progress.record_tick(now + Millis(900));
+    progress.record_report(now + Millis(1000), &report(6));
     assert_eq!(progress.state_age(now + Millis(1100), FAMILY), Millis(400));
 }
 
@@ -173,24 +268,24 @@
 #[test]
 fn an_old_watch_without_an_answer_is_no_outage() {
     let (mut progress, now) = progress_and_startup_end(5);
-    progress.record_report(now, None, &report(5));
+    progress.record_report(now, &report(5));
     assert!(!progress.shows_outage(now + Millis(900), FAMILY, WatchMode::Recent));
     assert!(!progress.shows_outage(now + Millis(900), FAMILY, WatchMode::Restored));
     assert!(progress.shows_outage(now + Millis(900), FAMILY, WatchMode::Latest));
-    assert!(progress.shows_outage(now + READER_TIMEOUT, FAMILY, WatchMode::Recent));
+    assert!(progress.shows_outage(now + ages().max, FAMILY, WatchMode::Recent));
 }
 
 /// Guards against an old state that the log does not show, or that it shows with every tick.
 #[test]
 fn a_state_that_becomes_old_is_returned_once() {
     let (mut progress, now) = progress_and_startup_end(5);
-    progress.record_latest_state(now, FAMILY);
     let max_age = Millis(1000);
     assert_eq!(progress.take_age_changes(now + max_age, max_age), []);
     let later = now + max_age + Millis(1);
     assert_eq!(progress.take_age_changes(later, max_age), [(FAMILY, true)]);
     assert_eq!(progress.take_age_changes(later, max_age), []);
-    progress.record_report(later, None, &report(5));
+    progress.record_tick(later);
+    progress.record_report(later + RESUMPTION_TIME, &report(5));
     assert_eq!(progress.take_age_changes(later, max_age), [(FAMILY, false)]);
 }
 
@@ -209,7 +304,7 @@
     let (mut progress, now) = progress_and_startup_end(50);
     let epoch = Some(StoreEpoch(1));
     assert_eq!(progress.record_epoch(now, epoch), AnswerEpoch::Current);
-    progress.record_report(now, epoch, &report(50));
+    progress.record_report(now, &report_in(epoch, 50));
     assert!(!progress.must_list(FAMILY));
     (progress, now)
 }
@@ -223,22 +318,23 @@
     let restored = AnswerEpoch::Restored(before);
     assert_eq!(progress.record_epoch(now, epoch), restored);
     assert!(progress.must_list(FAMILY));
-    assert_eq!(progress.last_change_revisions(), report(0));
+    assert_eq!(progress.report(now).revisions, revisions(0));
+    assert_eq!(progress.report(now).ages, [None; 4]);
     // An answer that was on its way during the restore does not count as a list of the new epoch.
     assert_eq!(
         progress.record_epoch(now, Some(before)),
         AnswerEpoch::Earlier
     );
     assert!(progress.must_list(FAMILY));
-    progress.record_restored_list(FAMILY, epoch, Revision(30));
+    progress.record_restored_list(FAMILY, epoch, Revision(30), Some(now));
     assert!(!progress.must_list(FAMILY));
-    progress.record_report(now, epoch, &report(31));
+    progress.record_report(now, &report_in(epoch, 31));
     assert_eq!(
         progress.next_mode(now + MAX_LAG, FAMILY, false),
         WatchMode::CatchUp
     );
-    assert!(progress.record_and_check_new_change(FAMILY, Revision(31), Some(Revision(31))));
-    assert_eq!(progress.last_change_revisions(), report(31));
+    assert!(progress.record_answer(FAMILY, Revision(31), Some(Revision(31)), None));
+    assert_eq!(progress.report(now).revisions, revisions(31));
 }
 
 /// Guards against reports that are compared with revisions of another epoch: one of an earlier epoch would hide the changes that
@@ -248,12 +344,14 @@
     let (mut progress, now) = progress_in_epoch_1();
     let _interruptions = progress.add_family(FAMILY);
     for earlier in [None, Some(StoreEpoch(0))] {
-        progress.record_report(now + READER_TIMEOUT, earlier, &report(90));
-        let mode = progress.next_mode(now + READER_TIMEOUT, FAMILY, false);
-        assert_eq!(mode, WatchMode::Latest, "{earlier:?}");
+        progress.record_tick(now + ages().max);
+        progress.record_report(now + ages().max, &report_in(earlier, 90));
+        let mode = progress.next_mode(now + ages().max, FAMILY, false);
+        assert_eq!(mode, WatchMode::CatchUp, "{earlier:?}");
     }
+    progress.record_answer(FAMILY, Revision(50), None, Some(now));
     progress.watch_started(now, FAMILY, WatchMode::Recent);
-    progress.record_report(now, Some(StoreEpoch(2)), &report(10));
+    progress.record_report(now, &report_in(Some(StoreEpoch(2)), 10));
     assert_eq!(progress.interrupt_outdated(now, false), [FAMILY]);
     assert_eq!(progress.next_mode(now, FAMILY, false), WatchMode::CatchUp);
     // The store knows of no later epoch: a wrong report does not keep the VM reading.
@@ -266,13 +364,15 @@
 fn only_the_latest_state_is_read_for_some_time_after_a_restore() {
     let (mut progress, now) = progress_in_epoch_1();
     progress.record_epoch(now, Some(StoreEpoch(2)));
-    progress.record_restored_list(FAMILY, Some(StoreEpoch(2)), Revision(30));
+    progress.record_restored_list(FAMILY, Some(StoreEpoch(2)), Revision(30), Some(now));
     let mode = progress.next_mode(now, FAMILY, false);
     assert_eq!(mode, WatchMode::Restored);
     assert_eq!(mode.freshness(), Freshness::Latest);
     assert_eq!(progress.recent_freshness(now), Freshness::Latest);
     let later = now + RESTORE_TIME;
-    progress.record_report(later, Some(StoreEpoch(2)), &report(30));
+    progress.record_tick(later);
+    let later = later + RESUMPTION_TIME;
+    progress.record_report(later, &report_in(Some(StoreEpoch(2)), 30));
     assert_eq!(progress.next_mode(later, FAMILY, false), WatchMode::Recent);
     assert_eq!(progress.recent_freshness(later), Freshness::Recent);
 }
--- /dev/null
+++ b/crates/waxwingrail/tests/edge_readers.rs
@@ -0,0 +1,137 @@
+//! Tests of VMs that learn of changes from a store reader, the one VM of a failure domain that watches the latest state of
+//! the registry, while that VM fails.
+
+#[path = "edge/fixture.rs"]
+mod fixture;
+#[path = "edge/vm.rs"]
+mod vm;
+
+use std::time::{Duration, Instant};
+
+use async_io::Timer;
+use fixture::{Fixture, TargetBehavior, deployment, run_test, settings, wait_until};
+use vm::TestVm;
+use waxwing_records::{Deployment, TargetState};
+use waxwing_store::{Entry, Family};
+
+/// Time after which the VMs of a new fleet are no longer starting.
+const STARTUP: Duration = Duration::from_millis(4500);
+
+/// A deployment whose routes need no workspace, so that no request waits for tokens of a VM that fails.
+fn public_deployment(version: u64) -> Deployment {
+    let mut deployment = deployment(version);
+    for route in &mut deployment.routes {
+        route.public = true;
+    }
+    deployment
+}
+
+/// Two VMs of one failure domain. The recent state of the registry lags from now on.
+struct Pair {
+    /// The store reader.
+    reader: TestVm,
+    /// The VM that learns of changes from the reader.
+    other: TestVm,
+}
+
+impl Pair {
+    async fn start(fixture: &Fixture) -> Self {
+        let started_at = Instant::now();
+        let first = TestVm::start(&fixture.registry, "v1", 1).await;
+        let second = TestVm::start(&fixture.registry, "v2", 1).await;
+        for vm in [&first, &second] {
+            fixture.wait_until_ready(&vm.daemon).await;
+        }
+        Timer::after(STARTUP.saturating_sub(started_at.elapsed())).await;
+        let counts = [first.latest_waits(), second.latest_waits()];
+        wait_until("one VM is the store reader", async || {
+            first.latest_waits() > counts[0] || second.latest_waits() > counts[1]
+        })
+        .await;
+        fixture.registry.set_lag(true);
+        if first.latest_waits() > counts[0] {
+            Self {
+                reader: first,
+                other: second,
+            }
+        } else {
+            Self {
+                reader: second,
+                other: first,
+            }
+        }
+    }
+}
+
+/// Disturbs the store reader, lets a target leave, and checks that the other VM stops sending to it in time.
+fn check_that_a_leaving_target_is_noticed(disturb: impl Fn(&TestVm)) {
+    run_test(async |fixture| {
+        fixture.deploy(public_deployment(1));
+        let target = fixture.start_target("t1", TargetBehavior::Answer).await;
+        let pair = Pair::start(&fixture).await;
+        disturb(&pair.reader);
+        Timer::after(Duration::from_millis(100)).await;
+        fixture.register_target("t1", target.address, TargetState::Draining);
+        let left_at = Instant::now();
+        fixture.wait_until_no_target(&pair.other.daemon).await;
+        let limit = settings("v1", &[]).max_drain_delay.duration();
+        let elapsed = left_at.elapsed();
+        assert!(elapsed < limit, "noticed after {elapsed:?}");
+    });
+}
+
+/// Guards against requests to a target that leaves right after the store reader was killed.
+#[test]
+fn a_leaving_target_is_noticed_though_the_reader_is_killed() {
+    check_that_a_leaving_target_is_noticed(TestVm::kill);
+}
+
+/// Guards against requests to a target that leaves while the store reader is frozen.
+#[test]
+fn a_leaving_target_is_noticed_though_the_reader_is_frozen() {
+    check_that_a_leaving_target_is_noticed(|reader| reader.set_frozen(true));
+}
+
+/// Guards against reports of a store reader that gets no answers any more: they must not confirm the state.
+#[test]
+fn a_leaving_target_is_noticed_though_the_reader_gets_no_answers() {
+    check_that_a_leaving_target_is_noticed(|reader| reader.set_silent(true));
+}
+
+/// Guards against requests to a target that leaves while the store refuses the store reader.
+#[test]
+fn a_leaving_target_is_noticed_though_the_reader_is_refused() {
+    check_that_a_leaving_target_is_noticed(|reader| reader.set_refused(true));
+}
+
+/// Guards against a changed deployment or an evacuation that is missed because the store reader was killed.
+#[test]
+fn changes_of_the_operator_are_noticed_though_the_reader_is_killed() {
+    run_test(async |fixture| {
+        fixture.deploy(public_deployment(1));
+        fixture.start_target("t1", TargetBehavior::Answer).await;
+        let pair = Pair::start(&fixture).await;
+        pair.reader.kill();
+        let mut changed = public_deployment(2);
+        changed.routes.remove(1);
+        fixture.deploy(changed);
+        let evacuation = Entry::Evacuation("a".into());
+        fixture.registry.put(Family::Evacuations, "a", evacuation);
+        let changed_at = Instant::now();
+        wait_until("the deployment is in use", async || {
+            fixture.call(&pair.other.daemon, "unsafe").await.status == 404
+        })
+        .await;
+        let (apply_time, settings) = (changed_at.elapsed(), settings("v1", &[]));
+        assert!(
+            apply_time < settings.max_apply_delay.duration(),
+            "{apply_time:?}"
+        );
+        fixture.wait_until_no_target(&pair.other.daemon).await;
+        let evacuation_time = changed_at.elapsed();
+        assert!(
+            evacuation_time < Duration::from_secs(5),
+            "{evacuation_time:?}"
+        );
+    });
+}
