State in reports the list from which their sender knows the changes

Cause: a process knows no last change of what it read in its first list, and reported revision 0, which every VM has passed: its reports confirmed states that lacked the change. The same after a restore of the store, for each family. Change: a report states a floor for each family, the revision of the list that its sender started from; it confirms only VMs that know all changes up to it. Conclusion: a report confirms what its sender has read, and nothing else.

--- a/crates/waxwing_edge/src/peer_message.rs
+++ b/crates/waxwing_edge/src/peer_message.rs
@@ -44,8 +44,13 @@
             /// Epoch of the store in which the revisions hold, if the sender knows one.
             #[serde(default, skip_serializing_if = "Option::is_none")]
             epoch: Option<StoreEpoch>,
+            /// Revision from which on the sender knows the changes of each family, in the same order: that of the list that
+            /// it started from. A receiver that knows less may lack a change that the list contains.
+            #[serde(default, skip_serializing_if = "Vec::is_empty")]
+            floors: Vec<Revision>,
             /// Age of the sender's state of each family, in the same order: time since which the sender is known to have
-            /// all changes. `None` if that is not known. A report without ages confirms nothing.
+            /// all changes. `None` if that is not known. A report without floors or ages confirms
+            /// nothing.
             #[serde(default, skip_serializing_if = "Vec::is_empty")]
             ages: Vec<Option<Millis>>,
         },
--- a/crates/waxwing_testkit/src/registry.rs
+++ b/crates/waxwing_testkit/src/registry.rs
@@ -302,11 +302,12 @@
                     return answer;
                 }
                 if left == Millis::ZERO {
-                    let nothing = WatchOutcome::Changed {
+                    let state = self.lock();
+                    let contents = state.contents(freshness);
+                    return contents.answer(WatchOutcome::Changed {
                         changes: Vec::new(),
-                        revision: after,
-                    };
-                    return self.lock().contents(freshness).answer(nothing);
+                        revision: contents.revision.max(after),
+                    });
                 }
                 Timer::after(LOOK.duration()).await;
                 left = left - LOOK;
--- a/crates/waxwingrail/src/edge/peers.rs
+++ b/crates/waxwingrail/src/edge/peers.rs
@@ -95,11 +95,13 @@
         PeerMessage::WatchProgress {
             revisions,
             epoch,
+            floors,
             ages,
         } => {
             let report = StateReport {
                 epoch,
                 revisions,
+                floors,
                 ages,
             };
             shared.watch_progress().record_report(now, &report);
@@ -182,11 +184,13 @@
         let StateReport {
             epoch,
             revisions,
+            floors,
             ages,
         } = shared.watch_progress().report(shared.now());
         let message = PeerMessage::WatchProgress {
             revisions,
             epoch,
+            floors,
             ages,
         };
         send(shared, &message, &region_peers);
--- a/crates/waxwingrail/src/edge/peers/tests.rs
+++ b/crates/waxwingrail/src/edge/peers/tests.rs
@@ -100,28 +100,31 @@
     assert_eq!(serde_json::to_string(&received).expect("JSON"), text);
 }
 
-/// Guards against a VM that cannot read the reports of an older or a newer daemon: only newer ones state the epoch and ages.
+/// Guards against a VM that cannot read the reports of an older or a newer daemon: only newer ones state the epoch, floors and ages.
 #[test]
 fn reports_of_other_versions_are_read() {
     let ages = vec![Some(Millis(120)), None, Some(Millis::ZERO), None];
     let versions = [
-        (r#"{"t":"news","seen":[4,0,7,2]}"#, None, Vec::new()),
+        (r#"{"t":"news","seen":[4,0,7,2]}"#, None, vec![], vec![]),
         (
             r#"{"t":"news","seen":[4,0,7,2],"epoch":3}"#,
             Some(StoreEpoch(3)),
-            Vec::new(),
+            vec![],
+            vec![],
         ),
         (
-            r#"{"t":"news","seen":[4,0,7,2],"epoch":3,"ages":[120,null,0,null]}"#,
+            r#"{"t":"news","seen":[4,0,7,2],"epoch":3,"floors":[1,2,3,4],"ages":[120,null,0,null]}"#,
             Some(StoreEpoch(3)),
+            [1, 2, 3, 4].map(Revision).to_vec(),
             ages,
         ),
     ];
-    for (text, epoch, ages) in versions {
+    for (text, epoch, floors, ages) in versions {
         let received: PeerMessage = serde_json::from_str(text).expect("a report");
         let expected = PeerMessage::WatchProgress {
             revisions: [4, 0, 7, 2].map(Revision).to_vec(),
             epoch,
+            floors,
             ages,
         };
         assert_eq!(received, expected);
--- a/crates/waxwingrail/src/edge/watch.rs
+++ b/crates/waxwingrail/src/edge/watch.rs
@@ -179,7 +179,7 @@
     let longest = (settings.store_history - HISTORY_MARGIN).min(MAX_WATCH_WAIT);
     let timeout = settings.store_timeout;
     match mode {
-        WatchMode::CatchUp => (Millis::ZERO, timeout),
+        WatchMode::CatchUp | WatchMode::Probe => (Millis::ZERO, timeout),
         WatchMode::Recent | WatchMode::Restored => (longest, timeout),
         WatchMode::Latest => {
             let wait = longest.min(confirm_wait).max(MIN_WATCH_WAIT);
--- a/crates/waxwingrail/src/edge/watch_progress.rs
+++ b/crates/waxwingrail/src/edge/watch_progress.rs
@@ -7,6 +7,7 @@
 //! nothing has confirmed for too long that they have all changes.
 
 mod family;
+mod report;
 #[cfg(test)]
 mod tests;
 
@@ -20,6 +21,7 @@
 use super::restore::AnswerEpoch;
 use super::state_age::AgeLimits;
 use family::FamilyProgress;
+pub(crate) use report::StateReport;
 
 /// Time after startup in which a VM learns of the other VMs and does not act as the store reader yet.
 const STARTUP_TIME: Millis = Millis(2500);
@@ -48,7 +50,10 @@
         Restored,
         /// A recent state, for as long as the history of the store allows.
         Recent,
-        /// The latest state, without waiting, to fetch changes that other VMs have reported.
+        /// A recent state, without waiting: whether it has reached the list that another VM started from.
+        Probe,
+        /// The latest state, without waiting, to fetch changes that other VMs have reported, or because nothing has confirmed
+        /// the state for too long.
         CatchUp,
     }
 }
@@ -65,22 +70,11 @@
     pub(crate) const fn freshness(self) -> Freshness {
         match self {
             Self::Latest | Self::Restored | Self::CatchUp => Freshness::Latest,
-            Self::Recent => Freshness::Recent,
+            Self::Recent | Self::Probe => Freshness::Recent,
         }
     }
 }
 
-/// What a report states of the registry: for each family, in the order of [`Family::ALL`], the revision of the last change
-/// and the age of the state that holds it.
-pub(crate) struct StateReport {
-    /// Epoch of the store in which the revisions hold, `None` if the sender knows none.
-    pub(crate) epoch: Option<StoreEpoch>,
-    /// Revision of the last change of each family.
-    pub(crate) revisions: Vec<Revision>,
-    /// Time since which the sender is known to have all changes of each family, `None` if that is not known.
-    pub(crate) ages: Vec<Option<Millis>>,
-}
-
 /// The revisions of all families that this VM and other VMs know, and the watches that run.
 pub(crate) struct WatchProgress {
     started_at: Millis,
@@ -138,6 +132,8 @@
             WatchMode::CatchUp
         } else if self.is_recent_state_void(now) {
             WatchMode::Restored
+        } else if self.must_probe(now, family) {
+            WatchMode::Probe
         } else {
             WatchMode::Recent
         }
@@ -149,6 +145,13 @@
         is_store_reader && now.since(self.started_at) >= STARTUP_TIME
     }
 
+    /// Whether it is due to find out if a recent state has reached the list that another VM started from.
+    fn must_probe(&self, now: Millis, family: Family) -> bool {
+        self.families.get(&family).is_some_and(|progress| {
+            progress.is_below_floor() && now.since(progress.reported_floor.1) >= MAX_LAG
+        })
+    }
+
     /// Whether neither the store nor a report has confirmed for too long that this VM has all changes of a family.
     fn is_unconfirmed(&self, now: Millis, family: Family) -> bool {
         now >= self.next_read(family, false)
@@ -304,29 +307,6 @@
         }
     }
 
-    /// Records a report of another VM. Revisions of another epoch cannot be compared. A report that does not state as of when
-    /// its sender knows the revisions confirms nothing.
-    pub(crate) fn record_report(&mut self, now: Millis, report: &StateReport) {
-        if report.epoch != self.epoch {
-            self.is_later_epoch_reported |= self.epoch.is_some() && report.epoch > self.epoch;
-            return;
-        }
-        let may_be_old = self.is_suspended(now)
-            || self
-                .resumed_at
-                .is_some_and(|resumed_at| now.since(resumed_at) < RESUMPTION_TIME);
-        let ages = report.ages.iter().copied().chain(std::iter::repeat(None));
-        for ((family, revision), age) in Family::ALL.iter().zip(&report.revisions).zip(ages) {
-            let Some(progress) = self.families.get_mut(family) else {
-                continue;
-            };
-            let as_of = age.filter(|_| !may_be_old).map(|age| now - age);
-            if progress.epoch == report.epoch {
-                progress.record_report(now, *revision, as_of);
-            }
-        }
-    }
-
     /// Time since which this VM is known to have all changes of a family, by an answer of the store with the latest state or by
     /// a report of a store reader; since the start of the process if it never was.
     pub(crate) fn state_age(&self, now: Millis, family: Family) -> Millis {
@@ -363,19 +343,6 @@
         watch.map_or(Millis::ZERO, |watch| now.since(watch.started_at))
     }
 
-    /// What this VM reports to other VMs.
-    pub(crate) fn report(&self, now: Millis) -> StateReport {
-        let families = || Family::ALL.iter().map(|family| self.families.get(family));
-        let age = |progress: &FamilyProgress| progress.confirmed_at.map(|at| now.since(at));
-        StateReport {
-            epoch: self.epoch,
-            revisions: families()
-                .map(|progress| progress.map_or(Revision::default(), |p| p.last_change))
-                .collect(),
-            ages: families().map(|progress| progress.and_then(age)).collect(),
-        }
-    }
-
     /// Interrupts watches that have lacked a reported revision for too long, or all if a later epoch was reported. Also
     /// interrupts long watches if this VM must now read the latest state, and watches of a recent state after a restore.
     /// Returns the families of the interrupted watches.
@@ -391,6 +358,7 @@
             let must_read_latest =
                 self.must_watch_latest(now, is_store_reader) || self.is_unconfirmed(now, *family);
             let must_switch = is_long && must_read_latest
+                || watch.mode == WatchMode::Recent && self.must_probe(now, *family)
                 || watch.mode == WatchMode::Recent && self.is_recent_state_void(now);
             let must_end = progress.is_behind() && lag_exceeded || self.is_later_epoch_reported;
             if (must_end || must_switch) && progress.interruptions.try_send(()).is_ok() {
--- a/crates/waxwingrail/src/edge/watch_progress/family.rs
+++ b/crates/waxwingrail/src/edge/watch_progress/family.rs
@@ -15,9 +15,14 @@
     pub(super) known_revision: Revision,
     /// Revision of the last change of the family that this VM has read.
     pub(super) last_change: Revision,
+    /// Revision from which on this VM knows the changes: that of the list that it started from. The list may contain changes
+    /// that the list of another VM lacks.
+    pub(super) floor: Revision,
     /// Highest revision of a change that another VM has reported, and the time of this report.
     pub(super) reported: (Revision, Millis),
-    /// Time up to which a VM that knows the reported revision has all changes.
+    /// Highest floor that another VM has reported, and the time of this report or of the last probe after it.
+    pub(super) reported_floor: (Revision, Millis),
+    /// Time up to which a VM that knows the reported revision and the reported floor has all changes.
     reported_as_of: Option<Millis>,
     /// Time up to which this VM is known to have all changes, `None` if it never was.
     pub(super) confirmed_at: Option<Millis>,
@@ -34,7 +39,7 @@
 pub(super) struct RunningWatch {
     pub(super) started_at: Millis,
     pub(super) mode: WatchMode,
-    /// Highest revision that had been reported at its start. An answer of the latest state contains it.
+    /// Highest revision or floor that had been reported at its start. An answer of the latest state contains it.
     reported: Revision,
 }
 
@@ -44,6 +49,11 @@
     pub(super) fn is_behind(&self) -> bool {
         self.reported.0 > self.known_revision
     }
+
+    /// Whether another VM started from a list that may contain changes which this VM lacks.
+    pub(super) fn is_below_floor(&self) -> bool {
+        self.reported_floor.0 > self.known_revision
+    }
 }
 
 /// Commands.
@@ -54,7 +64,9 @@
             is_listed: false,
             known_revision: Revision::default(),
             last_change: Revision::default(),
+            floor: Revision::default(),
             reported: (Revision::default(), Millis::ZERO),
+            reported_floor: (Revision::default(), Millis::ZERO),
             reported_as_of: None,
             confirmed_at: None,
             is_outdated: false,
@@ -68,7 +80,9 @@
         self.is_listed = false;
         self.known_revision = Revision::default();
         self.last_change = Revision::default();
+        self.floor = Revision::default();
         self.reported = (Revision::default(), Millis::ZERO);
+        self.reported_floor = (Revision::default(), Millis::ZERO);
         self.reported_as_of = None;
         self.confirmed_at = None;
         // A message that waits already interrupts the watch as well.
@@ -76,16 +90,22 @@
     }
 
     pub(super) fn watch_started(&mut self, now: Millis, mode: WatchMode) {
+        if mode == WatchMode::Probe {
+            self.reported_floor.1 = now;
+        }
         self.current_watch = Some(RunningWatch {
             started_at: now,
             mode,
-            reported: self.reported.0,
+            reported: self.reported.0.max(self.reported_floor.0),
         });
     }
 
     /// Records the revision up to which all changes are known.
     pub(super) fn record_known(&mut self, revision: Revision) {
-        self.is_listed = true;
+        if !self.is_listed {
+            self.is_listed = true;
+            self.floor = revision;
+        }
         self.known_revision = self.known_revision.max(revision);
         self.confirm_by_report();
     }
@@ -103,18 +123,26 @@
         self.confirmed_at = self.confirmed_at.max(Some(as_of));
     }
 
-    /// Records a report: the revision of the last change, and the time up to which a VM that knows it has all changes.
-    pub(super) fn record_report(&mut self, now: Millis, revision: Revision, as_of: Option<Millis>) {
+    /// Records the revision of the last change that another VM reports.
+    pub(super) fn record_reported_change(&mut self, now: Millis, revision: Revision) {
         if revision > self.reported.0 {
             self.reported = (revision, now);
         }
-        self.reported_as_of = self.reported_as_of.max(as_of);
+    }
+
+    /// Records the statement of another VM that it has all changes up to a time, and knows them from a floor on.
+    pub(super) fn record_confirmation(&mut self, now: Millis, floor: Revision, as_of: Millis) {
+        if floor > self.reported_floor.0 {
+            self.reported_floor = (floor, now);
+        }
+        self.reported_as_of = self.reported_as_of.max(Some(as_of));
         self.confirm_by_report();
     }
 
     fn confirm_by_report(&mut self) {
         if self.is_listed
             && !self.is_behind()
+            && !self.is_below_floor()
             && let Some(as_of) = self.reported_as_of
         {
             self.confirm(as_of);
--- /dev/null
+++ b/crates/waxwingrail/src/edge/watch_progress/report.rs
@@ -0,0 +1,64 @@
+//! Reports between VMs: what the sender knows of the registry, and as of when.
+
+use waxwing_store::Family;
+use waxwing_types::{Millis, Revision, StoreEpoch};
+
+use super::family::FamilyProgress;
+use super::{RESUMPTION_TIME, WatchProgress};
+
+/// What a report states of the registry: for each family, in the order of [`Family::ALL`], the revision of the last change
+/// and the age of the state that holds it.
+pub(crate) struct StateReport {
+    /// Epoch of the store in which the revisions hold, `None` if the sender knows none.
+    pub(crate) epoch: Option<StoreEpoch>,
+    /// Revision of the last change of each family.
+    pub(crate) revisions: Vec<Revision>,
+    /// Revision from which on the sender knows the changes of each family.
+    pub(crate) floors: Vec<Revision>,
+    /// Time since which the sender is known to have all changes of each family, `None` if that is not known.
+    pub(crate) ages: Vec<Option<Millis>>,
+}
+
+impl WatchProgress {
+    /// What this VM reports to other VMs.
+    pub(crate) fn report(&self, now: Millis) -> StateReport {
+        let families = || Family::ALL.iter().map(|family| self.families.get(family));
+        let age = |progress: &FamilyProgress| progress.confirmed_at.map(|at| now.since(at));
+        StateReport {
+            epoch: self.epoch,
+            revisions: families()
+                .map(|progress| progress.map_or(Revision::default(), |p| p.last_change))
+                .collect(),
+            floors: families()
+                .map(|progress| progress.map_or(Revision::default(), |p| p.floor))
+                .collect(),
+            ages: families().map(|progress| progress.and_then(age)).collect(),
+        }
+    }
+
+    /// Records a report of another VM. Revisions of another epoch cannot be compared. A report that does not state from
+    /// which revision and as of when its sender knows the changes confirms nothing.
+    pub(crate) fn record_report(&mut self, now: Millis, report: &StateReport) {
+        if report.epoch != self.epoch {
+            self.is_later_epoch_reported |= self.epoch.is_some() && report.epoch > self.epoch;
+            return;
+        }
+        let may_be_old = self.is_suspended(now)
+            || self
+                .resumed_at
+                .is_some_and(|resumed_at| now.since(resumed_at) < RESUMPTION_TIME);
+        for (i, (family, revision)) in Family::ALL.iter().zip(&report.revisions).enumerate() {
+            let Some(progress) = self.families.get_mut(family) else {
+                continue;
+            };
+            if progress.epoch != report.epoch {
+                continue;
+            }
+            progress.record_reported_change(now, *revision);
+            let age = report.ages.get(i).copied().flatten();
+            if let (Some(floor), Some(age), false) = (report.floors.get(i), age, may_be_old) {
+                progress.record_confirmation(now, *floor, now - age);
+            }
+        }
+    }
+}
--- a/crates/waxwingrail/src/edge/watch_progress/tests.rs
+++ b/crates/waxwingrail/src/edge/watch_progress/tests.rs
@@ -51,6 +51,7 @@
     StateReport {
         epoch: None,
         revisions: revisions(revision),
+        floors: vec![Revision(1); Family::ALL.len()],
         ages: vec![age; Family::ALL.len()],
     }
 }
@@ -185,9 +186,21 @@
     let without_age = report_of_age(5, None);
     let from_older_daemon = StateReport {
         ages: Vec::new(),
+        floors: Vec::new(),
         ..report(5)
     };
-    for report in [old, without_age, from_older_daemon, report(6)] {
+    let without_floor = StateReport {
+        floors: Vec::new(),
+        ..report(5)
+    };
+    let reports = [
+        old,
+        without_age,
+        from_older_daemon,
+        without_floor,
+        report(6),
+    ];
+    for report in reports {
         let (mut progress, now) = progress_and_startup_end(5);
         progress.record_tick(now + later);
         progress.record_report(now + later, &report);
@@ -199,6 +212,55 @@
     assert_eq!(progress.state_age(now + later, FAMILY), Millis(300));
 }
 
+/// Guards against a process that reports, without a change, what it has read in its first list: a VM that knows less may lack a
+/// change that the list contains. A recent state that has reached the list shows all of them.
+#[test]
+fn a_report_confirms_only_a_vm_that_has_reached_the_list_of_its_sender() {
+    let (mut progress, now) = progress_and_startup_end(5);
+    let _interruptions = progress.add_family(FAMILY);
+    progress.record_answer(FAMILY, Revision(5), Some(Revision(5)), Some(now));
+    let reported_at = now + Millis(700);
+    progress.record_tick(reported_at);
+    let mut later_start = report(0);
+    later_start.floors = vec![Revision(8); Family::ALL.len()];
+    progress.watch_started(now, FAMILY, WatchMode::Recent);
+
+    progress.record_report(reported_at, &later_start);
+
+    assert_eq!(progress.state_age(reported_at, FAMILY), Millis(700));
+    assert_eq!(progress.interrupt_outdated(reported_at, false), []);
+    let probed_at = reported_at + MAX_LAG;
+    assert_eq!(progress.interrupt_outdated(probed_at, false), [FAMILY]);
+    assert_eq!(
+        progress.next_mode(probed_at, FAMILY, false),
+        WatchMode::Probe
+    );
+    // A probe of a state that lags is not repeated at once.
+    progress.watch_started(probed_at, FAMILY, WatchMode::Probe);
+    progress.record_answer(FAMILY, Revision(7), None, None);
+    assert_eq!(
+        progress.next_mode(probed_at, FAMILY, false),
+        WatchMode::Recent
+    );
+    assert_eq!(progress.state_age(probed_at, FAMILY), Millis(1100));
+    progress.record_answer(FAMILY, Revision(8), None, None);
+    assert_eq!(progress.state_age(probed_at, FAMILY), MAX_LAG);
+}
+
+/// Guards against a process that reports changes from a revision on before which it has missed some.
+#[test]
+fn a_vm_reports_the_list_that_it_started_from() {
+    let mut progress = WatchProgress::new(STARTED_AT, limits());
+    let _interruptions = progress.add_family(FAMILY);
+    assert_eq!(progress.report(STARTED_AT).ages, [None; 4]);
+    progress.record_answer(FAMILY, Revision(7), None, Some(STARTED_AT));
+    progress.record_answer(FAMILY, Revision(9), Some(Revision(9)), None);
+    let report = progress.report(STARTED_AT + Millis(20));
+    assert_eq!(report.floors, revisions(7));
+    assert_eq!(report.revisions, revisions(9));
+    assert_eq!(report.ages[1], Some(Millis(20)));
+}
+
 /// Guards against a VM that reads the latest state although its recent state has reached the reported change meanwhile.
 #[test]
 fn a_report_confirms_the_state_once_its_change_is_known() {
@@ -320,6 +382,7 @@
     assert!(progress.must_list(FAMILY));
     assert_eq!(progress.report(now).revisions, revisions(0));
     assert_eq!(progress.report(now).ages, [None; 4]);
+    assert_eq!(progress.report(now).floors, revisions(0));
     // An answer that was on its way during the restore does not count as a list of the new epoch.
     assert_eq!(
         progress.record_epoch(now, Some(before)),
@@ -335,6 +398,7 @@
     );
     assert!(progress.record_answer(FAMILY, Revision(31), Some(Revision(31)), None));
     assert_eq!(progress.report(now).revisions, revisions(31));
+    assert_eq!(progress.report(now).floors, revisions(30));
 }
 
 /// Guards against reports that are compared with revisions of another epoch: one of an earlier epoch would hide the changes that
