Find out whether a target crashed when the connection of a request breaks

Cause: a crash was found only if another request of the same VM failed to connect to the same target within 1.5 s. Without other traffic there is none. One crash counted once for each request with the same fingerprint, and a failure to connect for any reason, such as a cut link, counted as a crash. Ruled out: counting broken connections alone (targets reset connections, are slow, and leave); counting time-outs. Change: a broken connection makes a request a suspect, and its VM probes the target (100 ms later, then twice more if it cannot be reached). Refused: crashed, unless the target is draining, has said that it leaves, or is no longer listed. Accepted: alive. A later process registered under the same id within 10 s shows the crash as well, and a report of another VM confirms the suspects of this VM at the same process. A process counts once for each fingerprint. A success clears the fingerprint. New gauge waxwing_edge_quarantined_requests. Conclusion: the VM that saw the connection break looks for itself.

--- a/crates/waxwing_edge/src/lib.rs
+++ b/crates/waxwing_edge/src/lib.rs
@@ -16,7 +16,7 @@
 pub use fleet::Fleet;
 pub use hash::{hash_bytes, mix64};
 pub use peer_message::PeerMessage;
-pub use quarantine::Quarantine;
+pub use quarantine::{Quarantine, TargetProcess};
 pub use quota::{
     Admission, NoTokenAction, QuotaCoordinator, TokenExchange, WorkspaceQuotas, WorkspaceTokens,
 };
--- a/crates/waxwing_edge/src/peer_message.rs
+++ b/crates/waxwing_edge/src/peer_message.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 use waxwing_types::{Incarnation, Millis, Revision, StoreEpoch, VmId, common_derives};
 
-use crate::{TargetObservation, WorkspaceTokens};
+use crate::{TargetObservation, TargetProcess, WorkspaceTokens};
 
 common_derives! {
     /// A datagram between VMs, encoded as JSON. The serde names are part of the wire format.
@@ -60,6 +60,9 @@
             /// Hash that identifies the request.
             #[serde(rename = "print")]
             fingerprint: u64,
+            /// The process that crashed. Several VMs may report the same one.
+            #[serde(default)]
+            process: TargetProcess,
         },
     }
 }
--- a/crates/waxwing_edge/tests/notices.rs
+++ b/crates/waxwing_edge/tests/notices.rs
@@ -8,6 +8,7 @@
 use common::{pool, target};
 use process::{LEAVING, NOW, process, select, selected};
 use waxwing_edge::{Selection, TargetPool};
+use waxwing_records::TargetState;
 use waxwing_types::{Incarnation, Millis};
 
 /// Time for which notices of removed targets are remembered.
@@ -138,3 +139,26 @@
     );
     assert!(noticed[0].leaving && !noticed[0].entry_drains);
 }
+
+/// Guards against a planned end of a target that counts as a crash, with which requests would be quarantined that ran there.
+#[test]
+fn a_target_that_leaves_is_not_in_service() {
+    let is_in_service = |pool: &TargetPool| {
+        let target = process(2);
+        pool.is_in_service(&target.id, target.incarnation)
+    };
+    let mut pool = pool();
+    assert!(!is_in_service(&pool));
+    pool.upsert(NOW, process(2));
+    assert!(is_in_service(&pool));
+    let mut draining = process(2);
+    draining.state = TargetState::Draining;
+    pool.upsert(NOW, draining);
+    assert!(!is_in_service(&pool));
+    pool.remove(NOW, &process(2).id);
+    assert!(!is_in_service(&pool));
+    assert!(!is_in_service(&pool_with_leaving_target(2)));
+    let mut later = pool_with_leaving_target(1);
+    later.upsert(NOW, process(3));
+    assert!(!is_in_service(&later));
+}
--- a/crates/waxwing_http/src/client.rs
+++ b/crates/waxwing_http/src/client.rs
@@ -172,6 +172,16 @@
         self.finish(address, conn, outcome, matches)
     }
 
+    /// Opens a connection and keeps it as an idle one.
+    ///
+    /// # Errors
+    /// The connection was refused, or was not opened within [`ClientLimits::connect`].
+    pub async fn connect(&self, address: SocketAddr) -> io::Result<()> {
+        let conn = self.open(address).await?;
+        self.inner.pool.put(address, conn);
+        Ok(())
+    }
+
     /// Closes the idle connections whose time is over. To be called now and then.
     pub fn prune(&self) {
         self.inner.pool.prune();
--- a/crates/waxwingrail/src/edge/apply.rs
+++ b/crates/waxwingrail/src/edge/apply.rs
@@ -8,6 +8,7 @@
 use waxwing_store::{Change, Entry, Family, Freshness};
 use waxwing_types::{DomainId, Millis, TargetId, VmId};
 
+use super::crash;
 use super::peers;
 use super::state::Shared;
 
@@ -83,6 +84,7 @@
                     status.pending_removals.remove(&entry.id);
                     status.restore_grace.on_target_change(&entry.id);
                 }
+                crash::on_registration(shared, &entry);
                 shared.targets().upsert(now, entry);
             }
             Some(Entry::Evacuation(domain)) => {
--- /dev/null
+++ b/crates/waxwingrail/src/edge/crash.rs
@@ -0,0 +1,100 @@
+//! Finds out whether a target crashed when the connection of a request to it broke.
+//!
+//! The process may be slow, may have reset the connection, or may be leaving as planned. It counts as crashed if it refuses
+//! connections, or if a later process registers under its id, although it had not said that it leaves.
+
+use std::io;
+use std::sync::Arc;
+
+use async_io::Timer;
+use waxwing_edge::{SelectedTarget, TargetProcess};
+use waxwing_records::Registration;
+use waxwing_types::Millis;
+
+use super::peers;
+use super::state::Shared;
+
+/// Times from one try to connect to the next one. The first leaves the system time to close the port of the process.
+const PROBE_DELAYS: [Millis; 3] = [Millis(100), Millis(400), Millis(1000)];
+
+/// Records that the connection to a target broke while it ran a request, and probes the target.
+pub(crate) fn on_connection_broken(
+    shared: &Arc<Shared>,
+    target: &SelectedTarget,
+    fingerprint: u64,
+) {
+    if !is_in_service(shared, target) {
+        return;
+    }
+    let process = TargetProcess::new(&target.id, target.incarnation);
+    let now = shared.now();
+    let must_probe = shared
+        .quarantine()
+        .on_connection_broken(now, fingerprint, process);
+    if must_probe {
+        let task = probe(Arc::clone(shared), target.clone());
+        shared.executor.spawn(task).detach();
+    }
+}
+
+/// Whether a target has neither said that it leaves nor been removed.
+fn is_in_service(shared: &Shared, target: &SelectedTarget) -> bool {
+    let targets = shared.targets();
+    targets.is_in_service(&target.id, target.incarnation)
+}
+
+/// Opens a connection to a target until the answer shows whether its process is alive.
+async fn probe(shared: Arc<Shared>, target: SelectedTarget) {
+    let process = TargetProcess::new(&target.id, target.incarnation);
+    for delay in PROBE_DELAYS {
+        Timer::after(delay.duration()).await;
+        match shared.client.connect(target.address).await {
+            Ok(()) => {
+                shared.quarantine().on_process_alive(process);
+                return;
+            }
+            Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                if is_in_service(&shared, &target) {
+                    on_crash(&shared, target.id.as_str(), process);
+                } else {
+                    shared.quarantine().on_process_alive(process);
+                }
+                return;
+            }
+            // The target cannot be reached, which says nothing of its process.
+            Err(_) => {}
+        }
+    }
+}
+
+/// Looks whether the registration of a target shows that its earlier process has crashed. To be called before it is applied.
+pub(crate) fn on_registration(shared: &Shared, registration: &Registration) {
+    let crashed = {
+        let targets = shared.targets();
+        targets.incarnation(&registration.id).filter(|earlier| {
+            *earlier < registration.incarnation && targets.is_in_service(&registration.id, *earlier)
+        })
+    };
+    if let Some(earlier) = crashed {
+        let process = TargetProcess::new(&registration.id, earlier);
+        on_crash(shared, registration.id.as_str(), process);
+    }
+}
+
+/// Handles the report of another VM that a process crashed while it was running a request.
+pub(crate) fn on_report(shared: &Shared, fingerprint: u64, process: TargetProcess) {
+    let now = shared.now();
+    shared
+        .quarantine()
+        .on_crash_report(now, fingerprint, process);
+    on_crash(shared, "", process);
+}
+
+/// Records that a process has crashed, and tells the other VMs which requests of this VM it was running.
+fn on_crash(shared: &Shared, target_id: &str, process: TargetProcess) {
+    let fingerprints = shared.quarantine().on_process_crash(shared.now(), process);
+    if !fingerprints.is_empty() {
+        log::info!(target_id = target_id, requests = fingerprints.len(); "target crashed while it ran requests");
+        peers::report_crashes(shared, process, &fingerprints);
+    }
+}
--- a/crates/waxwingrail/src/edge/forward.rs
+++ b/crates/waxwingrail/src/edge/forward.rs
@@ -11,8 +11,8 @@
 use waxwing_types::{Millis, WorkspaceId};
 
 use super::body::{TimedBody, buffer_body};
+use super::crash;
 use super::notice::apply_notice;
-use super::peers;
 use super::state::Shared;
 
 /// Number of buffered bytes of a response above which buffering ends and the response is passed on. If the connection
@@ -49,9 +49,10 @@
     Withdrawn,
     /// The target stated that it did not run the request.
     NotRun,
-    /// The connection broke, the response lacks the id of the request, or the response has a content
-    /// encoding. The request may have run.
+    /// The response lacks the id of the request, or has a content encoding. The request may have run.
     NoUsableResponse,
+    /// The connection broke. The request may have run.
+    ConnectionBroken,
     /// No response arrived before the deadline.
     TimedOut,
 }
@@ -125,22 +126,19 @@
     let outcome = futures_lite::future::or(response, timed_out).await;
     match &outcome {
         AttemptOutcome::TimedOut => slot.release(TargetOutcome::TimedOut),
-        AttemptOutcome::NoUsableResponse => {
+        AttemptOutcome::NoUsableResponse => slot.release(TargetOutcome::ConnectionBroken),
+        AttemptOutcome::ConnectionBroken => {
             slot.release(TargetOutcome::ConnectionBroken);
-            let now = shared.now();
-            shared
-                .quarantine()
-                .on_connection_broken(now, attempt.fingerprint, attempt.key);
+            crash::on_connection_broken(shared, &attempt.target, attempt.fingerprint);
         }
         AttemptOutcome::Withdrawn => slot.release(TargetOutcome::Cancelled),
-        AttemptOutcome::NotSent => {
-            slot.release(TargetOutcome::ConnectFailed);
-            let crash_fingerprints = shared
-                .quarantine()
-                .on_target_down(shared.now(), attempt.key);
-            peers::report_crashes(shared, crash_fingerprints);
+        AttemptOutcome::NotSent => slot.release(TargetOutcome::ConnectFailed),
+        AttemptOutcome::Answered(response) => {
+            if response.status().is_success() {
+                shared.quarantine().on_success(attempt.fingerprint);
+            }
         }
-        AttemptOutcome::Answered(_) | AttemptOutcome::Failed(_) | AttemptOutcome::NotRun => {}
+        AttemptOutcome::Failed(_) | AttemptOutcome::NotRun => {}
     }
     outcome
 }
@@ -178,7 +176,8 @@
             return match error {
                 SendError::Withdrawn => AttemptOutcome::Withdrawn,
                 SendError::Connect(_) | SendError::NotSent(_) => AttemptOutcome::NotSent,
-                SendError::Broken(_) | SendError::Unmatched => AttemptOutcome::NoUsableResponse,
+                SendError::Broken(_) => AttemptOutcome::ConnectionBroken,
+                SendError::Unmatched => AttemptOutcome::NoUsableResponse,
             };
         }
     };
@@ -204,7 +203,7 @@
     let (mut head, body) = response.into_parts();
     remove_hop_headers(&mut head.headers);
     let Ok(mut buffered) = buffer_body(body, RESPONSE_BUFFER_BYTES).await else {
-        return AttemptOutcome::NoUsableResponse;
+        return AttemptOutcome::ConnectionBroken;
     };
     let outcome = TargetOutcome::Answered { latency, success };
     let is_whole = buffered.rest.is_none();
--- a/crates/waxwingrail/src/edge/metric.rs
+++ b/crates/waxwingrail/src/edge/metric.rs
@@ -60,6 +60,8 @@
     pub(crate) leaving_targets: Gauge,
     /// Number of known targets in a pause for which they asked.
     pub(crate) paused_targets: Gauge,
+    /// Number of requests that are refused because they crashed targets.
+    pub(crate) quarantined_requests: Gauge,
     /// 1 if callers may send requests to this VM, else 0.
     pub(crate) ready: Gauge,
 }
@@ -108,6 +110,7 @@
             registered_vms: gauge!("waxwing_edge_vms"),
             leaving_targets: gauge!("waxwing_edge_targets_leaving"),
             paused_targets: gauge!("waxwing_edge_targets_paused"),
+            quarantined_requests: gauge!("waxwing_edge_quarantined_requests"),
             ready: gauge!("waxwing_edge_ready"),
             recorder: Arc::clone(&recorder),
         })
--- a/crates/waxwingrail/src/edge/mod.rs
+++ b/crates/waxwingrail/src/edge/mod.rs
@@ -4,6 +4,7 @@
 mod apply;
 mod attempts;
 mod body;
+mod crash;
 mod daemon;
 mod forward;
 mod handlers;
--- a/crates/waxwingrail/src/edge/peers.rs
+++ b/crates/waxwingrail/src/edge/peers.rs
@@ -16,10 +16,11 @@
 
 use async_executor::Task;
 use async_io::Timer;
-use waxwing_edge::{NoTokenAction, PeerMessage, QuotaCoordinator, WorkspaceTokens};
+use waxwing_edge::{NoTokenAction, PeerMessage, QuotaCoordinator, TargetProcess, WorkspaceTokens};
 use waxwing_store::{Family, WriteOutcome};
 use waxwing_types::{Micros, Millis, WorkspaceId};
 
+use super::crash;
 use super::restore::{self, AnswerEpoch};
 use super::state::Shared;
 use super::watch_progress::StateReport;
@@ -106,9 +107,10 @@
             };
             shared.watch_progress().record_report(now, &report);
         }
-        PeerMessage::TargetCrash { fingerprint } => {
-            shared.quarantine().on_target_crash(now, fingerprint);
-        }
+        PeerMessage::TargetCrash {
+            fingerprint,
+            process,
+        } => crash::on_report(shared, fingerprint, process),
     }
 }
 
@@ -342,18 +344,15 @@
     send(shared, &message, coordinators);
 }
 
-/// Sends all VMs the fingerprints of requests that crashed a target. A fingerprint is a hash of a request.
-pub(crate) fn report_crashes(shared: &Shared, fingerprints: Vec<u64>) {
-    if fingerprints.is_empty() {
-        return;
-    }
+/// Sends all VMs the fingerprints of requests that a process was running when it crashed. A fingerprint is a hash of a request.
+pub(crate) fn report_crashes(shared: &Shared, process: TargetProcess, fingerprints: &[u64]) {
     let recipients = shared.fleet().all_peers();
-    for fingerprint in fingerprints {
-        send(
-            shared,
-            &PeerMessage::TargetCrash { fingerprint },
-            &recipients,
-        );
+    for fingerprint in fingerprints.iter().copied() {
+        let message = PeerMessage::TargetCrash {
+            fingerprint,
+            process,
+        };
+        send(shared, &message, &recipients);
     }
 }
 
--- a/crates/waxwingrail/src/edge/request.rs
+++ b/crates/waxwingrail/src/edge/request.rs
@@ -297,7 +297,7 @@
                     attempts.record_failed_send(RefusalReason::TargetsShedding);
                     RetryReason::TargetShed
                 }
-                AttemptOutcome::NoUsableResponse => {
+                AttemptOutcome::NoUsableResponse | AttemptOutcome::ConnectionBroken => {
                     attempts.record_failed_send(RefusalReason::TargetFailed);
                     RetryReason::ConnectionBroken
                 }
--- a/crates/waxwingrail/src/edge/state.rs
+++ b/crates/waxwingrail/src/edge/state.rs
@@ -314,6 +314,7 @@
         let leaving = noticed.iter().filter(|target| target.leaving).count();
         let is_paused = |target: &&NoticedTarget| target.pause_left > Millis::ZERO;
         let paused = noticed.iter().filter(is_paused).count();
+        let quarantined = self.quarantine().count(self.now());
         let metrics = &self.metrics;
         {
             let now = self.now();
@@ -332,6 +333,7 @@
         metrics.registered_vms.set(vms as f64);
         metrics.leaving_targets.set(leaving as f64);
         metrics.paused_targets.set(paused as f64);
+        metrics.quarantined_requests.set(quarantined as f64);
         metrics.ready.set(f64::from(u8::from(ready)));
         metrics.render()
     }
