Refuse requests that may outlast a stopping process before they are sent

Cause: nothing between the admission of a request and its target knew when the process ends. Ruled out: answering in place of a target that is at work (the caller loses the result all the same); refusing everything after the signal (callers know of the stop only after their directory answer expires). Change: edge/stop.rs knows the end of the process. Before each attempt, also the second one and one after a wait for a body, a request is refused with 503 if three times the mean latency of its service without a queue, or its deadline if that is sooner or nothing is known or its body still arrives, lies beyond the end. A body that still arrives 1.2 s before the end is refused, so that the answer reaches the caller. Conclusion: a request is sent only if its answer can come back.

--- a/crates/waxwing_edge/src/target/pool.rs
+++ b/crates/waxwing_edge/src/target/pool.rs
@@ -81,6 +81,17 @@
         Some(self.targets.get(*key)?.registration.incarnation)
     }
 
+    /// Mean latency of the requests for a service that found no queue, `None` before the first response.
+    #[allow(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "latencies are short"
+    )]
+    pub fn unloaded_latency(&self, service: &ServiceId) -> Option<Millis> {
+        let mean = self.services.get(service)?.unloaded_latency_ms;
+        (mean > 0.0).then(|| Millis(mean.ceil() as u64))
+    }
+
     /// Whether a process of a target is registered as ready and has not said that it is leaving.
     pub fn is_in_service(&self, id: &TargetId, incarnation: Incarnation) -> bool {
         let key = self.keys_by_id.get(id);
--- a/crates/waxwingrail/src/edge/daemon.rs
+++ b/crates/waxwingrail/src/edge/daemon.rs
@@ -12,7 +12,7 @@
 use waxwing_http::{Client, ClientLimits, Handler, Server, ServerLimits};
 use waxwing_platform::{PlatformDialect, PlatformRegistry};
 use waxwing_records::VmEntry;
-use waxwing_types::{Millis, MonotonicClock};
+use waxwing_types::MonotonicClock;
 
 use super::handlers::{DirectoryHandler, MetricsHandler, ReadinessHandler, RequestHandler};
 use super::settings::EdgeSettings;
@@ -25,12 +25,6 @@
 
 /// Maximum number of connections to each of the directory, readiness and metrics servers.
 const AUXILIARY_CONNECTIONS: usize = 512;
-/// Time after a stop signal during which connections are still accepted. A caller uses a directory
-/// response for `directory_ttl`, 2 s by default. Only the next response no longer lists this VM.
-const STOP_NOTICE: Millis = Millis(2500);
-/// Part of `stop_timeout` that is reserved for the exit of the process. `stop_timeout` is the time from
-/// the stop signal to the end of the process.
-const EXIT_MARGIN: Millis = Millis(400);
 /// Period at which a stopping daemon checks whether requests are still running.
 const DRAIN_POLL_PERIOD: Duration = Duration::from_millis(20);
 /// Time for which an idle connection to a target is kept, unless the target states another time.
@@ -157,12 +151,12 @@
     pub async fn stop(self) -> bool {
         let shared = &self.shared;
         log::info!(running = shared.running_requests.load(Ordering::Relaxed); "stop begins");
-        shared.begin_stop();
+        let times = shared.begin_stop();
         self.caller_server.close_after_response();
         let task = peers::withdraw_registration(Arc::clone(shared));
         let withdrawal = shared.executor.spawn(task);
-        Timer::after(STOP_NOTICE.duration()).await;
-        let drain_timeout = shared.settings.stop_timeout - STOP_NOTICE - EXIT_MARGIN;
+        Timer::after(times.notice.duration()).await;
+        let drain_timeout = times.end - times.notice;
         let drained = async {
             self.caller_server.shutdown().await;
             while shared.running_requests.load(Ordering::Relaxed) > 0 {
--- a/crates/waxwingrail/src/edge/mod.rs
+++ b/crates/waxwingrail/src/edge/mod.rs
@@ -18,6 +18,7 @@
 mod settings;
 mod state;
 mod state_age;
+mod stop;
 #[cfg(test)]
 mod test_settings;
 mod ticks;
--- a/crates/waxwingrail/src/edge/refusal.rs
+++ b/crates/waxwingrail/src/edge/refusal.rs
@@ -84,7 +84,7 @@
 }
 
 /// The HTTP status for a reason. Other daemons use the same reasons. The edge daemon itself never uses
-/// `ServiceUnknown`, `RegionFull`, `LinkFull` and `Stopping`, and none of the reasons about idempotency keys:
+/// `ServiceUnknown`, `RegionFull` and `LinkFull`, and none of the reasons about idempotency keys:
 /// `IdempotencyKeyMissing`, `ClaimUnavailable` (the use of a key could not be recorded), `DuplicateInFlight`,
 /// `DuplicateAnswered` and `DuplicateUnknown` (an earlier request with the same key may have run).
 const fn status_code(reason: RefusalReason) -> StatusCode {
--- a/crates/waxwingrail/src/edge/request.rs
+++ b/crates/waxwingrail/src/edge/request.rs
@@ -21,6 +21,7 @@
 use super::metric::RequestOutcome;
 use super::refusal::Refusal;
 use super::state::Shared;
+use super::stop;
 
 /// Number of buffered bytes of a body above which the request is sent. A request with a fully buffered body can be
 /// sent to another target after a failure, and occupies no slot of a target during a slow upload.
@@ -211,7 +212,12 @@
             timer.await;
             Err(Refusal::new(RefusalReason::DeadlineExceeded))
         };
-        futures_lite::future::or(reading, timed_out).await
+        let stopped = async {
+            stop::must_end_reading(self.shared).await;
+            Err(Refusal::retry(RefusalReason::Stopping, Millis::ZERO))
+        };
+        let ended = futures_lite::future::or(timed_out, stopped);
+        futures_lite::future::or(reading, ended).await
     }
 
     fn route_and_strip_request<'t>(
@@ -251,6 +257,9 @@
             .budgets()
             .record_request(shared.now(), &routed.service);
         loop {
+            if !self.has_time(routed, body.rest.is_none()) {
+                return Err(attempts.refusal(RefusalReason::Stopping, Millis::ZERO));
+            }
             let (key, selected) = match self.select_target(routed, &attempts.tried) {
                 Selection::Selected(key, selected) => (key, selected),
                 Selection::Overloaded { retry_after } => {
@@ -312,6 +321,12 @@
         }
     }
 
+    /// Whether the request can be expected to end before this process does.
+    fn has_time(&self, routed: &RoutedRequest<'_>, is_body_read: bool) -> bool {
+        let (service, deadline) = (&routed.service, routed.deadline);
+        stop::has_time_for_request(self.shared, service, deadline, is_body_read)
+    }
+
     /// The refusal of a request for which no further attempt is allowed.
     fn final_refusal(&self, routed: &RoutedRequest<'_>, attempts: &Attempts) -> Refusal {
         let region_allowed = |region: &RegionId| routed.route_match.allows_region(region);
@@ -360,6 +375,9 @@
         if attempts.send_count == 0 {
             return true;
         }
+        if !self.has_time(routed, true) {
+            return false;
+        }
         let vms = shared.fleet().vm_count();
         attempts.send_count < route.attempts
             && shared.budgets().allows_retry(now, &routed.service, vms)
--- a/crates/waxwingrail/src/edge/state.rs
+++ b/crates/waxwingrail/src/edge/state.rs
@@ -8,7 +8,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::net::UdpSocket;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::{Duration, Instant};
 
@@ -27,6 +27,7 @@
 use super::restore::RestoreGrace;
 use super::settings::EdgeSettings;
 use super::state_age::AgeLimits;
+use super::stop::{StopState, StopTimes};
 use super::watch_progress::WatchProgress;
 
 /// Resolution of the timer that ends requests at their deadlines.
@@ -129,7 +130,7 @@
 
     pub(crate) running_requests: AtomicUsize,
     started_at: Millis,
-    stopping: AtomicBool,
+    pub(crate) stop: StopState,
 }
 
 /// The components that an edge daemon is built from, besides its settings.
@@ -185,7 +186,7 @@
             quarantine: Mutex::default(),
             running_requests: AtomicUsize::new(0),
             started_at: components.clock.now(),
-            stopping: AtomicBool::new(false),
+            stop: StopState::new(),
             socket,
             own_entry,
             settings,
@@ -339,11 +340,14 @@
     }
 
     pub(crate) fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Relaxed)
+        self.stop.has_begun()
     }
 
-    pub(crate) fn begin_stop(&self) {
-        self.stopping.store(true, Ordering::Relaxed);
+    /// Begins the stop, and returns its times.
+    pub(crate) fn begin_stop(&self) -> StopTimes {
+        let times = StopTimes::new(self.settings.stop_timeout);
+        self.stop.begin(self.now() + times.end);
+        times
     }
 }
 
--- a/crates/waxwingrail/tests/edge/fixture.rs
+++ b/crates/waxwingrail/tests/edge/fixture.rs
@@ -103,6 +103,14 @@
     }
 
     pub(crate) async fn start_daemon(&self, vm: &str, incarnation: u64) -> EdgeDaemon {
+        self.start_daemon_with(settings(vm, &[]), incarnation).await
+    }
+
+    pub(crate) async fn start_daemon_with(
+        &self,
+        settings: EdgeSettings,
+        incarnation: u64,
+    ) -> EdgeDaemon {
         let components = EdgeComponents {
             clock: Arc::new(MonotonicClock::new()),
             registry: Arc::new(self.registry.clone()),
@@ -111,7 +119,7 @@
             client: Client::new(Arc::clone(&self.executor), ClientLimits::default()),
             incarnation: Incarnation(incarnation),
         };
-        let daemon = EdgeDaemon::start(settings(vm, &[]), components).await;
+        let daemon = EdgeDaemon::start(settings, components).await;
         daemon.expect("a daemon")
     }
 
