Report the list that a VM has read again, and bound the wait for a slot in a stop

Callers: none reported; found by reading the change again. Cause: after an answer of an earlier epoch a family is listed again in the same epoch. An answer that was on its way during a restore let a VM report revisions of the earlier epoch as those of the new one until it had listed the family. Before a send to a target with a queue, the end of a stopping process counted for the work, not for the wait for a slot. Ruled out: - Change: FamilyProgress::record_new_list; a report states nothing of a family that is not listed in its epoch; the time that a request may wait for a slot ends with the last response of a stopping process. Test: a_vm_that_lists_again_reports_the_later_list (floor 50 instead of 60 before), a_report_states_nothing_of_a_family_that_is_not_listed_in_its_epoch (revision 70 instead of 0 before), responses_are_due_before_the_process_ends (the bound alone; no test of a full target). Conclusion: what a report states holds in its epoch.

--- a/crates/waxwingrail/src/edge/request.rs
+++ b/crates/waxwingrail/src/edge/request.rs
@@ -359,7 +359,11 @@
             large_body: routed.large_body,
             region_allowed: &region_allowed,
             tried,
-            time_left: useful_until.min(routed.deadline).since(now),
+            // A request also waits for a slot no longer than a stopping process can return its response.
+            time_left: useful_until
+                .min(routed.deadline)
+                .min(shared.stop.last_response_at())
+                .since(now),
             latency_objective: objective,
             priority: routed.route_match.priority(),
         };
--- a/crates/waxwingrail/src/edge/stop.rs
+++ b/crates/waxwingrail/src/edge/stop.rs
@@ -68,6 +68,12 @@
     pub(crate) fn has_begun(&self) -> bool {
         self.ends_at.get().is_some()
     }
+
+    /// Time by which a request must have its response, so that it reaches the caller before the process ends.
+    pub(crate) fn last_response_at(&self) -> Millis {
+        let ends_at = self.ends_at.get();
+        ends_at.map_or(Millis::MAX, |ends_at| *ends_at - RESPONSE_MARGIN)
+    }
 }
 
 /// Whether a target can be expected to finish a request before this process ends. `is_body_read` tells whether the whole body
@@ -78,9 +84,9 @@
     deadline: Millis,
     is_body_read: bool,
 ) -> bool {
-    let Some(ends_at) = shared.stop.ends_at.get().copied() else {
+    if !shared.stop.has_begun() {
         return true;
-    };
+    }
     let latency = if is_body_read {
         shared.targets().unloaded_latency(service)
     } else {
@@ -88,7 +94,7 @@
     };
     let longest = latency.map_or(Millis::MAX, |latency| Millis(latency.0 * MAX_WORK_RATIO));
     let now = shared.now();
-    (now + longest).min(deadline) + RESPONSE_MARGIN <= ends_at
+    (now + longest).min(deadline) <= shared.stop.last_response_at()
 }
 
 /// Ends when a stopping process must refuse the requests whose body still arrives.
--- a/crates/waxwingrail/src/edge/stop/tests.rs
+++ b/crates/waxwingrail/src/edge/stop/tests.rs
@@ -2,7 +2,7 @@
 
 use waxwing_types::Millis;
 
-use super::StopTimes;
+use super::{RESPONSE_MARGIN, StopState, StopTimes};
 
 /// Guards against a stop that still accepts connections when the process ends, with a short grace time.
 #[test]
@@ -14,3 +14,15 @@
     }
     assert_eq!(StopTimes::new(Millis::from_secs(6)).notice, Millis(2500));
 }
+
+/// Guards against a request that waits for a slot of a target until after the end of the process.
+#[test]
+fn responses_are_due_before_the_process_ends() {
+    let stop = StopState::new();
+    assert_eq!(stop.last_response_at(), Millis::MAX);
+    let ends_at = Millis(10_000);
+    stop.begin(ends_at);
+    // A second signal does not give more time.
+    stop.begin(ends_at + ends_at);
+    assert_eq!(stop.last_response_at(), ends_at - RESPONSE_MARGIN);
+}
--- a/crates/waxwingrail/src/edge/watch_progress.rs
+++ b/crates/waxwingrail/src/edge/watch_progress.rs
@@ -249,9 +249,7 @@
         let current_epoch = self.epoch;
         if let Some(progress) = self.families.get_mut(&family) {
             progress.epoch = epoch.or(current_epoch);
-            progress.known_revision = revision;
-            progress.last_change = Revision::default();
-            progress.record_known(revision);
+            progress.record_new_list(revision);
             if let Some(as_of) = as_of {
                 progress.confirm(as_of);
             }
--- a/crates/waxwingrail/src/edge/watch_progress/family.rs
+++ b/crates/waxwingrail/src/edge/watch_progress/family.rs
@@ -100,6 +100,15 @@
         });
     }
 
+    /// Records a list that replaces all that was known. Changes up to its revision may be missing elsewhere.
+    pub(super) fn record_new_list(&mut self, revision: Revision) {
+        self.is_listed = true;
+        self.floor = revision;
+        self.known_revision = revision;
+        self.last_change = Revision::default();
+        self.confirm_by_report();
+    }
+
     /// Records the revision up to which all changes are known.
     pub(super) fn record_known(&mut self, revision: Revision) {
         if !self.is_listed {
--- a/crates/waxwingrail/src/edge/watch_progress/report.rs
+++ b/crates/waxwingrail/src/edge/watch_progress/report.rs
@@ -20,9 +20,15 @@
 }
 
 impl WatchProgress {
-    /// What this VM reports to other VMs.
+    /// What this VM reports to other VMs: nothing of a family that it has not listed in this epoch.
     pub(crate) fn report(&self, now: Millis) -> StateReport {
-        let families = || Family::ALL.iter().map(|family| self.families.get(family));
+        let families = || {
+            let progress = |family| self.families.get(family);
+            let is_listed = |progress: &&FamilyProgress| progress.epoch == self.epoch;
+            Family::ALL
+                .iter()
+                .map(move |family| progress(family).filter(is_listed))
+        };
         let age = |progress: &FamilyProgress| progress.confirmed_at.map(|at| now.since(at));
         StateReport {
             epoch: self.epoch,
--- a/crates/waxwingrail/src/edge/watch_progress/tests.rs
+++ b/crates/waxwingrail/src/edge/watch_progress/tests.rs
@@ -440,3 +440,28 @@
     assert_eq!(progress.next_mode(later, FAMILY, false), WatchMode::Recent);
     assert_eq!(progress.recent_freshness(later), Freshness::Recent);
 }
+
+/// Guards against a report that names no last change of a family that was listed anew in the same epoch, after an answer of an
+/// earlier one, and still states the list from which this VM started: a VM between the two lists would lack a change.
+#[test]
+fn a_vm_that_lists_again_reports_the_later_list() {
+    let (mut progress, now) = progress_in_epoch_1();
+    progress.record_restored_list(FAMILY, Some(StoreEpoch(1)), Revision(60), Some(now));
+    let report = progress.report(now);
+    assert_eq!(report.revisions, revisions(0));
+    assert_eq!(report.floors, revisions(60));
+}
+
+/// Guards against a report that states, in a new epoch, what this VM knew in the one before: an answer that was on its way during
+/// the restore is applied before the family is listed.
+#[test]
+fn a_report_states_nothing_of_a_family_that_is_not_listed_in_its_epoch() {
+    let (mut progress, now) = progress_in_epoch_1();
+    progress.record_epoch(now, Some(StoreEpoch(2)));
+    progress.record_answer(FAMILY, Revision(70), Some(Revision(70)), Some(now));
+    let report = progress.report(now);
+    assert_eq!(report.epoch, Some(StoreEpoch(2)));
+    assert_eq!(report.revisions, revisions(0));
+    assert_eq!(report.floors, revisions(0));
+    assert_eq!(report.ages, [None; 4]);
+}
