Write what the project has only once, and split what grew long

Cause: read again as a newcomer. Ruled out: one settings function for unit and integration tests (they see the crate under different names); merging the registries of tests with those of the product (they implement one trait). Change: PeerMessage::StateReport carries the report itself, the bytes are the same (reports_of_other_versions_are_read). watch_started returns what had been reported, so that watch_ended stands once. No check is changed otherwise. Conclusion: the same behavior in fewer places.

--- a/crates/waxwing_edge/src/fleet.rs
+++ b/crates/waxwing_edge/src/fleet.rs
@@ -18,10 +18,10 @@
 /// Time within which the VMs of a fleet that starts as a whole register and read each other's entries: 2 s until the second
 /// read of the entries, and the time by which a recent state lags.
 const FLEET_START_TIME: Millis = Millis::from_secs(3);
-/// Time after the start of this VM from which on a VM that is noticed has joined later.
-const FLEET_NOTICE_TIME: Millis = Millis(2500);
-/// Time from the notice of a process until it acts as the store reader: its own startup, and the delay of the notice.
-const READER_START_TIME: Millis = Millis::from_secs(3);
+/// Time after the start of a process in which it learns of the other VMs and does not act as the store reader yet.
+pub const READER_STARTUP_TIME: Millis = Millis(2500);
+/// Time from the notice of a process until its first report as the store reader: its startup, a call and a datagram.
+const READER_START_TIME: Millis = Millis(READER_STARTUP_TIME.0 + 500);
 /// Number of shards into which the workspaces are divided. In each failure domain, every shard has its own
 /// quota coordinator.
 const WORKSPACE_SHARDS: u64 = 4;
@@ -258,7 +258,7 @@
 
     /// Whether a VM has joined after the startup of this VM, and is still in its own.
     fn joins_later(&self, vm: &Vm, now: Millis) -> bool {
-        let joined_later = vm.noticed_at >= self.started_at + FLEET_NOTICE_TIME;
+        let joined_later = vm.noticed_at >= self.started_at + READER_STARTUP_TIME;
         joined_later && now.since(vm.noticed_at) < READER_START_TIME
     }
 
@@ -293,9 +293,7 @@
         match self.vms.get_mut(&entry.id) {
             Some(vm) if vm.entry == entry => vm.missing_since = None,
             Some(vm) => {
-                if entry.incarnation > vm.entry.incarnation {
-                    vm.noticed_at = now;
-                }
+                vm.notice(now, entry.incarnation);
                 vm.entry = entry;
                 vm.registered_at = Some(now);
                 vm.missing_since = None;
@@ -365,9 +363,7 @@
             return;
         };
         if incarnation >= vm.entry.incarnation {
-            if incarnation > vm.entry.incarnation {
-                vm.noticed_at = now;
-            }
+            vm.notice(now, incarnation);
             vm.was_ready = ready || vm.was_ready && incarnation == vm.entry.incarnation;
             vm.entry.incarnation = incarnation;
             vm.last_heartbeat = Some(now);
--- a/crates/waxwing_edge/src/fleet/vm.rs
+++ b/crates/waxwing_edge/src/fleet/vm.rs
@@ -1,7 +1,7 @@
 //! What a VM knows of another VM.
 
 use waxwing_records::VmEntry;
-use waxwing_types::Millis;
+use waxwing_types::{Incarnation, Millis};
 
 /// Time without a heartbeat after which a VM no longer counts as live. Heartbeats are sent every second, and
 /// some may be lost. Callers may be given the address of a dead VM for at most 7 s.
@@ -44,6 +44,13 @@
         }
     }
 
+    /// Records that a process of the VM was noticed, which may be a later one than the known process.
+    pub(super) fn notice(&mut self, now: Millis, incarnation: Incarnation) {
+        if incarnation > self.entry.incarnation {
+            self.noticed_at = now;
+        }
+    }
+
     /// Whether the VM accepts requests of callers and has registered or sent a heartbeat recently.
     pub(super) fn is_live(&self, now: Millis) -> bool {
         self.ready && self.responds(now)
--- a/crates/waxwing_edge/src/lib.rs
+++ b/crates/waxwing_edge/src/lib.rs
@@ -13,9 +13,9 @@
 mod routing_table;
 mod target;
 
-pub use fleet::Fleet;
+pub use fleet::{Fleet, READER_STARTUP_TIME};
 pub use hash::{hash_bytes, mix64};
-pub use peer_message::PeerMessage;
+pub use peer_message::{PeerMessage, StateReport};
 pub use quarantine::{Quarantine, TargetProcess};
 pub use quota::{
     Admission, NoTokenAction, QuotaCoordinator, TokenExchange, WorkspaceQuotas, WorkspaceTokens,
--- a/crates/waxwing_edge/src/peer_message.rs
+++ b/crates/waxwing_edge/src/peer_message.rs
@@ -36,24 +36,7 @@
         },
         /// Reports up to which change the sender knows the registry, and as of when.
         #[serde(rename = "news")]
-        WatchProgress {
-            /// Revision of the last change of each family. A family is one kind of registry entries. The
-            /// order is that of `Family::ALL`.
-            #[serde(rename = "seen")]
-            revisions: Vec<Revision>,
-            /// Epoch of the store in which the revisions hold, if the sender knows one.
-            #[serde(default, skip_serializing_if = "Option::is_none")]
-            epoch: Option<StoreEpoch>,
-            /// Revision from which on the sender knows the changes of each family, in the same order: that of the list that
-            /// it started from. A receiver that knows less may lack a change that the list contains.
-            #[serde(default, skip_serializing_if = "Vec::is_empty")]
-            floors: Vec<Revision>,
-            /// Age of the sender's state of each family, in the same order: time since which the sender is known to have
-            /// all changes. `None` if that is not known. A report without floors or ages confirms
-            /// nothing.
-            #[serde(default, skip_serializing_if = "Vec::is_empty")]
-            ages: Vec<Option<Millis>>,
-        },
+        StateReport(StateReport),
         /// Reports a request that was running when its target crashed.
         #[serde(rename = "crash")]
         TargetCrash {
@@ -66,3 +49,25 @@
         },
     }
 }
+
+common_derives! {
+    /// What a VM knows of the registry. A family is one kind of registry entries; all lists are in the order of
+    /// `Family::ALL`.
+    #[derive(Serialize, Deserialize)]
+    pub struct StateReport {
+        /// Revision of the last change of each family.
+        #[serde(rename = "seen")]
+        pub revisions: Vec<Revision>,
+        /// Epoch of the store in which the revisions hold, if the sender knows one.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub epoch: Option<StoreEpoch>,
+        /// Revision from which on the sender knows the changes of each family: that of the list that it started from. A
+        /// receiver that knows less may lack a change that the list contains.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        pub floors: Vec<Revision>,
+        /// Age of the sender's state of each family in ms: time since which the sender is known to have all changes. `None`
+        /// if that is not known. A report without floors or ages confirms nothing.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        pub ages: Vec<Option<Millis>>,
+    }
+}
--- a/crates/waxwing_edge/src/quarantine.rs
+++ b/crates/waxwing_edge/src/quarantine.rs
@@ -103,8 +103,8 @@
         is_first
     }
 
-    /// Records that a process is alive: what broke its connections was no crash.
-    pub fn on_process_alive(&mut self, process: TargetProcess) {
+    /// Drops the suspects of a process: what broke its connections was no crash.
+    pub fn clear_suspects(&mut self, process: TargetProcess) {
         self.suspects.retain(|suspect| suspect.process != process);
     }
 
--- a/crates/waxwing_edge/src/target/notice.rs
+++ b/crates/waxwing_edge/src/target/notice.rs
@@ -243,6 +243,17 @@
 
 /// Queries.
 impl TargetPool {
+    /// Whether a process of a target is registered as ready and has not said that it is leaving.
+    pub fn is_in_service(&self, id: &TargetId, incarnation: Incarnation) -> bool {
+        let key = self.keys_by_id.get(id);
+        let target = key.and_then(|key| self.targets.get(*key));
+        target.is_some_and(|target| {
+            target.registration.incarnation == incarnation
+                && target.is_ready()
+                && !target.notices.leaving
+        })
+    }
+
     /// The targets that get no requests because of their notices.
     pub fn noticed_targets(&self, now: Millis) -> Vec<NoticedTarget> {
         let noticed = self
--- a/crates/waxwing_edge/src/target/pool.rs
+++ b/crates/waxwing_edge/src/target/pool.rs
@@ -92,17 +92,6 @@
         (mean > 0.0).then(|| Millis(mean.ceil() as u64))
     }
 
-    /// Whether a process of a target is registered as ready and has not said that it is leaving.
-    pub fn is_in_service(&self, id: &TargetId, incarnation: Incarnation) -> bool {
-        let key = self.keys_by_id.get(id);
-        let target = key.and_then(|key| self.targets.get(*key));
-        target.is_some_and(|target| {
-            target.registration.incarnation == incarnation
-                && target.is_ready()
-                && !target.notices.leaving
-        })
-    }
-
     /// Whether a target may get a request now. The target must be ready (by its registration and by what it said
     /// itself), must not be ejected (after failures), and must not be in an evacuated failure domain. If the target is
     /// cold, this VM also needs a cold start token for the target.
--- a/crates/waxwing_http/src/client.rs
+++ b/crates/waxwing_http/src/client.rs
@@ -16,6 +16,7 @@
 
 use crate::conn::{Conn, Outcome};
 use crate::pool::Pool;
+use crate::server::MIN_BUFFER_BYTES;
 use crate::{Body, BodyError, streamed};
 
 /// Limits of a client.
@@ -31,6 +32,13 @@
     pub header_bytes: usize,
 }
 
+impl ClientLimits {
+    /// Most bytes that a connection buffers in each direction.
+    pub fn buffer_bytes(&self) -> usize {
+        self.header_bytes.max(MIN_BUFFER_BYTES)
+    }
+}
+
 impl Default for ClientLimits {
     fn default() -> Self {
         Self {
@@ -200,7 +208,7 @@
 
     async fn open(&self, address: SocketAddr) -> io::Result<Conn> {
         let limits = &self.inner.limits;
-        let open = Conn::open(&self.inner.executor, address, limits.header_bytes);
+        let open = Conn::open(&self.inner.executor, address, *limits);
         let timer = async {
             async_io::Timer::after(limits.connect).await;
             Err(io::ErrorKind::TimedOut.into())
--- a/crates/waxwing_http/src/conn.rs
+++ b/crates/waxwing_http/src/conn.rs
@@ -14,6 +14,7 @@
 use smol_hyper::rt::FuturesIo;
 
 use crate::Body;
+use crate::ClientLimits;
 use crate::counted::Counted;
 use crate::socket::tune;
 
@@ -42,23 +43,20 @@
     _driver: Task<()>,
 }
 
-/// Smallest buffer that the protocol library accepts, in bytes.
-const MIN_BUFFER_BYTES: usize = 8192;
-
 impl Conn {
     pub(crate) async fn open(
         executor: &Executor<'static>,
         address: SocketAddr,
-        header_bytes: usize,
+        limits: ClientLimits,
     ) -> io::Result<Self> {
         let stream = TcpStream::connect(address).await?;
         tune(&stream)?;
         let written = Arc::new(AtomicU64::new(0));
         let io = FuturesIo::new(Counted::new(stream, Arc::clone(&written)));
         let (sender, conn) = http1::Builder::new()
-            .max_header_size(header_bytes)
+            .max_header_size(limits.header_bytes)
             // Bounds what a fast sender may fill while nobody takes its body.
-            .max_buf_size(header_bytes.max(MIN_BUFFER_BYTES))
+            .max_buf_size(limits.buffer_bytes())
             .handshake(io)
             .await
             .map_err(io::Error::other)?;
--- a/crates/waxwing_http/src/server.rs
+++ b/crates/waxwing_http/src/server.rs
@@ -28,7 +28,7 @@
 /// Below it the server rejects with a problem body; above it the library answers 431 alone.
 const HARD_HEADER_FACTOR: usize = 4;
 /// Smallest buffer that the protocol library accepts, in bytes.
-const MIN_BUFFER_BYTES: usize = 8192;
+pub(crate) const MIN_BUFFER_BYTES: usize = 8192;
 /// Pause after an accept that failed, for example because no file descriptor was free.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -49,6 +49,18 @@
     pub linger_time: Duration,
 }
 
+impl ServerLimits {
+    /// The protocol library's own bound on a header section, in bytes.
+    fn hard_header_bytes(&self) -> usize {
+        self.header_bytes * HARD_HEADER_FACTOR
+    }
+
+    /// Most bytes that a connection buffers in each direction.
+    pub fn buffer_bytes(&self) -> usize {
+        self.hard_header_bytes().max(MIN_BUFFER_BYTES)
+    }
+}
+
 impl Default for ServerLimits {
     fn default() -> Self {
         Self {
@@ -249,12 +261,11 @@
         has_body.store(!request.body().is_end_stream(), Ordering::Relaxed);
         answer(state, &handler, request, peer)
     });
-    let hard = state.limits.header_bytes * HARD_HEADER_FACTOR;
     let conn = http1::Builder::new()
         .timer(state.timer.clone())
         .header_read_timeout(state.limits.header_time)
-        .max_header_size(hard)
-        .max_buf_size(hard.max(MIN_BUFFER_BYTES))
+        .max_header_size(state.limits.hard_header_bytes())
+        .max_buf_size(state.limits.buffer_bytes())
         .serve_connection(FuturesIo::new(stream), service);
     let mut conn = pin!(conn);
     let idle = async {
--- a/crates/waxwingrail/src/edge/crash.rs
+++ b/crates/waxwingrail/src/edge/crash.rs
@@ -9,7 +9,7 @@
 use async_io::Timer;
 use waxwing_edge::{SelectedTarget, TargetProcess};
 use waxwing_records::Registration;
-use waxwing_types::Millis;
+use waxwing_types::{Incarnation, Millis, TargetId};
 
 use super::peers;
 use super::state::Shared;
@@ -50,14 +50,14 @@
         Timer::after(delay.duration()).await;
         match shared.client.connect(target.address).await {
             Ok(()) => {
-                shared.quarantine().on_process_alive(process);
+                shared.quarantine().clear_suspects(process);
                 return;
             }
             Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
                 if is_in_service(&shared, &target) {
-                    on_crash(&shared, target.id.as_str(), process);
+                    on_crash(&shared, &target.id, target.incarnation);
                 } else {
-                    shared.quarantine().on_process_alive(process);
+                    shared.quarantine().clear_suspects(process);
                 }
                 return;
             }
@@ -76,8 +76,7 @@
         })
     };
     if let Some(earlier) = crashed {
-        let process = TargetProcess::new(&registration.id, earlier);
-        on_crash(shared, registration.id.as_str(), process);
+        on_crash(shared, &registration.id, earlier);
     }
 }
 
@@ -87,14 +86,23 @@
     shared
         .quarantine()
         .on_crash_report(now, fingerprint, process);
-    on_crash(shared, "", process);
+    report_running_requests(shared, process);
 }
 
-/// Records that a process has crashed, and tells the other VMs which requests of this VM it was running.
-fn on_crash(shared: &Shared, target_id: &str, process: TargetProcess) {
+/// Records that a target has crashed.
+fn on_crash(shared: &Shared, id: &TargetId, incarnation: Incarnation) {
+    let process = TargetProcess::new(id, incarnation);
+    let requests = report_running_requests(shared, process);
+    if requests > 0 {
+        log::info!(target_id = id.as_str(), requests = requests; "target crashed while it ran requests");
+    }
+}
+
+/// Tells the other VMs which requests of this VM a process was running when it crashed, and returns their number.
+fn report_running_requests(shared: &Shared, process: TargetProcess) -> usize {
     let fingerprints = shared.quarantine().on_process_crash(shared.now(), process);
     if !fingerprints.is_empty() {
-        log::info!(target_id = target_id, requests = fingerprints.len(); "target crashed while it ran requests");
         peers::report_crashes(shared, process, &fingerprints);
     }
+    fingerprints.len()
 }
--- a/crates/waxwingrail/src/edge/daemon.rs
+++ b/crates/waxwingrail/src/edge/daemon.rs
@@ -15,7 +15,6 @@
 use waxwing_types::MonotonicClock;
 
 use super::handlers::{DirectoryHandler, MetricsHandler, ReadinessHandler, RequestHandler};
-use super::memory::MemoryLimits;
 use super::settings::EdgeSettings;
 use super::state::Shared;
 use super::{peers, state_age, ticks, watch};
@@ -59,21 +58,20 @@
             peer: socket.get_ref().local_addr().context("--peer")?,
             incarnation: components.incarnation,
         };
+        let (caller_address, directory_address, readiness_address) =
+            (settings.listen, settings.directory, settings.readiness);
+        let metrics_address = settings.metrics;
+        state_age::log_short_limits(&settings);
+        let shared = Arc::new(Shared::new(settings, own_entry, socket, components));
+        let most_connections = shared.memory_limits.connections;
         let caller_limits = ServerLimits {
-            connections: settings
-                .max_connections
-                .min(MemoryLimits::new(settings.memory).connections),
+            connections: shared.settings.max_connections.min(most_connections),
             ..ServerLimits::default()
         };
         let auxiliary_limits = ServerLimits {
             connections: AUXILIARY_CONNECTIONS,
             ..caller_limits
         };
-        let (caller_address, directory_address, readiness_address) =
-            (settings.listen, settings.directory, settings.readiness);
-        let metrics_address = settings.metrics;
-        state_age::log_short_limits(&settings);
-        let shared = Arc::new(Shared::new(settings, own_entry, socket, components));
         let readiness_handler = Arc::new(ReadinessHandler(Arc::clone(&shared)));
         let readiness_server = start_server(
             &shared,
--- a/crates/waxwingrail/src/edge/memory.rs
+++ b/crates/waxwingrail/src/edge/memory.rs
@@ -20,7 +20,8 @@
 /// Bytes that a running request holds in addition: two buffers of the connection of the caller and two of that to the target,
 /// which has a shorter head, and a small body in each direction.
 const REQUEST_BYTES: usize = 2 * MAX_FRAME_BYTES + 2 * 32 * 1024 + 2 * SMALL_BODY_BYTES;
-/// Percentages of the memory of the VM. The rest is for the program, its tables and idle connections to targets.
+/// Percentages of the memory of the VM. The rest is for the program, its tables, idle connections to targets, and connections to
+/// the directory, readiness and metrics servers.
 const CONNECTIONS_PERCENT: usize = 25;
 const REQUESTS_PERCENT: usize = 40;
 const LARGE_BODIES_PERCENT: usize = 20;
--- a/crates/waxwingrail/src/edge/memory/tests.rs
+++ b/crates/waxwingrail/src/edge/memory/tests.rs
@@ -30,10 +30,10 @@
 #[test]
 fn the_bytes_of_a_request_cover_the_buffers_of_the_library() {
     let (server, client) = (ServerLimits::default(), ClientLimits::default());
-    let caller_buffers = 2 * 4 * server.header_bytes;
-    let target_buffers = 2 * client.header_bytes;
-    assert!(caller_buffers + target_buffers + 2 * SMALL_BODY_BYTES <= REQUEST_BYTES);
-    assert!(4 * server.header_bytes <= MAX_FRAME_BYTES);
+    let buffers = 2 * server.buffer_bytes() + 2 * client.buffer_bytes();
+    assert!(buffers + 2 * SMALL_BODY_BYTES <= REQUEST_BYTES);
+    assert!(server.buffer_bytes() <= MAX_FRAME_BYTES);
+    assert!(client.buffer_bytes() <= MAX_FRAME_BYTES);
 }
 
 /// Guards against limits that keep a small VM from serving: the connections of the settings, some two hundred requests at a time,
--- a/crates/waxwingrail/src/edge/mod.rs
+++ b/crates/waxwingrail/src/edge/mod.rs
@@ -15,6 +15,7 @@
 mod peers;
 mod refusal;
 mod request;
+mod request_head;
 mod restore;
 mod settings;
 mod state;
--- a/crates/waxwingrail/src/edge/peers.rs
+++ b/crates/waxwingrail/src/edge/peers.rs
@@ -23,7 +23,6 @@
 use super::crash;
 use super::restore::{self, AnswerEpoch};
 use super::state::Shared;
-use super::watch_progress::StateReport;
 
 /// Period of heartbeats. Other VMs treat a VM as down after three and a half periods without a heartbeat.
 const HEARTBEAT_PERIOD: Duration = Duration::from_secs(1);
@@ -93,18 +92,7 @@
         } => {
             handle_quota(shared, now, &granted, (requested, urgent), from);
         }
-        PeerMessage::WatchProgress {
-            revisions,
-            epoch,
-            floors,
-            ages,
-        } => {
-            let report = StateReport {
-                epoch,
-                revisions,
-                floors,
-                ages,
-            };
+        PeerMessage::StateReport(report) => {
             shared.watch_progress().record_report(now, &report);
         }
         PeerMessage::TargetCrash {
@@ -183,19 +171,8 @@
         }
     };
     if !region_peers.is_empty() {
-        let StateReport {
-            epoch,
-            revisions,
-            floors,
-            ages,
-        } = shared.watch_progress().report(shared.now());
-        let message = PeerMessage::WatchProgress {
-            revisions,
-            epoch,
-            floors,
-            ages,
-        };
-        send(shared, &message, &region_peers);
+        let report = shared.watch_progress().report(shared.now());
+        send(shared, &PeerMessage::StateReport(report), &region_peers);
     }
 }
 
--- a/crates/waxwingrail/src/edge/peers/tests.rs
+++ b/crates/waxwingrail/src/edge/peers/tests.rs
@@ -1,7 +1,8 @@
 //! Tests of the sizes of datagrams.
 
 use waxwing_edge::{
-    LoadReport, PeerMessage, Selection, TargetCriteria, TargetOutcome, TargetPool, Topology,
+    LoadReport, PeerMessage, Selection, StateReport, TargetCriteria, TargetOutcome, TargetPool,
+    Topology,
 };
 use waxwing_records::{Registration, TargetState};
 use waxwing_types::{Incarnation, Millis, RegionId, Revision, ServiceId, StoreEpoch};
@@ -121,12 +122,12 @@
     ];
     for (text, epoch, floors, ages) in versions {
         let received: PeerMessage = serde_json::from_str(text).expect("a report");
-        let expected = PeerMessage::WatchProgress {
+        let expected = PeerMessage::StateReport(StateReport {
             revisions: [4, 0, 7, 2].map(Revision).to_vec(),
             epoch,
             floors,
             ages,
-        };
+        });
         assert_eq!(received, expected);
         assert_eq!(serde_json::to_string(&expected).expect("JSON"), text);
     }
--- a/crates/waxwingrail/src/edge/request.rs
+++ b/crates/waxwingrail/src/edge/request.rs
@@ -4,15 +4,15 @@
 use std::sync::atomic::Ordering;
 use std::time::Instant;
 
+use hyper::Response;
 use hyper::body::{Body as _, Incoming};
-use hyper::header::{AUTHORIZATION, COOKIE, EXPECT, HOST};
+use hyper::header::{AUTHORIZATION, HOST};
 use hyper::http::request::Parts;
-use hyper::{HeaderMap, Response};
 use smol_str::SmolStr;
 use waxwing_edge::{
     RouteMatch, RoutingTable, Selection, TargetCriteria, TargetKey, hash_bytes, mix64,
 };
-use waxwing_http::{Body, announce_close, remove_hop_headers, remove_proxy_headers};
+use waxwing_http::{Body, HeaderNames, announce_close};
 use waxwing_types::{Millis, RefusalReason, RegionId, RetryReason, ServiceId};
 
 use super::admission;
@@ -21,6 +21,7 @@
 use super::forward::{Attempt, AttemptOutcome, forward};
 use super::metric::RequestOutcome;
 use super::refusal::Refusal;
+use super::request_head::{affinity_key, request_id, requested_time, strip_headers};
 use super::state::Shared;
 use super::stop;
 
@@ -94,7 +95,7 @@
         let mut response = match result {
             Ok(response) => {
                 log::debug!(
-                    request = self.request_id().as_str(), route = self.route_name.as_str(),
+                    request = request_id(&self.head.headers, self.names()).as_str(), route = self.route_name.as_str(),
                     workspace = self.workspace_name.as_str(), status = response.status().as_u16(),
                     age_ms = shared.now().since(self.arrived_at).0;
                     "request answered"
@@ -104,7 +105,7 @@
             Err(refusal) => {
                 shared.metrics.count_refusal(refusal.reason);
                 log::debug!(
-                    reason = refusal.reason.as_str(), request = self.request_id().as_str(),
+                    reason = refusal.reason.as_str(), request = request_id(&self.head.headers, self.names()).as_str(),
                     route = self.route_name.as_str(), workspace = self.workspace_name.as_str(),
                     path = self.head.uri.path(), age_ms = shared.now().since(self.arrived_at).0,
                     retry_ms = refusal.retry_after.map_or(0, |time| time.0);
@@ -122,7 +123,10 @@
     async fn serve(&mut self, body: Incoming) -> Result<Response<Body>, Refusal> {
         let shared = self.shared;
         let Some(routing_table) = shared.routing_table_when_loaded() else {
-            return Err(Refusal::starting(shared, self.requested_time()));
+            return Err(Refusal::starting(
+                shared,
+                requested_time(&self.head.headers, self.names()),
+            ));
         };
         let running = shared.running_requests.load(Ordering::Relaxed);
         if running > shared.memory_limits.requests {
@@ -181,21 +185,16 @@
             .map_err(Refusal::new)
     }
 
+    fn names(&self) -> &HeaderNames {
+        self.shared.dialect.headers()
+    }
+
     /// The earlier of the caller's deadline and the timeout of the route.
     fn deadline(&self, route_match: &RouteMatch<'_>) -> Millis {
-        let requested = self.requested_time().unwrap_or(Millis::MAX);
+        let requested = requested_time(&self.head.headers, self.names()).unwrap_or(Millis::MAX);
         self.arrived_at + route_match.route.timeout.min(requested)
     }
 
-    /// The time that the caller waits for a response, from its head.
-    fn requested_time(&self) -> Option<Millis> {
-        let name = &self.shared.dialect.headers().deadline;
-        let value = self.head.headers.get(name);
-        value
-            .and_then(|v| v.to_str().ok()?.parse().ok())
-            .map(Millis)
-    }
-
     async fn read_body(
         &self,
         body: Incoming,
@@ -234,14 +233,16 @@
     ) -> Result<RoutedRequest<'t>, Refusal> {
         let service = route_match.select_service(fastrand::f64());
         let service = service.ok_or(Refusal::new(RefusalReason::RouteUnknown))?;
-        let affinity_hash = self.affinity_key().map(|key| hash_bytes(key.as_bytes()));
+        let affinity_hash =
+            affinity_key(&self.head.headers, self.names()).map(|key| hash_bytes(key.as_bytes()));
         let affinity_hash = affinity_hash.filter(|_| route_match.route.affinity);
         let path_hash = hash_bytes(self.head.uri.path().as_bytes());
         let workspace = route_match.workspace.map_or("", |w| w.id.as_str());
         let prefix = &body.prefix[..body.prefix.len().min(FINGERPRINT_BYTES)];
         let content = mix64(hash_bytes(prefix), affinity_hash.unwrap_or_default());
         let fingerprint = mix64(mix64(path_hash, hash_bytes(workspace.as_bytes())), content);
-        self.strip_headers();
+        let names = self.shared.dialect.headers();
+        strip_headers(&mut self.head.headers, names);
         Ok(RoutedRequest {
             service: service.clone(),
             route_match,
@@ -277,7 +278,7 @@
                 }
             };
             log::debug!(
-                request = self.request_id().as_str(), service = routed.service.as_str(),
+                request = request_id(&self.head.headers, self.names()).as_str(), service = routed.service.as_str(),
                 target_id = selected.id.as_str(), region = selected.region.as_str(),
                 wait_ms = selected.expected_wait.0, attempt = attempts.tried.len() + 1,
                 left_ms = routed.deadline.since(shared.now()).0;
@@ -392,33 +393,4 @@
         attempts.send_count < route.attempts
             && shared.budgets().allows_retry(now, &routed.service, vms)
     }
-
-    /// The value of the affinity cookie. Requests with the same value prefer the same target.
-    fn affinity_key(&self) -> Option<SmolStr> {
-        let cookie_name = self.shared.dialect.headers().object;
-        let cookies = self.head.headers.get_all(COOKIE).iter();
-        let cookies = cookies.filter_map(|v| v.to_str().ok());
-        let mut pairs = cookies
-            .flat_map(|v| v.split(';'))
-            .filter_map(|pair| pair.trim().split_once('='));
-        let (_, value) = pairs.find(|(key, _)| *key == cookie_name)?;
-        Some(value.into())
-    }
-
-    fn request_id(&self) -> SmolStr {
-        let name = &self.shared.dialect.headers().request_id;
-        let id = self.head.headers.get(name).and_then(|v| v.to_str().ok());
-        id.unwrap_or_default().into()
-    }
-
-    fn strip_headers(&mut self) {
-        let names = self.shared.dialect.headers();
-        let headers: &mut HeaderMap = &mut self.head.headers;
-        remove_hop_headers(headers);
-        remove_proxy_headers(headers);
-        headers.remove(AUTHORIZATION);
-        headers.remove(EXPECT);
-        headers.remove(&names.workspace);
-        headers.remove(&names.instance);
-    }
 }
--- a/crates/waxwingrail/src/edge/state.rs
+++ b/crates/waxwingrail/src/edge/state.rs
@@ -171,6 +171,7 @@
             base_retries: settings.base_retries,
         };
         let memory_limits = MemoryLimits::new(settings.memory);
+        let started_at = components.clock.now();
         Self {
             memory_limits,
             body_budget: BodyBudget::new(memory_limits.large_bodies),
@@ -182,17 +183,14 @@
             client: components.client,
             routing_table: RwLock::default(),
             store_status: Mutex::default(),
-            watch_progress: Mutex::new(WatchProgress::new(
-                components.clock.now(),
-                AgeLimits::new(&settings),
-            )),
-            fleet: Mutex::new(Fleet::new(own_entry.clone()).with_start(components.clock.now())),
+            watch_progress: Mutex::new(WatchProgress::new(started_at, AgeLimits::new(&settings))),
+            fleet: Mutex::new(Fleet::new(own_entry.clone()).with_start(started_at)),
             targets: Mutex::new(TargetPool::new(settings.vm.as_str(), topology)),
             quota: Mutex::default(),
             budgets: Mutex::new(RetryBudgets::new(budget_config)),
             quarantine: Mutex::default(),
             running_requests: AtomicUsize::new(0),
-            started_at: components.clock.now(),
+            started_at,
             stop: StopState::new(),
             socket,
             own_entry,
--- a/crates/waxwingrail/src/edge/watch.rs
+++ b/crates/waxwingrail/src/edge/watch.rs
@@ -209,11 +209,12 @@
     loop {
         let now = shared.now();
         let is_store_reader = shared.fleet().is_store_reader(now);
-        let (mode, confirm_wait) = {
+        let (mode, reported, confirm_wait) = {
             let mut progress = shared.watch_progress();
             let mode = progress.next_mode(now, family, is_store_reader);
-            progress.watch_started(now, family, mode);
-            (mode, progress.next_read(family, true).since(now))
+            let reported = progress.watch_started(now, family, mode);
+            let confirm_wait = progress.next_read(family, true).since(now);
+            (mode, reported, confirm_wait)
         };
         let (wait, timeout) = watch_times(&shared.settings, mode, confirm_wait);
         // Discards interruptions that arrived after the end of the previous watch.
@@ -230,17 +231,14 @@
         let watch = async { Some(call.await) };
         let interruption = async { interruptions.recv().await.ok().and(None) };
         let answer = future::or(watch, interruption).await;
+        shared.watch_progress().watch_ended(family);
         let Some(answer) = answer else {
-            shared.watch_progress().watch_ended(family);
             continue;
         };
         let answered_at = shared.now();
         let outcome = match current_outcome(shared, answer) {
             Ok(outcome) => outcome,
-            Err(interruption) => {
-                shared.watch_progress().watch_ended(family);
-                return interruption;
-            }
+            Err(interruption) => return interruption,
         };
         match outcome {
             WatchOutcome::Changed {
@@ -252,12 +250,8 @@
                 let last_change = last_change_revision(&changes, revision, watched_revision);
                 apply_changes(shared, family, changes);
                 revision = watched_revision.max(revision);
-                {
-                    let mut progress = shared.watch_progress();
-                    if mode == WatchMode::CatchUp {
-                        progress.record_catch_up(family);
-                    }
-                    progress.watch_ended(family);
+                if mode == WatchMode::CatchUp {
+                    shared.watch_progress().record_catch_up(family, reported);
                 }
                 record_and_report(shared, family, revision, last_change, as_of);
                 if last_change.is_some() {
@@ -265,7 +259,6 @@
                 }
             }
             WatchOutcome::HistoryGone => {
-                shared.watch_progress().watch_ended(family);
                 return Interruption {
                     position: Position::HistoryGone(revision),
                     failure: None,
@@ -273,11 +266,7 @@
             }
             WatchOutcome::Unreachable(reason) => {
                 let now = shared.now();
-                let shows_outage = {
-                    let mut progress = shared.watch_progress();
-                    progress.watch_ended(family);
-                    progress.shows_outage(now, family, mode)
-                };
+                let shows_outage = shared.watch_progress().shows_outage(now, family, mode);
                 return Interruption {
                     position: Position::Interrupted(revision),
                     failure: shows_outage.then_some(reason),
--- a/crates/waxwingrail/src/edge/watch/tests.rs
+++ b/crates/waxwingrail/src/edge/watch/tests.rs
@@ -62,33 +62,34 @@
     }
 }
 
-/// Guards against a change that is in use too late because the store reader has failed right before it: the VM finds that its
-/// state is unconfirmed, reads the latest state, and the last request that it sent before arrives at its target.
-#[test]
-fn the_steps_after_a_failure_of_the_reader_fit_into_the_limits() {
+/// Checks that the steps of a change fit into the limit of each family, for each of the settings.
+fn check_steps(sum: impl Fn(&EdgeSettings, Family) -> Millis) {
     for settings in with_limits() {
         for family in LIMITED {
-            let max_age = AgeLimits::new(&settings).of(family).max;
-            let sum = DATAGRAM_TIME + max_age + TICK_PERIOD + CALL_TIME + SEND_TIME;
-            let limit = limit(&settings, family);
+            let (sum, limit) = (sum(&settings, family), limit(&settings, family));
             assert!(sum <= limit, "{family:?}: {sum} of {limit}");
         }
     }
 }
 
+/// Guards against a change that is in use too late because the store reader has failed right before it: the VM finds that its
+/// state is unconfirmed, reads the latest state, and the last request that it sent before arrives at its target.
+#[test]
+fn the_steps_after_a_failure_of_the_reader_fit_into_the_limits() {
+    check_steps(|settings, family| {
+        let max_age = AgeLimits::new(settings).of(family).max;
+        DATAGRAM_TIME + max_age + TICK_PERIOD + CALL_TIME + SEND_TIME
+    });
+}
+
 /// Guards against a change that is in use too late although the reader works: it reads batches, and the recent state of the
 /// other VMs lags.
 #[test]
 fn the_steps_of_a_reported_change_fit_into_the_limits() {
-    for settings in with_limits() {
-        for family in LIMITED {
-            let batch = batch_time(&settings, family);
-            let read = batch + CALL_TIME + DATAGRAM_TIME;
-            let sum = read + MAX_LAG + TICK_PERIOD + CALL_TIME + SEND_TIME;
-            let limit = limit(&settings, family);
-            assert!(sum <= limit, "{family:?}: {sum} of {limit}");
-        }
-    }
+    check_steps(|settings, family| {
+        let read = batch_time(settings, family) + CALL_TIME + DATAGRAM_TIME;
+        read + MAX_LAG + TICK_PERIOD + CALL_TIME + SEND_TIME
+    });
 }
 
 /// Guards against VMs that read the latest state although the reader works: a lost report must not suffice.
--- a/crates/waxwingrail/src/edge/watch_progress.rs
+++ b/crates/waxwingrail/src/edge/watch_progress.rs
@@ -15,16 +15,14 @@
 use std::collections::BTreeMap;
 
 use async_channel::Receiver;
+use waxwing_edge::READER_STARTUP_TIME;
 use waxwing_store::{Family, Freshness};
 use waxwing_types::{Millis, Revision, StoreEpoch, common_derives};
 
 use super::restore::AnswerEpoch;
 use super::state_age::AgeLimits;
 use family::FamilyProgress;
-pub(crate) use report::StateReport;
 
-/// Time after startup in which a VM learns of the other VMs and does not act as the store reader yet.
-const STARTUP_TIME: Millis = Millis(2500);
 /// Time for which a recent state may lack a revision that another VM reported.
 pub(super) const MAX_LAG: Millis = Millis(400);
 /// Time for which a recent state may lack a reported revision of the entries of VMs. No limit on the delay of changes
@@ -142,7 +140,7 @@
     /// Whether this VM must watch the latest state as the store reader. Not in the startup: a watch of a recent state that
     /// still waits at its end is interrupted then.
     fn must_watch_latest(&self, now: Millis, is_store_reader: bool) -> bool {
-        is_store_reader && now.since(self.started_at) >= STARTUP_TIME
+        is_store_reader && now.since(self.started_at) >= READER_STARTUP_TIME
     }
 
     /// Whether it is due to find out if a recent state has reached the list that another VM started from.
@@ -161,9 +159,9 @@
     pub(crate) fn next_read(&self, family: Family, is_store_reader: bool) -> Millis {
         let ages = self.limits.of(family);
         let (max_age, startup) = if is_store_reader {
-            (ages.confirm, STARTUP_TIME)
+            (ages.confirm, READER_STARTUP_TIME)
         } else {
-            (ages.max, self.limits.startup.max(STARTUP_TIME))
+            (ages.max, self.limits.startup.max(READER_STARTUP_TIME))
         };
         let progress = self.families.get(&family);
         let confirmed_at = progress.and_then(|progress| progress.confirmed_at);
@@ -256,11 +254,16 @@
         }
     }
 
-    /// Records the start of a watch.
-    pub(crate) fn watch_started(&mut self, now: Millis, family: Family, mode: WatchMode) {
-        if let Some(progress) = self.families.get_mut(&family) {
-            progress.watch_started(now, mode);
-        }
+    /// Records the start of a watch. Returns the highest revision that other VMs have reported before, which the latest state
+    /// contains.
+    pub(crate) fn watch_started(
+        &mut self,
+        now: Millis,
+        family: Family,
+        mode: WatchMode,
+    ) -> Revision {
+        let progress = self.families.get_mut(&family);
+        progress.map_or(Revision::default(), |p| p.watch_started(now, mode))
     }
 
     /// Records that a watch ended or was interrupted.
@@ -296,12 +299,12 @@
         }
     }
 
-    /// Records that the running watch has read the latest state in the known epoch. This state contains all revisions that had
-    /// been reported before, and the store has no later epoch.
-    pub(crate) fn record_catch_up(&mut self, family: Family) {
+    /// Records that the latest state was read in the known epoch. This state contains all revisions that had been reported
+    /// when its watch started, and the store has no later epoch.
+    pub(crate) fn record_catch_up(&mut self, family: Family, reported: Revision) {
         self.is_later_epoch_reported = false;
         if let Some(progress) = self.families.get_mut(&family) {
-            progress.record_catch_up();
+            progress.record_known(reported);
         }
     }
 
@@ -338,7 +341,7 @@
     pub(crate) fn watch_age(&self, now: Millis, family: Family) -> Millis {
         let progress = self.families.get(&family);
         let watch = progress.and_then(|progress| progress.current_watch);
-        watch.map_or(Millis::ZERO, |watch| now.since(watch.started_at))
+        watch.map_or(Millis::ZERO, |(started_at, _)| now.since(started_at))
     }
 
     /// Interrupts watches that have lacked a reported revision for too long, or all if a later epoch was reported. Also
@@ -347,17 +350,18 @@
     pub(crate) fn interrupt_outdated(&self, now: Millis, is_store_reader: bool) -> Vec<Family> {
         let mut interrupted_families = Vec::new();
         for (family, progress) in &self.families {
-            let Some(watch) = progress.current_watch else {
+            let Some((watch_started_at, mode)) = progress.current_watch else {
                 continue;
             };
             let lag_exceeded =
-                now.since(watch.started_at.max(progress.reported.1)) >= max_lag(*family);
-            let is_long = matches!(watch.mode, WatchMode::Recent | WatchMode::Restored);
+                now.since(watch_started_at.max(progress.reported.1)) >= max_lag(*family);
+            let is_long = matches!(mode, WatchMode::Recent | WatchMode::Restored);
             let must_read_latest =
                 self.must_watch_latest(now, is_store_reader) || self.is_unconfirmed(now, *family);
-            let must_switch = is_long && must_read_latest
-                || watch.mode == WatchMode::Recent && self.must_probe(now, *family)
-                || watch.mode == WatchMode::Recent && self.is_recent_state_void(now);
+            let must_replace_recent =
+                self.must_probe(now, *family) || self.is_recent_state_void(now);
+            let must_switch =
+                is_long && must_read_latest || mode == WatchMode::Recent && must_replace_recent;
             let must_end = progress.is_behind() && lag_exceeded || self.is_later_epoch_reported;
             if (must_end || must_switch) && progress.interruptions.try_send(()).is_ok() {
                 interrupted_families.push(*family);
--- a/crates/waxwingrail/src/edge/watch_progress/family.rs
+++ b/crates/waxwingrail/src/edge/watch_progress/family.rs
@@ -28,21 +28,12 @@
     pub(super) confirmed_at: Option<Millis>,
     /// Whether the last call of `WatchProgress::take_age_changes` found the state too old.
     pub(super) is_outdated: bool,
-    /// The running watch, `None` between two watches.
-    pub(super) current_watch: Option<RunningWatch>,
+    /// Start and mode of the running watch, `None` between two watches.
+    pub(super) current_watch: Option<(Millis, WatchMode)>,
     /// Channel on which the running watch is interrupted.
     pub(super) interruptions: Sender<()>,
 }
 
-/// A call to the store that waits for changes.
-#[derive(Clone, Copy)]
-pub(super) struct RunningWatch {
-    pub(super) started_at: Millis,
-    pub(super) mode: WatchMode,
-    /// Highest revision or floor that had been reported at its start. An answer of the latest state contains it.
-    reported: Revision,
-}
-
 /// Queries.
 impl FamilyProgress {
     /// Whether another VM has reported a change that this VM may not know.
@@ -89,15 +80,14 @@
         let _ = self.interruptions.try_send(());
     }
 
-    pub(super) fn watch_started(&mut self, now: Millis, mode: WatchMode) {
+    /// Records the start of a watch, and returns the highest revision or floor that has been reported. An answer of the latest
+    /// state contains it.
+    pub(super) fn watch_started(&mut self, now: Millis, mode: WatchMode) -> Revision {
         if mode == WatchMode::Probe {
             self.reported_floor.1 = now;
         }
-        self.current_watch = Some(RunningWatch {
-            started_at: now,
-            mode,
-            reported: self.reported.0.max(self.reported_floor.0),
-        });
+        self.current_watch = Some((now, mode));
+        self.reported.0.max(self.reported_floor.0)
     }
 
     /// Records a list that replaces all that was known. Changes up to its revision may be missing elsewhere.
@@ -119,14 +109,6 @@
         self.confirm_by_report();
     }
 
-    /// Records that the running watch, which has read the latest state, has ended: this state contains all revisions that had
-    /// been reported at its start.
-    pub(super) fn record_catch_up(&mut self) {
-        if let Some(watch) = self.current_watch {
-            self.record_known(watch.reported);
-        }
-    }
-
     /// Records that this VM has all changes up to a time.
     pub(super) fn confirm(&mut self, as_of: Millis) {
         self.confirmed_at = self.confirmed_at.max(Some(as_of));
--- a/crates/waxwingrail/src/edge/watch_progress/report.rs
+++ b/crates/waxwingrail/src/edge/watch_progress/report.rs
@@ -1,24 +1,12 @@
 //! Reports between VMs: what the sender knows of the registry, and as of when.
 
+use waxwing_edge::StateReport;
 use waxwing_store::Family;
-use waxwing_types::{Millis, Revision, StoreEpoch};
+use waxwing_types::{Millis, Revision};
 
 use super::family::FamilyProgress;
 use super::{RESUMPTION_TIME, WatchProgress};
 
-/// What a report states of the registry: for each family, in the order of [`Family::ALL`], the revision of the last change
-/// and the age of the state that holds it.
-pub(crate) struct StateReport {
-    /// Epoch of the store in which the revisions hold, `None` if the sender knows none.
-    pub(crate) epoch: Option<StoreEpoch>,
-    /// Revision of the last change of each family.
-    pub(crate) revisions: Vec<Revision>,
-    /// Revision from which on the sender knows the changes of each family.
-    pub(crate) floors: Vec<Revision>,
-    /// Time since which the sender is known to have all changes of each family, `None` if that is not known.
-    pub(crate) ages: Vec<Option<Millis>>,
-}
-
 impl WatchProgress {
     /// What this VM reports to other VMs: nothing of a family that it has not listed in this epoch.
     pub(crate) fn report(&self, now: Millis) -> StateReport {
--- a/crates/waxwingrail/src/edge/watch_progress/tests.rs
+++ b/crates/waxwingrail/src/edge/watch_progress/tests.rs
@@ -3,14 +3,16 @@
 //!
 //! The reader is the VM of a failure domain that watches the latest state and reports changes to other VMs.
 
+mod reports;
+
+use waxwing_edge::{READER_STARTUP_TIME, StateReport};
 use waxwing_store::{Family, Freshness};
 use waxwing_types::{Millis, Revision, StoreEpoch};
 
 use super::super::state_age::{AgeLimits, StateAges};
 use super::super::test_settings::settings;
 use super::{
-    AnswerEpoch, MAX_LAG, RESTORE_TIME, RESUMPTION_TIME, STARTUP_TIME, SUSPENSION_TIME,
-    StateReport, WatchMode, WatchProgress,
+    AnswerEpoch, MAX_LAG, RESTORE_TIME, RESUMPTION_TIME, SUSPENSION_TIME, WatchMode, WatchProgress,
 };
 
 const STARTED_AT: Millis = Millis(10_000);
@@ -29,7 +31,7 @@
 fn progress_and_startup_end(revision: u64) -> (WatchProgress, Millis) {
     let mut progress = WatchProgress::new(STARTED_AT, limits());
     let _interruptions = progress.add_family(FAMILY);
-    let startup_end = STARTED_AT + limits().startup.max(STARTUP_TIME);
+    let startup_end = STARTED_AT + limits().startup.max(READER_STARTUP_TIME);
     let revision = Revision(revision);
     progress.record_answer(FAMILY, revision, Some(revision), Some(startup_end));
     progress.record_tick(startup_end);
@@ -76,7 +78,7 @@
     assert_eq!(progress.next_mode(now, FAMILY, true), WatchMode::Latest);
     assert_eq!(progress.next_mode(now, FAMILY, false), WatchMode::Recent);
     // During the startup, no VM counts as the reader: all VMs may start at once and not know of each other yet.
-    let during_startup = STARTED_AT + STARTUP_TIME - Millis(1);
+    let during_startup = STARTED_AT + READER_STARTUP_TIME - Millis(1);
     assert_eq!(
         progress.next_mode(during_startup, FAMILY, true),
         WatchMode::Recent
@@ -89,7 +91,7 @@
     let (mut progress, _) = progress_and_startup_end(5);
     let _interruptions = progress.add_family(FAMILY);
     progress.watch_started(STARTED_AT, FAMILY, WatchMode::Recent);
-    let startup_end = STARTED_AT + STARTUP_TIME;
+    let startup_end = STARTED_AT + READER_STARTUP_TIME;
     let before = startup_end - Millis(1);
     assert_eq!(progress.interrupt_outdated(before, true), []);
     assert_eq!(progress.interrupt_outdated(startup_end, false), []);
@@ -113,8 +115,8 @@
         WatchMode::CatchUp
     );
     // The latest state contains all reported changes, also if it shows no new change of this family.
-    progress.watch_started(now + MAX_LAG, FAMILY, WatchMode::CatchUp);
-    progress.record_catch_up(FAMILY);
+    let reported = progress.watch_started(now + MAX_LAG, FAMILY, WatchMode::CatchUp);
+    progress.record_catch_up(FAMILY, reported);
     assert_eq!(
         progress.next_mode(now + MAX_LAG, FAMILY, false),
         WatchMode::Recent
@@ -177,125 +179,14 @@
     assert_eq!(progress.next_mode(due, FAMILY, false), WatchMode::Recent);
 }
 
-/// Guards against reports that confirm more than their sender knows: of a sender whose state is old, one that does not state
-/// since when it has its state, and one that names a change that this VM lacks.
-#[test]
-fn a_report_confirms_only_what_it_states() {
-    let later = Millis(900);
-    let old = report_of_age(5, Some(later));
-    let without_age = report_of_age(5, None);
-    let from_older_daemon = StateReport {
-        ages: Vec::new(),
-        floors: Vec::new(),
-        ..report(5)
-    };
-    let without_floor = StateReport {
-        floors: Vec::new(),
-        ..report(5)
-    };
-    let reports = [
-        old,
-        without_age,
-        from_older_daemon,
-        without_floor,
-        report(6),
-    ];
-    for report in reports {
-        let (mut progress, now) = progress_and_startup_end(5);
-        progress.record_tick(now + later);
-        progress.record_report(now + later, &report);
-        assert_eq!(progress.state_age(now + later, FAMILY), later);
-    }
-    let (mut progress, now) = progress_and_startup_end(5);
-    progress.record_tick(now + later);
-    progress.record_report(now + later, &report_of_age(5, Some(Millis(300))));
-    assert_eq!(progress.state_age(now + later, FAMILY), Millis(300));
-}
-
-/// Guards against a process that reports, without a change, what it has read in its first list: a VM that knows less may lack a
-/// change that the list contains. A recent state that has reached the list shows all of them.
-#[test]
-fn a_report_confirms_only_a_vm_that_has_reached_the_list_of_its_sender() {
-    let (mut progress, now) = progress_and_startup_end(5);
-    let _interruptions = progress.add_family(FAMILY);
-    progress.record_answer(FAMILY, Revision(5), Some(Revision(5)), Some(now));
-    let reported_at = now + Millis(700);
-    progress.record_tick(reported_at);
-    let mut later_start = report(0);
-    later_start.floors = vec![Revision(8); Family::ALL.len()];
-    progress.watch_started(now, FAMILY, WatchMode::Recent);
-
-    progress.record_report(reported_at, &later_start);
-
-    assert_eq!(progress.state_age(reported_at, FAMILY), Millis(700));
-    assert_eq!(progress.interrupt_outdated(reported_at, false), []);
-    let probed_at = reported_at + MAX_LAG;
-    assert_eq!(progress.interrupt_outdated(probed_at, false), [FAMILY]);
-    assert_eq!(
-        progress.next_mode(probed_at, FAMILY, false),
-        WatchMode::Probe
-    );
-    // A probe of a state that lags is not repeated at once.
-    progress.watch_started(probed_at, FAMILY, WatchMode::Probe);
-    progress.record_answer(FAMILY, Revision(7), None, None);
-    assert_eq!(
-        progress.next_mode(probed_at, FAMILY, false),
-        WatchMode::Recent
-    );
-    assert_eq!(progress.state_age(probed_at, FAMILY), Millis(1100));
-    progress.record_answer(FAMILY, Revision(8), None, None);
-    assert_eq!(progress.state_age(probed_at, FAMILY), MAX_LAG);
-}
-
-/// Guards against a process that reports changes from a revision on before which it has missed some.
-#[test]
-fn a_vm_reports_the_list_that_it_started_from() {
-    let mut progress = WatchProgress::new(STARTED_AT, limits());
-    let _interruptions = progress.add_family(FAMILY);
-    assert_eq!(progress.report(STARTED_AT).ages, [None; 4]);
-    progress.record_answer(FAMILY, Revision(7), None, Some(STARTED_AT));
-    progress.record_answer(FAMILY, Revision(9), Some(Revision(9)), None);
-    let report = progress.report(STARTED_AT + Millis(20));
-    assert_eq!(report.floors, revisions(7));
-    assert_eq!(report.revisions, revisions(9));
-    assert_eq!(report.ages[1], Some(Millis(20)));
-}
-
-/// Guards against a VM that reads the latest state although its recent state has reached the reported change meanwhile.
-#[test]
-fn a_report_confirms_the_state_once_its_change_is_known() {
-    let (mut progress, now) = progress_and_startup_end(5);
-    let reported_at = now + Millis(900);
-    progress.record_tick(reported_at);
-    progress.record_report(reported_at, &report(6));
-    assert_eq!(progress.state_age(reported_at, FAMILY), Millis(900));
-    progress.record_answer(FAMILY, Revision(6), Some(Revision(6)), None);
-    assert_eq!(progress.state_age(reported_at, FAMILY), Millis::ZERO);
-}
-
-/// Guards against a report that waited in the socket while this VM was suspended.
-#[test]
-fn a_report_confirms_nothing_after_a_suspension() {
-    let (mut progress, now) = progress_and_startup_end(5);
-    let resumed_at = now + SUSPENSION_TIME;
-    progress.record_report(resumed_at, &report(5));
-    assert_eq!(progress.state_age(resumed_at, FAMILY), SUSPENSION_TIME);
-    progress.record_tick(resumed_at);
-    progress.record_report(resumed_at, &report(5));
-    assert_eq!(progress.state_age(resumed_at, FAMILY), SUSPENSION_TIME);
-    let later = resumed_at + RESUMPTION_TIME;
-    progress.record_report(later, &report(5));
-    assert_eq!(progress.state_age(later, FAMILY), Millis::ZERO);
-}
-
 /// Guards against a report that arrives while the latest state is read and counts as contained in it.
 #[test]
 fn a_read_of_the_latest_state_contains_only_what_was_reported_before() {
     let (mut progress, now) = progress_and_startup_end(5);
     progress.record_report(now, &report(6));
-    progress.watch_started(now, FAMILY, WatchMode::CatchUp);
+    let reported = progress.watch_started(now, FAMILY, WatchMode::CatchUp);
     progress.record_report(now, &report(7));
-    progress.record_catch_up(FAMILY);
+    progress.record_catch_up(FAMILY, reported);
     assert_eq!(
         progress.next_mode(now + MAX_LAG, FAMILY, false),
         WatchMode::CatchUp
@@ -419,7 +310,7 @@
     assert_eq!(progress.interrupt_outdated(now, false), [FAMILY]);
     assert_eq!(progress.next_mode(now, FAMILY, false), WatchMode::CatchUp);
     // The store knows of no later epoch: a wrong report does not keep the VM reading.
-    progress.record_catch_up(FAMILY);
+    progress.record_catch_up(FAMILY, Revision(50));
     assert_eq!(progress.next_mode(now, FAMILY, false), WatchMode::Recent);
 }
 
@@ -440,28 +331,3 @@
     assert_eq!(progress.next_mode(later, FAMILY, false), WatchMode::Recent);
     assert_eq!(progress.recent_freshness(later), Freshness::Recent);
 }
-
-/// Guards against a report that names no last change of a family that was listed anew in the same epoch, after an answer of an
-/// earlier one, and still states the list from which this VM started: a VM between the two lists would lack a change.
-#[test]
-fn a_vm_that_lists_again_reports_the_later_list() {
-    let (mut progress, now) = progress_in_epoch_1();
-    progress.record_restored_list(FAMILY, Some(StoreEpoch(1)), Revision(60), Some(now));
-    let report = progress.report(now);
-    assert_eq!(report.revisions, revisions(0));
-    assert_eq!(report.floors, revisions(60));
-}
-
-/// Guards against a report that states, in a new epoch, what this VM knew in the one before: an answer that was on its way during
-/// the restore is applied before the family is listed.
-#[test]
-fn a_report_states_nothing_of_a_family_that_is_not_listed_in_its_epoch() {
-    let (mut progress, now) = progress_in_epoch_1();
-    progress.record_epoch(now, Some(StoreEpoch(2)));
-    progress.record_answer(FAMILY, Revision(70), Some(Revision(70)), Some(now));
-    let report = progress.report(now);
-    assert_eq!(report.epoch, Some(StoreEpoch(2)));
-    assert_eq!(report.revisions, revisions(0));
-    assert_eq!(report.floors, revisions(0));
-    assert_eq!(report.ages, [None; 4]);
-}
