Show which connection a response arrived on, and count foreign responses

The log lines of an attempt name neither address nor connection, and no metric counts connections to targets or responses that belong to other requests. Ruled out: a log line per request at info; the conventions forbid it. Change: a connection counts its requests and keeps hashes of their ids. New metrics waxwing_edge_foreign_responses_total and waxwing_edge_target_connections_total. No decision changes. Conclusion: a repeated id on one connection and two targets at one address can be seen.

--- a/crates/waxwing_http/src/client.rs
+++ b/crates/waxwing_http/src/client.rs
@@ -1,19 +1,22 @@
 //! The client with its pool of connections.
 
 use std::fmt;
+use std::hash::RandomState;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
 use async_executor::Executor;
 use futures_lite::future;
 use hyper::body::{Body as _, Bytes, Frame, Incoming, SizeHint};
-use hyper::header::{HOST, HeaderValue};
+use hyper::header::{HOST, HeaderName, HeaderValue};
 use hyper::{HeaderMap, Request, Response};
 
+use crate::carried::IdHash;
 use crate::conn::{Conn, Outcome};
 use crate::pool::Pool;
 use crate::server::MIN_BUFFER_BYTES;
@@ -50,6 +53,29 @@
     }
 }
 
+/// How the response to a request is recognized.
+#[derive(Clone, Copy, Debug)]
+pub struct ResponseId<'a> {
+    /// Header with the id of the request, which the other side returns.
+    pub header: &'a HeaderName,
+    /// Whether a response without the id is not used.
+    pub required: bool,
+}
+
+impl ResponseId<'_> {
+    /// Whether the response belongs to a request with these headers.
+    fn matches(self, request: Option<&HeaderValue>, response: &HeaderMap) -> bool {
+        let returned = response.get(self.header);
+        if self.required {
+            return returned == request;
+        }
+        match (request, returned) {
+            (Some(sent), Some(returned)) => sent == returned,
+            (Some(_), None) | (None, _) => true,
+        }
+    }
+}
+
 /// Why no response head arrived.
 #[derive(Debug)]
 pub enum SendError {
@@ -90,6 +116,9 @@
     executor: Arc<Executor<'static>>,
     pool: Pool,
     limits: ClientLimits,
+    /// Hashes the ids of requests.
+    hasher: RandomState,
+    opened: AtomicU64,
 }
 
 /// An HTTP/1.1 client. Clones share their pool.
@@ -113,6 +142,8 @@
                 executor,
                 pool,
                 limits,
+                hasher: RandomState::new(),
+                opened: AtomicU64::new(0),
             }),
         }
     }
@@ -130,45 +161,47 @@
         address: SocketAddr,
         request: Request<Body>,
     ) -> Result<Response<Body>, SendError> {
-        self.send_matching(address, request, |_| true).await
+        self.send_with(address, request, None, || false).await
     }
 
-    /// Sends a request like [`Client::send`], and expects a response whose headers `matches` accepts.
+    /// Sends a request like [`Client::send`], and expects a response with its id.
     ///
     /// An extra copy of an earlier response may arrive where the response is due. No later request may use that
     /// connection: it would get the response to the request before it.
     ///
+    /// Sends nothing if `is_withdrawn` returns true once a new connection is open. Opening one may take as long as
+    /// [`ClientLimits::connect`].
+    ///
     /// # Errors
     /// See [`SendError`].
-    pub async fn send_matching(
+    pub async fn send_identified(
         &self,
         address: SocketAddr,
         request: Request<Body>,
-        matches: impl Fn(&HeaderMap) -> bool,
+        id: ResponseId<'_>,
+        is_withdrawn: impl Fn() -> bool,
     ) -> Result<Response<Body>, SendError> {
-        self.send_unless(address, request, || false, matches).await
+        self.send_with(address, request, Some(id), is_withdrawn)
+            .await
     }
 
-    /// Sends a request like [`Client::send_matching`], but sends nothing if `is_withdrawn` returns true once a new connection
-    /// is open. Opening one may take as long as [`ClientLimits::connect`].
-    ///
-    /// # Errors
-    /// See [`SendError`].
-    pub async fn send_unless(
+    async fn send_with(
         &self,
         address: SocketAddr,
         mut request: Request<Body>,
+        id: Option<ResponseId<'_>>,
         is_withdrawn: impl Fn() -> bool,
-        matches: impl Fn(&HeaderMap) -> bool,
     ) -> Result<Response<Body>, SendError> {
         set_host(&mut request, address);
+        let expected = id.map(|id| ExpectedId::new(id, request.headers(), &self.inner.hasher));
+        let hash = expected.as_ref().and_then(|expected| expected.hash);
         while let Some(mut conn) = self.inner.pool.take(address) {
             if !conn.is_usable().await {
                 continue;
             }
-            match conn.send(request).await {
+            match conn.send(request, hash).await {
                 Outcome::Unsent(returned) => request = returned,
-                outcome => return self.finish(address, conn, outcome, matches),
+                outcome => return self.finish(address, conn, outcome, expected.as_ref()),
             }
         }
         let mut conn = self.open(address).await.map_err(SendError::Connect)?;
@@ -176,8 +209,8 @@
             self.inner.pool.put(address, conn);
             return Err(SendError::Withdrawn);
         }
-        let outcome = conn.send(request).await;
-        self.finish(address, conn, outcome, matches)
+        let outcome = conn.send(request, hash).await;
+        self.finish(address, conn, outcome, expected.as_ref())
     }
 
     /// Opens a connection and keeps it as an idle one.
@@ -201,6 +234,11 @@
         self.inner.pool.remove(address);
     }
 
+    /// Number of connections that were opened.
+    pub fn opened(&self) -> u64 {
+        self.inner.opened.load(Ordering::Relaxed)
+    }
+
     /// Number of idle connections.
     pub fn idle(&self) -> usize {
         self.inner.pool.len()
@@ -208,7 +246,8 @@
 
     async fn open(&self, address: SocketAddr) -> io::Result<Conn> {
         let limits = &self.inner.limits;
-        let open = Conn::open(&self.inner.executor, address, *limits);
+        let number = self.inner.opened.fetch_add(1, Ordering::Relaxed) + 1;
+        let open = Conn::open(&self.inner.executor, address, number, *limits);
         let timer = async {
             async_io::Timer::after(limits.connect).await;
             Err(io::ErrorKind::TimedOut.into())
@@ -221,10 +260,17 @@
         address: SocketAddr,
         mut conn: Conn,
         outcome: Outcome,
-        matches: impl Fn(&HeaderMap) -> bool,
+        expected: Option<&ExpectedId<'_>>,
     ) -> Result<Response<Body>, SendError> {
+        if let (Outcome::Head(response), Some(expected)) = (&outcome, expected) {
+            expected.log_response(address, &conn, response);
+        }
         match outcome {
-            Outcome::Head(response) if !matches(response.headers()) => Err(SendError::Unmatched),
+            Outcome::Head(response)
+                if expected.is_some_and(|expected| !expected.matches(response.headers())) =>
+            {
+                Err(SendError::Unmatched)
+            }
             Outcome::Head(response) => {
                 let (head, incoming) = response.into_parts();
                 conn.kept = kept(&head.headers).or(conn.kept);
@@ -245,6 +291,37 @@
     }
 }
 
+/// The id of a request that awaits its response.
+struct ExpectedId<'a> {
+    id: ResponseId<'a>,
+    value: Option<HeaderValue>,
+    hash: Option<IdHash>,
+}
+
+impl<'a> ExpectedId<'a> {
+    fn new(id: ResponseId<'a>, request: &HeaderMap, hasher: &RandomState) -> Self {
+        Self {
+            id,
+            value: request.get(id.header).cloned(),
+            hash: IdHash::of(hasher, request, id.header),
+        }
+    }
+
+    fn matches(&self, response: &HeaderMap) -> bool {
+        self.id.matches(self.value.as_ref(), response)
+    }
+
+    /// Logs which connection a response arrived on, and whether its id can identify its request there.
+    fn log_response<B>(&self, address: SocketAddr, conn: &Conn, response: &Response<B>) {
+        log::debug!(
+            address:% = address, connection = conn.number, requests = conn.carried.count(),
+            repeats_id = conn.repeats_id, request_id:? = self.value,
+            returned_id:? = response.headers().get(self.id.header), status = response.status().as_u16();
+            "response received"
+        );
+    }
+}
+
 /// The idle time-out that `Keep-Alive` states.
 fn kept(headers: &HeaderMap) -> Option<Duration> {
     let value = headers.get("keep-alive")?.to_str().ok()?;
--- a/crates/waxwing_http/src/conn.rs
+++ b/crates/waxwing_http/src/conn.rs
@@ -15,6 +15,7 @@
 
 use crate::Body;
 use crate::ClientLimits;
+use crate::carried::{CarriedRequests, IdHash};
 use crate::counted::Counted;
 use crate::socket::tune;
 
@@ -36,7 +37,12 @@
 
 /// A connection. Dropping it closes the socket.
 pub(crate) struct Conn {
+    /// Number of the connection in the order in which its client opened them.
+    pub(crate) number: u64,
     sender: SendRequest<Body>,
+    pub(crate) carried: CarriedRequests,
+    /// Whether the connection carried the id of its last request before.
+    pub(crate) repeats_id: bool,
     written: Arc<AtomicU64>,
     /// Time for which the target keeps the connection open while it is idle, if it said so.
     pub(crate) kept: Option<Duration>,
@@ -47,6 +53,7 @@
     pub(crate) async fn open(
         executor: &Executor<'static>,
         address: SocketAddr,
+        number: u64,
         limits: ClientLimits,
     ) -> io::Result<Self> {
         let stream = TcpStream::connect(address).await?;
@@ -66,7 +73,10 @@
             }
         });
         Ok(Self {
+            number,
             sender,
+            carried: CarriedRequests::default(),
+            repeats_id: false,
             written,
             kept: None,
             _driver: driver,
@@ -86,8 +96,10 @@
         future::or(ready, timer).await
     }
 
-    pub(crate) async fn send(&mut self, request: Request<Body>) -> Outcome {
+    pub(crate) async fn send(&mut self, request: Request<Body>, id: Option<IdHash>) -> Outcome {
         let before = self.written.load(Ordering::Relaxed);
+        self.repeats_id = id.is_some_and(|id| self.carried.contains(id));
+        self.carried.record(id);
         match self.sender.try_send_request(request).await {
             Ok(response) => Outcome::Head(response),
             Err(mut error) => match error.take_message() {
--- a/crates/waxwing_http/src/lib.rs
+++ b/crates/waxwing_http/src/lib.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 server and client on `hyper` and `smol-hyper`.
 
 mod body;
+mod carried;
 mod client;
 mod coarse;
 mod conn;
@@ -15,7 +16,7 @@
 mod socket;
 
 pub use body::{Body, BodyError, collect, empty, full, streamed};
-pub use client::{Client, ClientLimits, SendError};
+pub use client::{Client, ClientLimits, ResponseId, SendError};
 pub use coarse::{CoarseSleep, CoarseTimer};
 pub use dialect::{Dialect, DirectoryQuery, HeaderNames, OwnDialect, query_value};
 pub use exchange::{ExchangeError, exchange};
--- a/crates/waxwing_http/tests/exchange.rs
+++ b/crates/waxwing_http/tests/exchange.rs
@@ -8,8 +8,16 @@
 
 use common::{address, get, limits, rig, serve, text};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use hyper::header::HeaderName;
 use hyper::{Method, Request, Response, StatusCode};
-use waxwing_http::{Client, ClientLimits, SendError, ServerLimits, collect, empty, full, streamed};
+use waxwing_http::{
+    Client, ClientLimits, ResponseId, SendError, ServerLimits, collect, empty, full, streamed,
+};
+
+const RESPONSE_ID: ResponseId<'_> = ResponseId {
+    header: &HeaderName::from_static("x-request-id"),
+    required: true,
+};
 
 /// Guards against a new connection for each request.
 #[test]
@@ -74,13 +82,13 @@
         .await;
         let client = Client::new(Arc::clone(&executor), ClientLimits::default());
         let sent = client
-            .send_unless(server.address(), get("/"), || true, |_| true)
+            .send_identified(server.address(), get("/"), RESPONSE_ID, || true)
             .await;
         let error = sent.unwrap_err();
         assert!(matches!(error, SendError::Withdrawn), "{error}");
         assert!(!error.may_have_run());
         let sent = client
-            .send_unless(server.address(), get("/"), || false, |_| true)
+            .send_identified(server.address(), get("/"), RESPONSE_ID, || false)
             .await;
         collect(sent.unwrap().into_body(), 100).await.unwrap();
         assert_eq!(requests.load(Ordering::Relaxed), 1);
--- a/crates/waxwingrail/src/edge/forward.rs
+++ b/crates/waxwingrail/src/edge/forward.rs
@@ -6,7 +6,7 @@
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use waxwing_edge::{LoadReport, SelectedTarget, TargetKey, TargetOutcome};
-use waxwing_http::{Body, CoarseSleep, SendError, remove_hop_headers, streamed};
+use waxwing_http::{Body, CoarseSleep, ResponseId, SendError, remove_hop_headers, streamed};
 use waxwing_records::RunKind;
 use waxwing_types::{Millis, WorkspaceId};
 
@@ -157,20 +157,22 @@
     let header_names = shared.dialect.headers();
     // An extra copy of an earlier response may arrive where this response is due, also without an id. Nothing in it
     // applies to this request, not even the statement that the target did not run the request.
-    let matches = |headers: &HeaderMap| {
-        has_request_id(attempt.request_head, headers, &header_names.request_id)
+    let id = ResponseId {
+        header: &header_names.request_id,
+        required: true,
     };
     let is_withdrawn = || shared.targets().is_withdrawn(shared.now(), &attempt.target);
     let address = attempt.target.address;
     let sending = shared
         .client
-        .send_unless(address, request, is_withdrawn, matches);
+        .send_identified(address, request, id, is_withdrawn);
     let response = match sending.await {
         Ok(response) => response,
         Err(error) => {
             if matches!(error, SendError::Unmatched) {
+                shared.metrics.foreign_responses.increment(1);
                 log::warn!(
-                    target_id = attempt.target.id.as_str();
+                    target_id = attempt.target.id.as_str(), address:% = address;
                     "the answer belongs to another request"
                 );
             }
@@ -260,16 +262,6 @@
     }
 }
 
-/// Whether a response has the id of a request, if the request has one. Targets return the id with each response, also
-/// when they refuse.
-fn has_request_id(
-    request_head: &Parts,
-    response_headers: &HeaderMap,
-    id_header: &HeaderName,
-) -> bool {
-    response_headers.get(id_header) == request_head.headers.get(id_header)
-}
-
 /// Parses the load header of a response: the numbers `running,waiting,slots`. A target runs up to `slots`
 /// requests at the same time.
 fn parse_load_report(headers: &HeaderMap, name: &HeaderName) -> Option<LoadReport> {
--- a/crates/waxwingrail/src/edge/metric.rs
+++ b/crates/waxwingrail/src/edge/metric.rs
@@ -48,6 +48,10 @@
     state_ages: HashMap<Family, Gauge>,
     watch_ages: HashMap<Family, Gauge>,
     latencies: Mutex<HashMap<(SmolStr, RequestOutcome), Histogram>>,
+    /// Responses that did not belong to the request that was sent.
+    pub(crate) foreign_responses: Counter,
+    /// Connections to targets that were opened.
+    pub(crate) target_connections: Counter,
     /// Number of requests being handled.
     pub(crate) running_requests: Gauge,
     /// Version of the deployment in use.
@@ -104,6 +108,8 @@
                 .map(|family| (family, watch_age(family)))
                 .collect(),
             latencies: Mutex::default(),
+            foreign_responses: counter!("waxwing_edge_foreign_responses_total"),
+            target_connections: counter!("waxwing_edge_target_connections_total"),
             running_requests: gauge!("waxwing_edge_requests_running"),
             deployment_version: gauge!("waxwing_edge_deployment_version"),
             store_epoch: gauge!("waxwing_edge_store_epoch"),
--- a/crates/waxwingrail/src/edge/state.rs
+++ b/crates/waxwingrail/src/edge/state.rs
@@ -335,6 +335,7 @@
         metrics
             .running_requests
             .set(self.running_requests.load(Ordering::Relaxed) as f64);
+        metrics.target_connections.absolute(self.client.opened());
         metrics.deployment_version.set(version as f64);
         metrics.registered_vms.set(vms as f64);
         metrics.leaving_targets.set(leaving as f64);
--- a/crates/waxwingrail/src/request/outbound.rs
+++ b/crates/waxwingrail/src/request/outbound.rs
@@ -6,7 +6,7 @@
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, Request, Response, Uri};
 use waxwing_core::{Flow, IncomingRequest, PresentedKey};
-use waxwing_http::{Body, Client, SendError, remove_hop_headers, remove_proxy_headers};
+use waxwing_http::{Body, Client, ResponseId, SendError, remove_hop_headers, remove_proxy_headers};
 use waxwing_types::{Millis, RegionId, WorkspaceId};
 
 use super::parse::{
@@ -113,12 +113,11 @@
     address: SocketAddr,
     request: Request<Body>,
 ) -> Result<Response<Body>, SendError> {
-    let id = request.headers().get(X_REQUEST_ID).cloned();
-    let matches = move |response: &HeaderMap| match (&id, response.get(X_REQUEST_ID)) {
-        (Some(sent), Some(returned)) => sent == returned,
-        (Some(_), None) | (None, _) => true,
+    let id = ResponseId {
+        header: &X_REQUEST_ID,
+        required: false,
     };
-    client.send_matching(address, request, matches).await
+    client.send_identified(address, request, id, || false).await
 }
 
 /// Whether a response states that the request was not run.
