--- a/crates/waxwingrail/tests/scripted/mod.rs
+++ b/crates/waxwingrail/tests/scripted/mod.rs
@@ -119,7 +119,7 @@
 }
 
 /// Reads a request, of a long body only the start, and returns its head; `None` at the end of the connection.
-async fn read_request(stream: &mut TcpStream) -> Option<String> {
+pub(crate) async fn read_request(stream: &mut TcpStream) -> Option<String> {
     let mut bytes = Vec::new();
     let mut buffer = [0; 1024];
     loop {
@@ -139,7 +139,7 @@
     }
 }
 
-fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+pub(crate) fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
     let mut fields = head.lines().filter_map(|line| line.split_once(": "));
     fields.find(|(key, _)| *key == name).map(|(_, value)| value)
 }
