Recognize the response to a request by an id that its connection carried once

Callers saw: 503, a promise that a once-only request has not run, though it ran; and 503 for most requests after a copied 421. Cause: the id of a response was compared with that of the request, although the connection could have carried that id before: connections were kept by address and tried targets named by key, so that two targets at one address shared connections; a caller may use an id again; requests without an id matched every response without one. A copy of the earlier refusal then counted as the response. Its 421 also took the other target out of use for good. Change: a connection carries an id once, and is replaced after 128 of them; a request without an id goes on a connection that carried nothing. A response must have exactly the ids of the request. Connections belong to one process of a target, so that what is said on a connection to an earlier process at the address isn't believed of a later one; the load in a 421 isn't either. The daemon of shard leases gives requests an id, returns ids to other VMs, and uses a response without an id to a request that may run once only if it is the first on its connection. Conclusion: a copy of a refusal has an id that its connection carries once, or no id; neither is taken for the response to a later request.

--- a/crates/waxwing_edge/src/target/mod.rs
+++ b/crates/waxwing_edge/src/target/mod.rs
@@ -14,7 +14,7 @@
 
 use std::net::SocketAddr;
 
-use slotmap::new_key_type;
+use slotmap::{Key, new_key_type};
 use waxwing_types::{DomainId, Incarnation, Millis, RegionId, ServiceId, TargetId, common_derives};
 
 use crate::Priority;
@@ -29,6 +29,13 @@
     pub struct TargetKey;
 }
 
+impl TargetKey {
+    /// The key as a number, by which connections to the process are told from those to other processes.
+    pub fn as_u64(self) -> u64 {
+        self.data().as_ffi()
+    }
+}
+
 common_derives! {
     /// The regions of all failure domains, and the failure domain and region of this VM.
     pub struct Topology {
--- a/crates/waxwing_http/src/carried.rs
+++ b/crates/waxwing_http/src/carried.rs
@@ -6,8 +6,22 @@
 use hyper::header::HeaderName;
 
 /// Requests with an id that one connection carries before it is replaced. Bounds the ids that are remembered.
-#[allow(dead_code)]
-pub(crate) const MAX_IDENTIFIED_REQUESTS: usize = 128;
+const MAX_IDS: usize = 128;
+/// Most bytes that a connection holds for the ids of the requests that it has carried.
+pub const MAX_IDS_BYTES: usize = MAX_IDS * size_of::<IdHash>();
+
+/// By what the response to a request is told from copies of earlier responses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Identity {
+    /// Nothing; the response is taken as it comes.
+    Unchecked,
+    /// Its place as the first one on its connection.
+    First,
+    /// Its id.
+    Id(IdHash),
+    /// Its id if the other side has returned the ids of all requests on the connection, otherwise its place.
+    IdOrFirst(IdHash),
+}
 
 /// The id of a request as a hash. A collision only keeps a request from a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -39,6 +53,8 @@
 pub(crate) struct CarriedRequests {
     ids: Vec<IdHash>,
     count: u64,
+    /// Whether a response had no id.
+    lacked_id: bool,
 }
 
 impl CarriedRequests {
@@ -47,12 +63,31 @@
         self.count
     }
 
-    pub(crate) fn contains(&self, id: IdHash) -> bool {
-        self.ids.contains(&id)
+    /// Whether the response to a further request can be told from copies of earlier responses.
+    pub(crate) fn allows(&self, identity: Identity) -> bool {
+        let is_new = |id| !self.is_full() && !self.ids.contains(&id);
+        match identity {
+            Identity::Unchecked => true,
+            Identity::First => self.count == 0,
+            Identity::Id(id) => is_new(id),
+            Identity::IdOrFirst(id) => self.count == 0 || !self.lacked_id && is_new(id),
+        }
     }
 
-    pub(crate) fn record(&mut self, id: Option<IdHash>) {
+    /// Whether no further ids are remembered.
+    pub(crate) const fn is_full(&self) -> bool {
+        self.ids.len() >= MAX_IDS
+    }
+
+    pub(crate) fn record(&mut self, identity: Identity) {
         self.count += 1;
-        self.ids.extend(id);
+        if let Identity::Id(id) | Identity::IdOrFirst(id) = identity {
+            self.ids.push(id);
+        }
+    }
+
+    /// Records that a response had no id.
+    pub(crate) fn record_missing_id(&mut self) {
+        self.lacked_id = true;
     }
 }
--- a/crates/waxwing_http/src/client.rs
+++ b/crates/waxwing_http/src/client.rs
@@ -16,7 +16,7 @@
 use hyper::header::{HOST, HeaderName, HeaderValue};
 use hyper::{HeaderMap, Request, Response};
 
-use crate::carried::IdHash;
+use crate::carried::{CarriedRequests, IdHash, Identity};
 use crate::conn::{Conn, Outcome};
 use crate::pool::Pool;
 use crate::server::MIN_BUFFER_BYTES;
@@ -25,8 +25,10 @@
 /// Limits of a client.
 #[derive(Clone, Copy, Debug)]
 pub struct ClientLimits {
-    /// Idle connections kept for each address.
+    /// Idle connections kept for each endpoint.
     pub idle: usize,
+    /// Idle connections kept for all endpoints together.
+    pub idle_in_all: usize,
     /// Time after which an idle connection is closed.
     pub idle_life: Duration,
     /// Time allowed for opening a connection.
@@ -46,6 +48,7 @@
     fn default() -> Self {
         Self {
             idle: 64,
+            idle_in_all: 4096,
             idle_life: Duration::from_secs(30),
             connect: Duration::from_secs(1),
             header_bytes: 32 * 1024,
@@ -53,27 +56,42 @@
     }
 }
 
+/// Where a request is sent.
+///
+/// Connections are kept for each group at an address. Processes that have an address one after the other are different
+/// groups, so that what one of them says on a connection that is still open is not taken for a statement of the other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Endpoint {
+    /// Address to connect to.
+    pub address: SocketAddr,
+    /// Any number that the user of the client gives the group.
+    pub group: u64,
+}
+
+impl From<SocketAddr> for Endpoint {
+    fn from(address: SocketAddr) -> Self {
+        Self { address, group: 0 }
+    }
+}
+
 /// How the response to a request is recognized.
 #[derive(Clone, Copy, Debug)]
 pub struct ResponseId<'a> {
     /// Header with the id of the request, which the other side returns.
     pub header: &'a HeaderName,
-    /// Whether a response without the id is not used.
-    pub required: bool,
+    /// Whether the other side always returns it.
+    pub returned: Returned,
 }
 
-impl ResponseId<'_> {
-    /// Whether the response belongs to a request with these headers.
-    fn matches(self, request: Option<&HeaderValue>, response: &HeaderMap) -> bool {
-        let returned = response.get(self.header);
-        if self.required {
-            return returned == request;
-        }
-        match (request, returned) {
-            (Some(sent), Some(returned)) => sent == returned,
-            (Some(_), None) | (None, _) => true,
-        }
-    }
+/// Whether the other side returns the ids of requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Returned {
+    /// With every response. One without an id is not used.
+    Always,
+    /// Perhaps not. Without it, only the first response on a connection is used.
+    MayLack,
+    /// Perhaps not, and a copy of an earlier response does no harm.
+    MayLackHarmlessly,
 }
 
 /// Why no response head arrived.
@@ -136,7 +154,7 @@
 impl Client {
     /// A client whose connections are driven by `executor`.
     pub fn new(executor: Arc<Executor<'static>>, limits: ClientLimits) -> Self {
-        let pool = Pool::new(limits.idle, limits.idle_life);
+        let pool = Pool::new(&limits);
         Self {
             inner: Arc::new(Inner {
                 executor,
@@ -158,16 +176,18 @@
     /// See [`SendError`].
     pub async fn send(
         &self,
-        address: SocketAddr,
+        endpoint: impl Into<Endpoint>,
         request: Request<Body>,
     ) -> Result<Response<Body>, SendError> {
-        self.send_with(address, request, None, || false).await
+        self.send_with(endpoint.into(), request, None, || false)
+            .await
     }
 
     /// Sends a request like [`Client::send`], and expects a response with its id.
     ///
-    /// An extra copy of an earlier response may arrive where the response is due. No later request may use that
-    /// connection: it would get the response to the request before it.
+    /// The other side may write a response more than once, so that a copy arrives where the response to another request is
+    /// due. No connection therefore carries an id twice, and a request without an id goes on a connection that carried nothing.
+    /// A connection on which another response arrived is closed.
     ///
     /// Sends nothing if `is_withdrawn` returns true once a new connection is open. Opening one may take as long as
     /// [`ClientLimits::connect`].
@@ -176,50 +196,54 @@
     /// See [`SendError`].
     pub async fn send_identified(
         &self,
-        address: SocketAddr,
+        endpoint: impl Into<Endpoint>,
         request: Request<Body>,
         id: ResponseId<'_>,
         is_withdrawn: impl Fn() -> bool,
     ) -> Result<Response<Body>, SendError> {
-        self.send_with(address, request, Some(id), is_withdrawn)
+        self.send_with(endpoint.into(), request, Some(id), is_withdrawn)
             .await
     }
 
     async fn send_with(
         &self,
-        address: SocketAddr,
+        endpoint: Endpoint,
         mut request: Request<Body>,
         id: Option<ResponseId<'_>>,
         is_withdrawn: impl Fn() -> bool,
     ) -> Result<Response<Body>, SendError> {
-        set_host(&mut request, address);
+        set_host(&mut request, endpoint.address);
         let expected = id.map(|id| ExpectedId::new(id, request.headers(), &self.inner.hasher));
-        let hash = expected.as_ref().and_then(|expected| expected.hash);
-        while let Some(mut conn) = self.inner.pool.take(address) {
+        let identity = expected
+            .as_ref()
+            .map_or(Identity::Unchecked, |expected| expected.identity);
+        let allows = |conn: &Conn| conn.carried.allows(identity);
+        while let Some(mut conn) = self.inner.pool.take(endpoint, allows) {
             if !conn.is_usable().await {
                 continue;
             }
-            match conn.send(request, hash).await {
+            match conn.send(request, identity).await {
                 Outcome::Unsent(returned) => request = returned,
-                outcome => return self.finish(address, conn, outcome, expected.as_ref()),
+                outcome => return self.finish(endpoint, conn, outcome, expected.as_ref()),
             }
         }
-        let mut conn = self.open(address).await.map_err(SendError::Connect)?;
+        let opened = self.open(endpoint.address).await;
+        let mut conn = opened.map_err(SendError::Connect)?;
         if is_withdrawn() {
-            self.inner.pool.put(address, conn);
+            self.inner.pool.put(endpoint, conn);
             return Err(SendError::Withdrawn);
         }
-        let outcome = conn.send(request, hash).await;
-        self.finish(address, conn, outcome, expected.as_ref())
+        let outcome = conn.send(request, identity).await;
+        self.finish(endpoint, conn, outcome, expected.as_ref())
     }
 
     /// Opens a connection and keeps it as an idle one.
     ///
     /// # Errors
     /// The connection was refused, or was not opened within [`ClientLimits::connect`].
-    pub async fn connect(&self, address: SocketAddr) -> io::Result<()> {
-        let conn = self.open(address).await?;
-        self.inner.pool.put(address, conn);
+    pub async fn connect(&self, endpoint: Endpoint) -> io::Result<()> {
+        let conn = self.open(endpoint.address).await?;
+        self.inner.pool.put(endpoint, conn);
         Ok(())
     }
 
@@ -257,26 +281,26 @@
 
     fn finish(
         &self,
-        address: SocketAddr,
+        endpoint: Endpoint,
         mut conn: Conn,
         outcome: Outcome,
         expected: Option<&ExpectedId<'_>>,
     ) -> Result<Response<Body>, SendError> {
         if let (Outcome::Head(response), Some(expected)) = (&outcome, expected) {
-            expected.log_response(address, &conn, response);
+            expected.log_response(endpoint.address, &conn, response);
         }
         match outcome {
-            Outcome::Head(response)
-                if expected.is_some_and(|expected| !expected.matches(response.headers())) =>
-            {
-                Err(SendError::Unmatched)
-            }
             Outcome::Head(response) => {
+                if let Some(expected) = expected
+                    && !expected.accepts(response.headers(), &mut conn.carried)
+                {
+                    return Err(SendError::Unmatched);
+                }
                 let (head, incoming) = response.into_parts();
                 conn.kept = kept(&head.headers).or(conn.kept);
                 let mut body = PooledBody {
                     incoming,
-                    address,
+                    endpoint,
                     lease: Some((conn, Arc::clone(&self.inner))),
                 };
                 if body.incoming.is_end_stream() {
@@ -294,29 +318,44 @@
 /// The id of a request that awaits its response.
 struct ExpectedId<'a> {
     id: ResponseId<'a>,
-    value: Option<HeaderValue>,
-    hash: Option<IdHash>,
+    values: Vec<HeaderValue>,
+    identity: Identity,
 }
 
 impl<'a> ExpectedId<'a> {
     fn new(id: ResponseId<'a>, request: &HeaderMap, hasher: &RandomState) -> Self {
+        let identity = match (IdHash::of(hasher, request, id.header), id.returned) {
+            (None, _) => Identity::First,
+            (Some(hash), Returned::MayLack) => Identity::IdOrFirst(hash),
+            (Some(hash), Returned::Always | Returned::MayLackHarmlessly) => Identity::Id(hash),
+        };
         Self {
             id,
-            value: request.get(id.header).cloned(),
-            hash: IdHash::of(hasher, request, id.header),
+            values: request.get_all(id.header).iter().cloned().collect(),
+            identity,
         }
     }
 
-    fn matches(&self, response: &HeaderMap) -> bool {
-        self.id.matches(self.value.as_ref(), response)
+    /// Whether a response is the one to the request. `carried` includes the request.
+    fn accepts(&self, response: &HeaderMap, carried: &mut CarriedRequests) -> bool {
+        let mut returned = response.get_all(self.id.header).iter().peekable();
+        if returned.peek().is_some() {
+            return returned.eq(&self.values);
+        }
+        carried.record_missing_id();
+        match self.id.returned {
+            Returned::Always => self.values.is_empty(),
+            Returned::MayLack => carried.count() == 1,
+            Returned::MayLackHarmlessly => true,
+        }
     }
 
-    /// Logs which connection a response arrived on, and whether its id can identify its request there.
+    /// Logs which connection a response arrived on.
     fn log_response<B>(&self, address: SocketAddr, conn: &Conn, response: &Response<B>) {
         log::debug!(
             address:% = address, connection = conn.number, requests = conn.carried.count(),
-            repeats_id = conn.repeats_id, request_id:? = self.value,
-            returned_id:? = response.headers().get(self.id.header), status = response.status().as_u16();
+            request_id:? = self.values, returned_id:? = response.headers().get(self.id.header),
+            status = response.status().as_u16();
             "response received"
         );
     }
@@ -344,14 +383,14 @@
 /// A response body that returns its connection to the pool at its end.
 struct PooledBody {
     incoming: Incoming,
-    address: SocketAddr,
+    endpoint: Endpoint,
     lease: Option<(Conn, Arc<Inner>)>,
 }
 
 impl PooledBody {
     fn give_back(&mut self) {
         if let Some((conn, inner)) = self.lease.take() {
-            inner.pool.put(self.address, conn);
+            inner.pool.put(self.endpoint, conn);
         }
     }
 }
--- a/crates/waxwing_http/src/conn.rs
+++ b/crates/waxwing_http/src/conn.rs
@@ -15,7 +15,7 @@
 
 use crate::Body;
 use crate::ClientLimits;
-use crate::carried::{CarriedRequests, IdHash};
+use crate::carried::{CarriedRequests, Identity};
 use crate::counted::Counted;
 use crate::socket::tune;
 
@@ -41,8 +41,6 @@
     pub(crate) number: u64,
     sender: SendRequest<Body>,
     pub(crate) carried: CarriedRequests,
-    /// Whether the connection carried the id of its last request before.
-    pub(crate) repeats_id: bool,
     written: Arc<AtomicU64>,
     /// Time for which the target keeps the connection open while it is idle, if it said so.
     pub(crate) kept: Option<Duration>,
@@ -76,7 +74,6 @@
             number,
             sender,
             carried: CarriedRequests::default(),
-            repeats_id: false,
             written,
             kept: None,
             _driver: driver,
@@ -96,10 +93,9 @@
         future::or(ready, timer).await
     }
 
-    pub(crate) async fn send(&mut self, request: Request<Body>, id: Option<IdHash>) -> Outcome {
+    pub(crate) async fn send(&mut self, request: Request<Body>, identity: Identity) -> Outcome {
         let before = self.written.load(Ordering::Relaxed);
-        self.repeats_id = id.is_some_and(|id| self.carried.contains(id));
-        self.carried.record(id);
+        self.carried.record(identity);
         match self.sender.try_send_request(request).await {
             Ok(response) => Outcome::Head(response),
             Err(mut error) => match error.take_message() {
--- a/crates/waxwing_http/src/lib.rs
+++ b/crates/waxwing_http/src/lib.rs
@@ -16,7 +16,8 @@
 mod socket;
 
 pub use body::{Body, BodyError, collect, empty, full, streamed};
-pub use client::{Client, ClientLimits, ResponseId, SendError};
+pub use carried::MAX_IDS_BYTES;
+pub use client::{Client, ClientLimits, Endpoint, ResponseId, Returned, SendError};
 pub use coarse::{CoarseSleep, CoarseTimer};
 pub use dialect::{Dialect, DirectoryQuery, HeaderNames, OwnDialect, query_value};
 pub use exchange::{ExchangeError, exchange};
--- a/crates/waxwing_http/src/pool.rs
+++ b/crates/waxwing_http/src/pool.rs
@@ -1,11 +1,12 @@
-//! Idle connections by address.
+//! Idle connections by endpoint.
 
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use crate::conn::Conn;
+use crate::{ClientLimits, Endpoint};
 
 /// Part in percent of a target's own idle time-out for which a connection is kept. A request that
 /// crosses the target's close may have run.
@@ -23,59 +24,116 @@
     }
 }
 
-/// Idle connections, the most recently used last.
+/// Idle connections of each endpoint, the most recently used last.
+#[derive(Default)]
+struct IdleConnections {
+    queues: HashMap<Endpoint, VecDeque<Idle>>,
+    count: usize,
+}
+
+impl IdleConnections {
+    /// Removes the least recently used connection of an endpoint.
+    fn remove_oldest_of(&mut self, endpoint: Endpoint) {
+        if let Some(queue) = self.queues.get_mut(&endpoint)
+            && queue.pop_front().is_some()
+        {
+            self.count -= 1;
+        }
+    }
+
+    /// Removes the least recently used connection.
+    fn remove_oldest(&mut self) {
+        let oldest = self
+            .queues
+            .iter()
+            .filter_map(|(endpoint, queue)| Some((queue.front()?.since, *endpoint)))
+            .min_by_key(|(since, _)| *since);
+        if let Some((_, endpoint)) = oldest {
+            self.remove_oldest_of(endpoint);
+        }
+    }
+
+    fn recount(&mut self) {
+        self.count = self.queues.values().map(VecDeque::len).sum();
+    }
+}
+
 pub(crate) struct Pool {
-    idle: Mutex<HashMap<SocketAddr, VecDeque<Idle>>>,
+    idle: Mutex<IdleConnections>,
+    /// Most connections of an endpoint.
     most: usize,
+    /// Most connections of all endpoints.
+    most_in_all: usize,
     lifetime: Duration,
 }
 
 impl Pool {
-    pub(crate) fn new(most: usize, lifetime: Duration) -> Self {
+    pub(crate) fn new(limits: &ClientLimits) -> Self {
         Self {
             idle: Mutex::default(),
-            most,
-            lifetime,
+            most: limits.idle,
+            most_in_all: limits.idle_in_all,
+            lifetime: limits.idle_life,
         }
     }
 
-    pub(crate) fn take(&self, address: SocketAddr) -> Option<Conn> {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let entry = idle.get_mut(&address)?.pop_back()?;
-        entry.is_fresh().then_some(entry.conn)
+    /// Takes the most recently used connection that fulfils a condition.
+    pub(crate) fn take(&self, endpoint: Endpoint, allows: impl Fn(&Conn) -> bool) -> Option<Conn> {
+        let mut idle = self.lock();
+        let queue = idle.queues.get_mut(&endpoint)?;
+        let position = queue
+            .iter()
+            .rposition(|entry| entry.is_fresh() && allows(&entry.conn))?;
+        let entry = queue.remove(position)?;
+        idle.count -= 1;
+        Some(entry.conn)
     }
 
-    pub(crate) fn put(&self, address: SocketAddr, conn: Conn) {
+    pub(crate) fn put(&self, endpoint: Endpoint, conn: Conn) {
+        if conn.carried.is_full() {
+            return;
+        }
         let since = Instant::now();
         let kept = conn.kept.map(|kept| kept * KEPT_PERCENT / 100);
         let lifetime = kept.map_or(self.lifetime, |kept| kept.min(self.lifetime));
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let queue = idle.entry(address).or_default();
-        if queue.len() >= self.most {
-            queue.pop_front();
-        }
+        let mut idle = self.lock();
+        let queue = idle.queues.entry(endpoint).or_default();
         queue.push_back(Idle {
             conn,
             since,
             lifetime,
         });
+        let is_full = queue.len() > self.most;
+        idle.count += 1;
+        if is_full {
+            idle.remove_oldest_of(endpoint);
+        }
+        if idle.count > self.most_in_all {
+            idle.remove_oldest();
+        }
     }
 
     pub(crate) fn remove(&self, address: SocketAddr) {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.remove(&address);
+        let mut idle = self.lock();
+        idle.queues
+            .retain(|endpoint, _| endpoint.address != address);
+        idle.recount();
     }
 
     pub(crate) fn prune(&self) {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        for queue in idle.values_mut() {
+        let mut idle = self.lock();
+        for queue in idle.queues.values_mut() {
             queue.retain(Idle::is_fresh);
         }
-        idle.retain(|_, queue| !queue.is_empty());
+        idle.queues.retain(|_, queue| !queue.is_empty());
+        idle.recount();
     }
 
     pub(crate) fn len(&self) -> usize {
-        let idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.values().map(VecDeque::len).sum()
+        self.lock().count
+    }
+
+    fn lock(&self) -> MutexGuard<'_, IdleConnections> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/waxwing_http/tests/exchange.rs
+++ b/crates/waxwing_http/tests/exchange.rs
@@ -11,12 +11,14 @@
 use hyper::header::HeaderName;
 use hyper::{Method, Request, Response, StatusCode};
 use waxwing_http::{
-    Client, ClientLimits, ResponseId, SendError, ServerLimits, collect, empty, full, streamed,
+    Client, ClientLimits, ResponseId, Returned, SendError, ServerLimits, collect, empty, full,
+    streamed,
 };
 
-const RESPONSE_ID: ResponseId<'_> = ResponseId {
-    header: &HeaderName::from_static("x-request-id"),
-    required: true,
+static ID: HeaderName = HeaderName::from_static("x-request-id");
+static RESPONSE_ID: ResponseId<'_> = ResponseId {
+    header: &ID,
+    returned: Returned::Always,
 };
 
 /// Guards against a new connection for each request.
--- a/crates/waxwingrail/src/edge/daemon.rs
+++ b/crates/waxwingrail/src/edge/daemon.rs
@@ -15,6 +15,7 @@
 use waxwing_types::MonotonicClock;
 
 use super::handlers::{DirectoryHandler, MetricsHandler, ReadinessHandler, RequestHandler};
+use super::memory::MemoryLimits;
 use super::settings::EdgeSettings;
 use super::state::Shared;
 use super::{peers, state_age, ticks, watch};
@@ -220,6 +221,7 @@
     let store_client = Client::new(Arc::clone(&executor), store_limits);
     let target_limits = ClientLimits {
         idle: settings.idle_connections,
+        idle_in_all: MemoryLimits::new(settings.memory).idle_targets,
         idle_life: TARGET_IDLE_TIMEOUT,
         connect: settings.connect_timeout.duration(),
         ..ClientLimits::default()
--- a/crates/waxwingrail/src/edge/forward.rs
+++ b/crates/waxwingrail/src/edge/forward.rs
@@ -6,7 +6,9 @@
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use waxwing_edge::{LoadReport, SelectedTarget, TargetKey, TargetOutcome};
-use waxwing_http::{Body, CoarseSleep, ResponseId, SendError, remove_hop_headers, streamed};
+use waxwing_http::{
+    Body, CoarseSleep, Endpoint, ResponseId, Returned, SendError, remove_hop_headers, streamed,
+};
 use waxwing_records::RunKind;
 use waxwing_types::{Millis, WorkspaceId};
 
@@ -134,7 +136,7 @@
         AttemptOutcome::NoUsableResponse => slot.release(TargetOutcome::ConnectionBroken),
         AttemptOutcome::ConnectionBroken => {
             slot.release(TargetOutcome::ConnectionBroken);
-            crash::on_connection_broken(shared, &attempt.target, attempt.fingerprint);
+            crash::on_connection_broken(shared, attempt.key, &attempt.target, attempt.fingerprint);
         }
         AttemptOutcome::Withdrawn => slot.release(TargetOutcome::Cancelled),
         AttemptOutcome::NotSent => slot.release(TargetOutcome::ConnectFailed),
@@ -155,24 +157,24 @@
     slot: &mut TargetSlot,
 ) -> AttemptOutcome {
     let header_names = shared.dialect.headers();
-    // An extra copy of an earlier response may arrive where this response is due, also without an id. Nothing in it
-    // applies to this request, not even the statement that the target did not run the request.
+    // An extra copy of an earlier response may arrive where this response is due. Nothing in it applies to this request, not
+    // even the statement that the target did not run the request.
     let id = ResponseId {
         header: &header_names.request_id,
-        required: true,
+        returned: Returned::Always,
     };
     let is_withdrawn = || shared.targets().is_withdrawn(shared.now(), &attempt.target);
-    let address = attempt.target.address;
+    let endpoint = endpoint(attempt.key, &attempt.target);
     let sending = shared
         .client
-        .send_identified(address, request, id, is_withdrawn);
+        .send_identified(endpoint, request, id, is_withdrawn);
     let response = match sending.await {
         Ok(response) => response,
         Err(error) => {
             if matches!(error, SendError::Unmatched) {
                 shared.metrics.foreign_responses.increment(1);
                 log::warn!(
-                    target_id = attempt.target.id.as_str(), address:% = address;
+                    target_id = attempt.target.id.as_str(), address:% = endpoint.address;
                     "the answer belongs to another request"
                 );
             }
@@ -188,15 +190,16 @@
             };
         }
     };
-    if let Some(report) = parse_load_report(response.headers(), &header_names.load) {
-        let now = shared.now();
-        shared.targets().on_load_report(now, attempt.key, report);
-    }
-    // Another process than the selected target received the request and did not run it.
+    // Another process than the selected target received the request and did not run it. The rest of the response is about
+    // that process.
     if response.status() == StatusCode::MISDIRECTED_REQUEST {
         slot.release(TargetOutcome::Misdirected);
         return AttemptOutcome::NotRun;
     }
+    if let Some(report) = parse_load_report(response.headers(), &header_names.load) {
+        let now = shared.now();
+        shared.targets().on_load_report(now, attempt.key, report);
+    }
     apply_notice(shared, &attempt.target, &response);
     if response.headers().contains_key(&header_names.not_run) {
         slot.release(TargetOutcome::Shed);
@@ -231,6 +234,14 @@
     }
 }
 
+/// The connections of a target. Another process at its address has connections of its own.
+pub(super) fn endpoint(key: TargetKey, target: &SelectedTarget) -> Endpoint {
+    Endpoint {
+        address: target.address,
+        group: key.as_u64(),
+    }
+}
+
 /// Builds the request to the target, with the remaining time in milliseconds, the id of the target and the
 /// workspace as headers.
 fn build_request(shared: &Shared, attempt: &Attempt<'_>, body: Body) -> Request<Body> {
--- a/crates/waxwingrail/src/edge/memory.rs
+++ b/crates/waxwingrail/src/edge/memory.rs
@@ -10,6 +10,8 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
+use waxwing_http::MAX_IDS_BYTES;
+
 /// Bytes of a body that are buffered without room in the budget.
 pub(crate) const SMALL_BODY_BYTES: usize = 8 * 1024;
 /// Most bytes that one read of a connection returns, the buffer of the HTTP library.
@@ -20,9 +22,12 @@
 /// Bytes that a running request holds in addition: two buffers of the connection of the caller and two of that to the target,
 /// which has a shorter head, and a small body in each direction.
 const REQUEST_BYTES: usize = 2 * MAX_FRAME_BYTES + 2 * 32 * 1024 + 2 * SMALL_BODY_BYTES;
-/// Percentages of the memory of the VM. The rest is for the program, its tables, idle connections to targets, and connections to
-/// the directory, readiness and metrics servers.
-const CONNECTIONS_PERCENT: usize = 25;
+/// Bytes that an idle connection to a target holds: the buffers of the HTTP library, and the ids that it has carried.
+const IDLE_TARGET_BYTES: usize = 16 * 1024 + MAX_IDS_BYTES;
+/// Percentages of the memory of the VM. The rest is for the program, its tables, and connections to the directory, readiness and
+/// metrics servers.
+const CONNECTIONS_PERCENT: usize = 22;
+const IDLE_TARGETS_PERCENT: usize = 3;
 const REQUESTS_PERCENT: usize = 40;
 const LARGE_BODIES_PERCENT: usize = 20;
 
@@ -31,6 +36,8 @@
 pub(crate) struct MemoryLimits {
     /// Open connections of callers.
     pub(crate) connections: usize,
+    /// Idle connections to targets.
+    pub(crate) idle_targets: usize,
     /// Running requests, and responses that are passed on while they arrive.
     pub(crate) requests: usize,
     /// Bytes of buffered bodies beyond [`SMALL_BODY_BYTES`].
@@ -43,6 +50,7 @@
         let part = |percent| memory / 100 * percent;
         Self {
             connections: (part(CONNECTIONS_PERCENT) / CONNECTION_BYTES).max(1),
+            idle_targets: (part(IDLE_TARGETS_PERCENT) / IDLE_TARGET_BYTES).max(1),
             requests: (part(REQUESTS_PERCENT) / REQUEST_BYTES).max(1),
             large_bodies: part(LARGE_BODIES_PERCENT),
         }
--- a/crates/waxwingrail/src/edge/memory/tests.rs
+++ b/crates/waxwingrail/src/edge/memory/tests.rs
@@ -7,7 +7,8 @@
 use super::super::request::REQUEST_BUFFER_BYTES;
 use super::super::test_settings::settings;
 use super::{
-    BodyBudget, CONNECTION_BYTES, MAX_FRAME_BYTES, MemoryLimits, REQUEST_BYTES, SMALL_BODY_BYTES,
+    BodyBudget, CONNECTION_BYTES, IDLE_TARGET_BYTES, MAX_FRAME_BYTES, MemoryLimits, REQUEST_BYTES,
+    SMALL_BODY_BYTES,
 };
 
 const MB: usize = 1_000_000;
@@ -20,6 +21,7 @@
     for memory in [SMALLEST_VM, 182 * MB, 1000 * MB] {
         let limits = MemoryLimits::new(memory);
         let held = limits.connections * CONNECTION_BYTES
+            + limits.idle_targets * IDLE_TARGET_BYTES
             + limits.requests * REQUEST_BYTES
             + limits.large_bodies;
         assert!(held <= memory / 100 * 85, "{held} of {memory}");
@@ -37,7 +39,7 @@
 }
 
 /// Guards against limits that keep a small VM from serving: the connections of the settings, some two hundred requests at a time,
-/// and a few large bodies in each direction.
+/// connections that are kept for further requests, and a few large bodies in each direction.
 #[test]
 fn the_smallest_vm_serves_its_callers() {
     let settings = settings(&[]);
@@ -45,6 +47,7 @@
     assert_eq!(settings.memory, SMALLEST_VM);
     assert!(limits.connections >= settings.max_connections);
     assert!(limits.requests >= 200, "{}", limits.requests);
+    assert!(limits.idle_targets >= 150, "{}", limits.idle_targets);
     let large = RESERVE_RATIO * REQUEST_BUFFER_BYTES + RESPONSE_BUFFER_BYTES + MAX_FRAME_BYTES;
     assert!(limits.large_bodies >= 8 * large);
 }
--- a/crates/waxwingrail/src/request/driver.rs
+++ b/crates/waxwingrail/src/request/driver.rs
@@ -331,7 +331,8 @@
         // Releases the connection of the previous attempt's response.
         self.response = None;
         let client = self.shared.client.clone();
-        self.http_call = Some(Box::pin(send(client, address, request)));
+        let is_idempotent = self.flow.is_idempotent();
+        self.http_call = Some(Box::pin(send(client, address, request, is_idempotent)));
     }
 
     fn forward(&mut self, region: &RegionId, deadline: Millis) {
--- a/crates/waxwingrail/src/request/mod.rs
+++ b/crates/waxwingrail/src/request/mod.rs
@@ -89,7 +89,11 @@
     incoming: Result<waxwing_core::IncomingRequest, RequestError>,
 ) -> Response<Body> {
     let upload = Upload::new(body, shared.settings.max_body_bytes);
+    let id = head.headers.get(parse::X_REQUEST_ID).cloned();
     let mut response = run_or_refuse(shared, head, upload.clone(), incoming).await;
+    if let Some(id) = id {
+        response.headers_mut().insert(parse::X_REQUEST_ID, id);
+    }
     if !upload.has_ended() {
         announce_close(&mut response);
     }
--- a/crates/waxwingrail/src/request/outbound.rs
+++ b/crates/waxwingrail/src/request/outbound.rs
@@ -6,7 +6,9 @@
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, Request, Response, Uri};
 use waxwing_core::{Flow, IncomingRequest, PresentedKey};
-use waxwing_http::{Body, Client, ResponseId, SendError, remove_hop_headers, remove_proxy_headers};
+use waxwing_http::{
+    Body, Client, ResponseId, Returned, SendError, remove_hop_headers, remove_proxy_headers,
+};
 use waxwing_types::{Millis, RegionId, WorkspaceId};
 
 use super::parse::{
@@ -35,6 +37,10 @@
         for name in internal.into_iter().chain([AUTHORIZATION, EXPECT, HOST]) {
             headers.remove(name);
         }
+        // By its id, the response is told from copies of earlier ones.
+        headers
+            .entry(X_REQUEST_ID)
+            .or_insert_with(|| fastrand::u64(..).into());
         let path = head.uri.path_and_query()?.as_str();
         Some(Self {
             method: head.method,
@@ -107,15 +113,21 @@
     }
 }
 
-/// Sends a request. A response with the id of another request, an extra copy of an earlier response, is not returned.
+/// Sends a request. A response that may be an extra copy of an earlier one is returned only to an idempotent request.
 pub(crate) async fn send(
     client: Client,
     address: SocketAddr,
     request: Request<Body>,
+    is_idempotent: bool,
 ) -> Result<Response<Body>, SendError> {
+    let returned = if is_idempotent {
+        Returned::MayLackHarmlessly
+    } else {
+        Returned::MayLack
+    };
     let id = ResponseId {
         header: &X_REQUEST_ID,
-        required: false,
+        returned,
     };
     client.send_identified(address, request, id, || false).await
 }
--- a/crates/waxwingrail/src/task/load_report.rs
+++ b/crates/waxwingrail/src/task/load_report.rs
@@ -7,7 +7,7 @@
 use hyper::Request;
 use serde::Deserialize;
 use waxwing_core::LoadReport;
-use waxwing_http::{collect, empty};
+use waxwing_http::{Endpoint, collect, empty};
 use waxwing_types::{Millis, ServiceId, TargetId};
 
 use super::{TaskContext, pause};
@@ -89,6 +89,9 @@
     targets
 }
 
+/// The connections of the polls, apart from those of requests: a response without an id cannot be told from a copy.
+const POLL_GROUP: u64 = 1;
+
 /// Asks a target for its load and applies the report. A failure or timeout is ignored.
 async fn poll(shared: &Shared, target: PolledTarget) {
     let timer = async {
@@ -107,7 +110,11 @@
 
 async fn fetch_report(shared: &Shared, address: SocketAddr) -> Option<Report> {
     let request = Request::get("/load").body(empty()).ok()?;
-    let response = shared.client.send(address, request).await.ok()?;
+    let endpoint = Endpoint {
+        address,
+        group: POLL_GROUP,
+    };
+    let response = shared.client.send(endpoint, request).await.ok()?;
     if !response.status().is_success() {
         return None;
     }
--- a/crates/waxwingrail/tests/edge/copying_target.rs
+++ b/crates/waxwingrail/tests/edge/copying_target.rs
@@ -116,68 +116,82 @@
     conduct: Arc<Mutex<Conduct>>,
     seen: Arc<Mutex<Seen>>,
 ) {
-    // Refusals of this connection by request id.
-    let mut refusals: Vec<(String, String)> = Vec::new();
+    let mut refusals = Refusals::default();
     while let Some(head) = read_request(&mut stream).await {
-        let Conduct {
-            refusal,
-            refused,
-            copies,
-        } = *lock(&conduct);
-        let id = header(&head, "x-request-id").unwrap_or_default().to_owned();
-        let is_refused = match refused {
-            Refused::FirstOfId => {
-                let mut seen = lock(&seen);
-                !seen.runs.contains_key(&id) && {
-                    seen.runs.insert(id.clone(), 0);
-                    true
-                }
-            }
-            Refused::OtherThan(target) => header(&head, "x-target") != Some(target),
-            Refused::OnFirstConnection => connection == 1,
-            Refused::Nothing => false,
-        };
+        let conduct = *lock(&conduct);
+        let id = header(&head, "x-request-id").unwrap_or_default();
         let id_field = if id.is_empty() {
             String::new()
         } else {
             format!("x-request-id: {id}\r\n")
         };
-        let mut bytes = String::new();
-        if is_refused {
+        let is_refused = match conduct.refused {
+            Refused::FirstOfId => lock(&seen).is_first_of(id),
+            Refused::OtherThan(target) => header(&head, "x-target") != Some(target),
+            Refused::OnFirstConnection => connection == 1,
+            Refused::Nothing => false,
+        };
+        let bytes = if is_refused {
             lock(&seen).refusals += 1;
-            let refusal = format!("HTTP/1.1 {refusal}{id_field}content-length: 0\r\n\r\n");
-            bytes.push_str(&refusal);
-            if copies == Copies::AtOnce {
-                bytes.push_str(&refusal);
-            }
-            refusals.push((id, refusal));
-        } else {
-            let copied: Vec<_> = match copies {
-                Copies::Never | Copies::AtOnce => Vec::new(),
-                Copies::BeforeSameId(count) => {
-                    let of_id = refusals.iter().find(|(refused, _)| *refused == id);
-                    std::iter::repeat_n(of_id, count).flatten().collect()
-                }
-                Copies::BeforeNext => refusals.last().into_iter().collect(),
+            let refusal = format!(
+                "HTTP/1.1 {}{id_field}content-length: 0\r\n\r\n",
+                conduct.refusal
+            );
+            refusals.push(id, &refusal);
+            let count = if conduct.copies == Copies::AtOnce {
+                2
+            } else {
+                1
             };
-            if !copied.is_empty() {
-                let copies: String = copied.iter().map(|(_, refusal)| refusal.as_str()).collect();
-                if stream.write_all(copies.as_bytes()).await.is_err() {
+            refusal.repeat(count)
+        } else {
+            let before_answer = refusals.take_due(conduct.copies, id);
+            if !before_answer.is_empty() {
+                if stream.write_all(before_answer.as_bytes()).await.is_err() {
                     return;
                 }
                 Timer::after(COPY_PAUSE).await;
-                refusals.clear();
             }
-            *lock(&seen).runs.entry(id).or_default() += 1;
-            let answer = format!("HTTP/1.1 200 OK\r\n{id_field}content-length: 2\r\n\r\nok");
-            bytes.push_str(&answer);
-        }
+            *lock(&seen).runs.entry(id.to_owned()).or_default() += 1;
+            format!("HTTP/1.1 200 OK\r\n{id_field}content-length: 2\r\n\r\nok")
+        };
         if stream.write_all(bytes.as_bytes()).await.is_err() {
             return;
         }
     }
 }
 
+/// The refusals of a connection, each with the id of its request.
+#[derive(Default)]
+struct Refusals(Vec<(String, String)>);
+
+impl Refusals {
+    fn push(&mut self, id: &str, refusal: &str) {
+        self.0.push((id.to_owned(), refusal.to_owned()));
+    }
+
+    /// The copies that are due before the answer to a request. No refusal is copied a second time.
+    fn take_due(&mut self, copies: Copies, id: &str) -> String {
+        let (position, count) = match copies {
+            Copies::Never | Copies::AtOnce => return String::new(),
+            Copies::BeforeSameId(count) => {
+                (self.0.iter().position(|(refused, _)| refused == id), count)
+            }
+            Copies::BeforeNext => (self.0.len().checked_sub(1), 1),
+        };
+        position.map_or_else(String::new, |index| self.0.remove(index).1.repeat(count))
+    }
+}
+
+impl Seen {
+    /// Whether no request with an id was seen before. Counts as seen from now on.
+    fn is_first_of(&mut self, id: &str) -> bool {
+        let is_first = !self.runs.contains_key(id);
+        self.runs.entry(id.to_owned()).or_default();
+        is_first
+    }
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
