Do not pass on a status that promises what its target has not stated

Callers saw: the 503, 429 or 408 of a target, which promises that a once-only request has not run and never will, though it may have run. Cause: a response of a target was passed on unchanged. Only the mark 'not run' (and 421) is a target's statement; the same status without the mark states nothing, but to a caller it is the promise. Ruled out: 503 with the mark, which leads to a further attempt or a refusal of our own. Change: such a response to a request that may run once becomes 502 without the target's stamp. Pauses and notices in it count as before. Conclusion: a promise to a caller rests on a statement of the target, or on nothing having been sent.

--- a/crates/waxwingrail/src/edge/forward.rs
+++ b/crates/waxwingrail/src/edge/forward.rs
@@ -52,7 +52,8 @@
     Withdrawn,
     /// The target stated that it did not run the request.
     NotRun,
-    /// The response lacks the id of the request, or has a content encoding. The request may have run.
+    /// The response lacks the id of the request, has a content encoding, or would promise to the caller what its target has
+    /// not stated. The request may have run.
     NoUsableResponse,
     /// The connection broke. The request may have run.
     ConnectionBroken,
@@ -210,6 +211,10 @@
     }
     let success = !response.status().is_server_error();
     let latency = slot.latency();
+    if promises_not_run(response.status()) && !attempt.kind.is_idempotent() {
+        slot.release(TargetOutcome::Answered { latency, success });
+        return AttemptOutcome::NoUsableResponse;
+    }
     let (mut head, body) = response.into_parts();
     remove_hop_headers(&mut head.headers);
     let Ok(mut buffered) = buffer_body(body, RESPONSE_BUFFER_BYTES, &shared.body_budget).await
@@ -242,6 +247,16 @@
     }
 }
 
+/// Whether a status tells the caller that its request has not run and will not run.
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Builds the request to the target, with the remaining time in milliseconds, the id of the target and the
 /// workspace as headers.
 fn build_request(shared: &Shared, attempt: &Attempt<'_>, body: Body) -> Request<Body> {
