Play callers against copies of refusals, and bound the connections that refusals cost

Cause: the tests of single requests do not show whether a fleet goes on serving, nor what the fix costs in connections. Change: copies_of_refusals_do_not_end_the_service_of_a_fleet plays 360 once-only requests of six callers against a target that is registered under two ids.

--- a/crates/waxwingrail/tests/edge/copying_target.rs
+++ b/crates/waxwingrail/tests/edge/copying_target.rs
@@ -145,6 +145,8 @@
             };
             refusal.repeat(count)
         } else {
+            // The request is under way when the copies are written.
+            *lock(&seen).runs.entry(id.to_owned()).or_default() += 1;
             let before_answer = refusals.take_due(conduct.copies, id);
             if !before_answer.is_empty() {
                 if stream.write_all(before_answer.as_bytes()).await.is_err() {
@@ -152,7 +154,6 @@
                 }
                 Timer::after(COPY_PAUSE).await;
             }
-            *lock(&seen).runs.entry(id.to_owned()).or_default() += 1;
             format!("HTTP/1.1 200 OK\r\n{id_field}content-length: 2\r\n\r\nok")
         };
         if stream.write_all(bytes.as_bytes()).await.is_err() {
--- a/crates/waxwingrail/tests/edge_refusal_copies.rs
+++ b/crates/waxwingrail/tests/edge_refusal_copies.rs
@@ -8,10 +8,12 @@
 mod script;
 mod scripted;
 
+use std::sync::Mutex;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use copying_target::{Conduct, Copies, CopyingTarget, Refused};
 use fixture::{API_KEY, Fixture, deployment, request, run_test, wait_until};
+use futures_lite::future;
 use script::{call_with_id, start_target};
 use scripted::{answer, pause, write};
 use waxwing_http::full;
@@ -175,3 +177,73 @@
         assert_eq!((first.status, second.status), (200, 502));
     });
 }
+
+/// Requests of each caller in [`play_callers`].
+const REQUESTS_PER_CALLER: usize = 60;
+
+/// What callers got.
+#[derive(Debug, Default)]
+struct Played {
+    served: usize,
+    /// Refused with a promise, and not run.
+    refused: usize,
+    /// Refused with a promise, and run.
+    falsely_refused: usize,
+    failed: usize,
+    connections: usize,
+}
+
+/// Plays six callers of once-only requests with a target that is registered under two ids, the later one `t1`.
+fn play_callers(conduct: Conduct) -> Played {
+    let played = Mutex::new(Played::default());
+    run_test(async |fixture| {
+        fixture.deploy(deployment(1));
+        let target = CopyingTarget::start(&fixture.executor, conduct).await;
+        for id in ["earlier", "t1"] {
+            fixture.register_target(id, target.address, TargetState::Ready);
+        }
+        let daemon = fixture.ready_daemon().await;
+        let call = async |caller: usize| {
+            for number in 0..REQUESTS_PER_CALLER {
+                let id = format!("id-{caller}-{number}");
+                let response = call_with_id(&fixture, &daemon, "unsafe", &id).await;
+                let mut played = played.lock().expect("a lock");
+                match (response.status, target.runs(&id)) {
+                    (200, _) => played.served += 1,
+                    (503, 0) => played.refused += 1,
+                    (503, _) => played.falsely_refused += 1,
+                    _ => played.failed += 1,
+                }
+            }
+        };
+        let pair = |first| future::zip(call(first), call(first + 1));
+        future::zip(future::zip(pair(0), pair(2)), pair(4)).await;
+        played.lock().expect("a lock").connections = target.connections();
+    });
+    let played = played.into_inner().expect("a lock");
+    println!("{played:?}");
+    played
+}
+
+/// Guards against copies of refusals that end the service of a fleet, and against a new connection for each refusal.
+#[test]
+fn copies_of_refusals_do_not_end_the_service_of_a_fleet() {
+    let all = 6 * REQUESTS_PER_CALLER;
+    for copies in [Copies::Never, Copies::BeforeSameId(2)] {
+        let misdirected = play_callers(Conduct {
+            refusal: MISDIRECTED,
+            refused: Refused::OtherThan("t1"),
+            copies,
+        });
+        assert_eq!(misdirected.served, all, "{copies:?}");
+        let refused = play_callers(Conduct {
+            refusal: REFUSALS[0],
+            refused: Refused::FirstOfId,
+            copies,
+        });
+        // The retry budget allows few of the requests a second attempt.
+        assert!(refused.served >= 20, "{copies:?}");
+        assert_eq!(refused.served + refused.refused, all, "{copies:?}");
+        assert!(refused.connections < all / 4, "{copies:?}");
+    }
+}
