Handle a datagram between VMs once

Cause: a datagram had no number. The network may deliver one twice: its tokens were credited twice, so that all VMs together admitted more than rate and burst, and its observations of targets counted twice. A heartbeat that arrived after a later one took back that its sender is stopping. Ruled out: the sums at the sender, which deducts tokens once, before it sends them; a limit at the receiver, which bounds what it holds and not what it gets. Change: each datagram states the incarnation of its process and a number. DatagramFilter keeps the 16 highest numbers of each sender and accepts none twice, none that is older than these, none of an earlier process, and no heartbeat older than another one. Datagrams of older versions have no number and are handled as before; older versions ignore the number. The longest heartbeat with a number still fits (a_heartbeat_with_extreme_observations_fits_into_a_datagram). Conclusion: a copy of a datagram has no effect. A datagram that is late but not repeated still counts as new.

--- a/crates/waxwing_edge/src/lib.rs
+++ b/crates/waxwing_edge/src/lib.rs
@@ -1,6 +1,7 @@
 //! The decisions of an entry VM about the requests that it routes: route, quota, target, retries,
 //! quarantine, and which entry VMs callers use. The crate has no I/O, clock or threads.
 
+mod datagram;
 mod fleet;
 mod hash;
 mod peer_message;
@@ -13,6 +14,7 @@
 mod routing_table;
 mod target;
 
+pub use datagram::{Datagram, DatagramFilter};
 pub use fleet::{Fleet, READER_STARTUP_TIME};
 pub use hash::{hash_bytes, mix64};
 pub use peer_message::{PeerMessage, StateReport};
--- a/crates/waxwing_edge/src/peer_message.rs
+++ b/crates/waxwing_edge/src/peer_message.rs
@@ -6,7 +6,7 @@
 use crate::{TargetObservation, TargetProcess, WorkspaceTokens};
 
 common_derives! {
-    /// A datagram between VMs, encoded as JSON. The serde names are part of the wire format.
+    /// A message between VMs, encoded as JSON. The serde names are part of the wire format.
     #[derive(Serialize, Deserialize)]
     #[serde(tag = "t", rename_all = "snake_case")]
     pub enum PeerMessage {
--- a/crates/waxwingrail/src/edge/peers.rs
+++ b/crates/waxwingrail/src/edge/peers.rs
@@ -12,11 +12,14 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_executor::Task;
 use async_io::Timer;
-use waxwing_edge::{NoTokenAction, PeerMessage, QuotaCoordinator, TargetProcess, WorkspaceTokens};
+use waxwing_edge::{
+    Datagram, NoTokenAction, PeerMessage, QuotaCoordinator, TargetProcess, WorkspaceTokens,
+};
 use waxwing_store::{Family, WriteOutcome};
 use waxwing_types::{Micros, Millis, WorkspaceId};
 
@@ -64,8 +67,8 @@
 }
 
 fn handle_datagram(shared: &Arc<Shared>, bytes: &[u8], from: SocketAddr) {
-    let message = match serde_json::from_slice(bytes) {
-        Ok(message) => message,
+    let datagram: Datagram = match serde_json::from_slice(bytes) {
+        Ok(datagram) => datagram,
         Err(error) => {
             log::debug!(
                 from = from.to_string().as_str(), error = error.to_string().as_str();
@@ -75,7 +78,11 @@
         }
     };
     let now = shared.now();
-    match message {
+    if !shared.datagram_filter().accept(now, from, &datagram) {
+        log::debug!(from = from.to_string().as_str(), number = datagram.number; "datagram repeated or too late");
+        return;
+    }
+    match datagram.message {
         PeerMessage::Heartbeat {
             vm,
             incarnation,
@@ -137,8 +144,13 @@
 
 /// Sends a message to each address. A datagram that cannot be sent immediately is dropped, because receivers
 /// must tolerate lost datagrams in any case.
-fn send(shared: &Shared, message: &PeerMessage, to: &[SocketAddr]) {
-    let bytes = match serde_json::to_vec(message) {
+fn send(shared: &Shared, message: PeerMessage, to: &[SocketAddr]) {
+    let datagram = Datagram {
+        process: Some(shared.own_entry.incarnation),
+        number: Some(shared.datagram_number.fetch_add(1, Ordering::Relaxed) + 1),
+        message,
+    };
+    let bytes = match serde_json::to_vec(&datagram) {
         Ok(bytes) => bytes,
         Err(error) => {
             log::warn!(error = error.to_string().as_str(); "peer message not serialized");
@@ -172,7 +184,7 @@
     };
     if !region_peers.is_empty() {
         let report = shared.watch_progress().report(shared.now());
-        send(shared, &PeerMessage::StateReport(report), &region_peers);
+        send(shared, PeerMessage::StateReport(report), &region_peers);
     }
 }
 
@@ -187,7 +199,7 @@
             .take_observations(shared.now(), MAX_OBSERVATIONS),
     };
     let recipients = shared.fleet().heartbeat_peers(&mut fastrand::Rng::new());
-    send(shared, &message, &recipients);
+    send(shared, message, &recipients);
 }
 
 /// Determines the quota coordinator of each workspace from the known VMs. Does nothing before about all VMs are known.
@@ -259,7 +271,7 @@
         let urgent = false;
         send(
             shared,
-            &PeerMessage::Quota {
+            PeerMessage::Quota {
                 granted,
                 requested,
                 urgent,
@@ -318,7 +330,7 @@
         requested: vec![tokens],
         urgent: true,
     };
-    send(shared, &message, coordinators);
+    send(shared, message, coordinators);
 }
 
 /// Sends all VMs the fingerprints of requests that a process was running when it crashed. A fingerprint is a hash of a request.
@@ -329,7 +341,7 @@
             fingerprint,
             process,
         };
-        send(shared, &message, &recipients);
+        send(shared, message, &recipients);
     }
 }
 
--- a/crates/waxwingrail/src/edge/peers/tests.rs
+++ b/crates/waxwingrail/src/edge/peers/tests.rs
@@ -1,8 +1,8 @@
 //! Tests of the sizes of datagrams.
 
 use waxwing_edge::{
-    LoadReport, PeerMessage, Selection, StateReport, TargetCriteria, TargetOutcome, TargetPool,
-    Topology,
+    Datagram, LoadReport, PeerMessage, Selection, StateReport, TargetCriteria, TargetOutcome,
+    TargetPool, Topology,
 };
 use waxwing_records::{Registration, TargetState};
 use waxwing_types::{Incarnation, Millis, RegionId, Revision, ServiceId, StoreEpoch};
@@ -80,10 +80,15 @@
         ready: false,
         targets: vec![targets[0]; MAX_OBSERVATIONS],
     };
-    let bytes = serde_json::to_vec(&heartbeat).expect("a datagram");
+    let datagram = Datagram {
+        process: Some(Incarnation(9_999_999_999_999)),
+        number: Some(9_999_999),
+        message: heartbeat,
+    };
+    let bytes = serde_json::to_vec(&datagram).expect("a datagram");
     assert!(bytes.len() <= MAX_DATAGRAM_BYTES, "{} bytes", bytes.len());
-    let received: PeerMessage = serde_json::from_slice(&bytes).expect("a heartbeat");
-    assert_eq!(received, heartbeat);
+    let received: Datagram = serde_json::from_slice(&bytes).expect("a heartbeat");
+    assert_eq!(received, datagram);
 }
 
 /// Guards against a heartbeat of an older version, without observations, that is not understood.
@@ -132,3 +137,27 @@
         assert_eq!(serde_json::to_string(&expected).expect("JSON"), text);
     }
 }
+
+/// Guards against a datagram of another version that is not understood.
+#[test]
+fn datagrams_of_other_versions_are_read() {
+    let numbered = r#"{"from":1,"n":7,"t":"quota","give":[],"ask":[],"urgent":false}"#;
+    let unnumbered = r#"{"t":"quota","give":[],"ask":[],"urgent":false}"#;
+    let read: Datagram = serde_json::from_str(numbered).expect("a datagram");
+    let message = PeerMessage::Quota {
+        granted: Vec::new(),
+        requested: Vec::new(),
+        urgent: false,
+    };
+    let expected = Datagram {
+        process: Some(Incarnation(1)),
+        number: Some(7),
+        message,
+    };
+    assert_eq!(read, expected);
+    assert_eq!(serde_json::to_string(&read).expect("JSON"), numbered);
+    let read: Datagram = serde_json::from_str(unnumbered).expect("a datagram");
+    assert_eq!((read.process, read.number), (None, None));
+    let message: PeerMessage = serde_json::from_str(numbered).expect("a message");
+    assert_eq!(message, read.message);
+}
--- a/crates/waxwingrail/src/edge/state.rs
+++ b/crates/waxwingrail/src/edge/state.rs
@@ -8,15 +8,15 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::net::UdpSocket;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::{Duration, Instant};
 
 use async_executor::Executor;
 use async_io::Async;
 use waxwing_edge::{
-    Fleet, NoticedTarget, Quarantine, RetryBudgetConfig, RetryBudgets, RoutingTable, TargetPool,
-    Topology, WorkspaceQuotas,
+    DatagramFilter, Fleet, NoticedTarget, Quarantine, RetryBudgetConfig, RetryBudgets,
+    RoutingTable, TargetPool, Topology, WorkspaceQuotas,
 };
 use waxwing_http::{Client, CoarseSleep, CoarseTimer, Dialect};
 use waxwing_records::VmEntry;
@@ -115,6 +115,8 @@
     pub(crate) metrics: Metrics,
     /// Socket for datagrams to and from other VMs.
     pub(crate) socket: Async<UdpSocket>,
+    /// Number of the last datagram that this process has sent.
+    pub(crate) datagram_number: AtomicU64,
 
     /// Routing table of the deployment in use, `None` before the first deployment was read.
     routing_table: RwLock<Option<Arc<RoutingTable>>>,
@@ -128,6 +130,7 @@
     budgets: Mutex<RetryBudgets>,
     /// Fingerprints of requests that crashed targets. A fingerprint is a hash of the contents of a request.
     quarantine: Mutex<Quarantine>,
+    datagram_filter: Mutex<DatagramFilter>,
 
     pub(crate) running_requests: AtomicUsize,
     pub(crate) memory_limits: MemoryLimits,
@@ -189,6 +192,8 @@
             quota: Mutex::default(),
             budgets: Mutex::new(RetryBudgets::new(budget_config)),
             quarantine: Mutex::default(),
+            datagram_filter: Mutex::default(),
+            datagram_number: AtomicU64::new(0),
             running_requests: AtomicUsize::new(0),
             started_at,
             stop: StopState::new(),
@@ -288,6 +293,10 @@
         lock(&self.quarantine)
     }
 
+    pub(crate) fn datagram_filter(&self) -> MutexGuard<'_, DatagramFilter> {
+        lock(&self.datagram_filter)
+    }
+
     /// Whether callers may send requests to this VM: it has loaded what it needs, and is not stopping.
     pub(crate) fn is_ready(&self) -> bool {
         self.routing_table_when_loaded().is_some() && !self.is_stopping()
