Let the test of a shed request not depend on an earlier latency

Callers: none; the test shed_request_is_retried_at_another_target_with_its_body failed at times. Cause: a fault of the test. The request that shows that the daemon admits went to the target that sheds later, and was slow beside other work. If the first PUT then goes to the faster target, the daemon prefers that one: the mean with which an old latency is mixed contains the same old latency, and one request at a time never fills the faster target. The target that sheds gets no request, and no retry is counted. Change: the test knows only the accepting target when it starts, and adds the draining one afterwards, without a latency, so that each PUT goes to either with the same chance until one is shed. What it expects is the same. Conclusion: the daemon retries; that it leaves a target alone whose only request was slow is known from refused_connection_is_retried_at_another_target.

--- a/crates/waxwingrail/tests/retry.rs
+++ b/crates/waxwingrail/tests/retry.rs
@@ -54,12 +54,16 @@
             start_target(&env, "shedding").await,
             start_target(&env, "accepting").await,
         );
-        let daemon = start_daemon(&mut env, &[&shedding, &accepting]).await;
         let draining = TargetControl {
             draining: Some(true),
             ..TargetControl::default()
         };
         shedding.control(&draining);
+        let daemon = start_daemon(&mut env, &[&accepting]).await;
+        // Added only now: the daemon takes a target with an unknown latency for as fast as the others, while one whose only
+        // request was slow gets no further ones for longer than the test waits.
+        env.put_service("shop", &[], &[("d1", &accepting), ("d1", &shedding)])
+            .await;
         let addr = daemon.addresses().callers;
         let metric = "waxwing_retries_total{reason=\"target_shed\"}";
         env.wait_until("retry counted", async || {
