Do not let ids of callers take targets out of use, and keep connections of refusals

Callers saw: 502 and then, for other callers too, 503: three responses that did not match a request with two id lines ejected the target. A target that returns no ids got requests of the daemon of shard leases on connections whose earlier response lacked one, so that a copy reached an idempotent request. Cause: a response that cannot be used counted as a broken connection of its target; the list of ids was compared as a whole. Ruled out: refusing requests with several ids, which other proxies may have merged. Change: a request with several ids, or an empty one, counts as one without; its response may have any of them, on a connection that carried nothing. An unusable response counts as a failed request, not as a broken connection. A request without a suitable idle connection replaces one. The connections of a target are named by its id and incarnation, so that an entry that expires and comes back costs none. The rest of a short refusal is read, so that its connection is kept (it was closed before). All requests of the daemon of shard leases go by the id or by the first place. The test target returns ids. A VM whose time of day went back is heard again after 3.5 s. Conclusion: what a caller sends and what a copy says no longer changes what is believed of a target.

--- a/crates/waxwing_core/src/flow/mod.rs
+++ b/crates/waxwing_core/src/flow/mod.rs
@@ -323,8 +323,7 @@
         self.route.as_ref().map_or(Millis::ZERO, |r| r.timeout)
     }
 
-    /// Whether the route of the request states that it may run more than once. False before the route is known.
-    pub fn is_idempotent(&self) -> bool {
+    fn is_idempotent(&self) -> bool {
         self.route.as_ref().is_some_and(|r| r.idempotent)
     }
 
--- a/crates/waxwing_edge/src/datagram.rs
+++ b/crates/waxwing_edge/src/datagram.rs
@@ -11,6 +11,9 @@
 /// Number of received datagrams of a sender by which repeated ones are recognized. A datagram older than these is not
 /// handled.
 const MAX_RECENT: usize = 16;
+/// Time after which a silent process no longer voids one of an earlier incarnation at its address. The time of day of a VM, from
+/// which incarnations follow, may have gone back.
+const SILENCE_TIME: Millis = Millis(3500);
 /// Greatest number of senders, and time after which a silent one is forgotten if there are more.
 const MAX_SENDERS: usize = 1024;
 const SENDER_TIME: Millis = Millis::from_secs(60);
@@ -86,10 +89,10 @@
             .senders
             .entry(from)
             .or_insert_with(|| Sender::new(process));
-        if process < sender.process {
+        if process < sender.process && now.since(sender.heard_at) < SILENCE_TIME {
             return false;
         }
-        if process > sender.process {
+        if process != sender.process {
             *sender = Sender::new(process);
         }
         sender.heard_at = now;
--- a/crates/waxwing_edge/src/target/mod.rs
+++ b/crates/waxwing_edge/src/target/mod.rs
@@ -14,7 +14,7 @@
 
 use std::net::SocketAddr;
 
-use slotmap::{Key, new_key_type};
+use slotmap::new_key_type;
 use waxwing_types::{DomainId, Incarnation, Millis, RegionId, ServiceId, TargetId, common_derives};
 
 use crate::Priority;
@@ -29,13 +29,6 @@
     pub struct TargetKey;
 }
 
-impl TargetKey {
-    /// The key as a number, by which connections to the process are told from those to other processes.
-    pub fn as_u64(self) -> u64 {
-        self.data().as_ffi()
-    }
-}
-
 common_derives! {
     /// The regions of all failure domains, and the failure domain and region of this VM.
     pub struct Topology {
@@ -152,6 +145,8 @@
         Misdirected,
         /// No connection to the target could be opened.
         ConnectFailed,
+        /// The target responded, but not with a response that can be used for the request.
+        NoUsableResponse,
         /// The connection broke before the response was complete.
         ConnectionBroken,
         /// The deadline of the request passed.
--- a/crates/waxwing_edge/src/target/observation.rs
+++ b/crates/waxwing_edge/src/target/observation.rs
@@ -134,6 +134,7 @@
             }
             TargetOutcome::Answered { success: false, .. }
             | TargetOutcome::Shed
+            | TargetOutcome::NoUsableResponse
             | TargetOutcome::Misdirected
             | TargetOutcome::ConnectFailed
             | TargetOutcome::ConnectionBroken => self.record_failure(),
--- a/crates/waxwing_edge/src/target/tracked.rs
+++ b/crates/waxwing_edge/src/target/tracked.rs
@@ -297,7 +297,7 @@
                     mean => mean + (latency_ms - mean) * SAMPLE_WEIGHT,
                 };
             }
-            TargetOutcome::Shed => {
+            TargetOutcome::Shed | TargetOutcome::NoUsableResponse => {
                 self.consecutive_failures = 0;
                 self.last_response = now;
                 self.record_sample(now, false);
--- a/crates/waxwing_edge/tests/datagram.rs
+++ b/crates/waxwing_edge/tests/datagram.rs
@@ -102,3 +102,13 @@
     assert!(filter.accept(later, address(1), &tokens(1, 1)));
     assert!(!filter.accept(later, address(1), &tokens(1, 1)));
 }
+
+/// Guards against a VM that is not heard because its time of day went back before its process started again.
+#[test]
+fn a_process_with_an_earlier_incarnation_is_accepted_once_the_other_one_is_silent() {
+    let mut filter = DatagramFilter::default();
+    assert!(filter.accept(NOW, address(1), &tokens(2, 9)));
+    assert!(!filter.accept(NOW + Millis(3000), address(1), &tokens(1, 1)));
+    assert!(filter.accept(NOW + Millis(4000), address(1), &tokens(1, 2)));
+    assert!(filter.accept(NOW + Millis(4100), address(1), &tokens(1, 3)));
+}
--- a/crates/waxwing_http/src/carried.rs
+++ b/crates/waxwing_http/src/carried.rs
@@ -3,13 +3,19 @@
 use std::hash::{BuildHasher, Hasher};
 
 use hyper::HeaderMap;
-use hyper::header::HeaderName;
+use hyper::header::{HeaderName, HeaderValue};
 
 /// Requests with an id that one connection carries before it is replaced. Bounds the ids that are remembered.
 const MAX_IDS: usize = 128;
 /// Most bytes that a connection holds for the ids of the requests that it has carried.
 pub const MAX_IDS_BYTES: usize = MAX_IDS * size_of::<IdHash>();
 
+/// The ids in the headers of a request or response. An empty value names none.
+pub(crate) fn ids<'a>(headers: &'a HeaderMap, name: &HeaderName) -> impl Iterator<Item = &'a [u8]> {
+    let values = headers.get_all(name).into_iter().map(HeaderValue::as_bytes);
+    values.filter(|id| !id.is_empty())
+}
+
 /// By what the response to a request is told from copies of earlier responses.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Identity {
@@ -28,19 +34,16 @@
 pub(crate) struct IdHash(u64);
 
 impl IdHash {
-    /// Hashes the values of the id header, `None` without one.
+    /// Hashes the id in the headers, `None` without a single id.
     pub(crate) fn of(
         hasher: &impl BuildHasher,
         headers: &HeaderMap,
         name: &HeaderName,
     ) -> Option<Self> {
-        let mut values = headers.get_all(name).iter().peekable();
-        values.peek()?;
+        let mut ids = ids(headers, name);
+        let id = ids.next().filter(|_| ids.next().is_none())?;
         let mut state = hasher.build_hasher();
-        for value in values {
-            state.write(value.as_bytes());
-            state.write_u8(b'\n');
-        }
+        state.write(id);
         Some(Self(state.finish()))
     }
 }
--- a/crates/waxwing_http/src/client.rs
+++ b/crates/waxwing_http/src/client.rs
@@ -16,7 +16,7 @@
 use hyper::header::{HOST, HeaderName, HeaderValue};
 use hyper::{HeaderMap, Request, Response};
 
-use crate::carried::{CarriedRequests, IdHash, Identity};
+use crate::carried::{CarriedRequests, IdHash, Identity, ids};
 use crate::conn::{Conn, Outcome};
 use crate::pool::Pool;
 use crate::server::MIN_BUFFER_BYTES;
@@ -90,8 +90,6 @@
     Always,
     /// Perhaps not. Without it, only the first response on a connection is used.
     MayLack,
-    /// Perhaps not, and a copy of an earlier response does no harm.
-    MayLackHarmlessly,
 }
 
 /// Why no response head arrived.
@@ -327,7 +325,7 @@
         let identity = match (IdHash::of(hasher, request, id.header), id.returned) {
             (None, _) => Identity::First,
             (Some(hash), Returned::MayLack) => Identity::IdOrFirst(hash),
-            (Some(hash), Returned::Always | Returned::MayLackHarmlessly) => Identity::Id(hash),
+            (Some(hash), Returned::Always) => Identity::Id(hash),
         };
         Self {
             id,
@@ -338,16 +336,20 @@
 
     /// Whether a response is the one to the request. `carried` includes the request.
     fn accepts(&self, response: &HeaderMap, carried: &mut CarriedRequests) -> bool {
-        let mut returned = response.get_all(self.id.header).iter().peekable();
-        if returned.peek().is_some() {
-            return returned.eq(&self.values);
-        }
-        carried.record_missing_id();
-        match self.id.returned {
-            Returned::Always => self.values.is_empty(),
-            Returned::MayLack => carried.count() == 1,
-            Returned::MayLackHarmlessly => true,
+        let is_sent = |id: &[u8]| self.values.iter().any(|value| value.as_bytes() == id);
+        let mut returned = ids(response, self.id.header).peekable();
+        if returned.peek().is_none() {
+            carried.record_missing_id();
+            // The first response on a connection cannot be a copy.
+            let is_first = carried.count() == 1;
+            return is_first && (self.id.returned == Returned::MayLack || !self.has_id());
         }
+        // Other ids beside that of the request leave open which request the response belongs to.
+        returned.all(is_sent)
+    }
+
+    fn has_id(&self) -> bool {
+        self.values.iter().any(|value| !value.is_empty())
     }
 
     /// Logs which connection a response arrived on.
--- a/crates/waxwing_http/src/pool.rs
+++ b/crates/waxwing_http/src/pool.rs
@@ -77,16 +77,25 @@
         }
     }
 
-    /// Takes the most recently used connection that fulfils a condition.
+    /// Takes the most recently used connection that fulfils a condition. If none does, closes the least recently used one, so
+    /// that requests that need connections of their own do not add idle ones.
     pub(crate) fn take(&self, endpoint: Endpoint, allows: impl Fn(&Conn) -> bool) -> Option<Conn> {
         let mut idle = self.lock();
         let queue = idle.queues.get_mut(&endpoint)?;
         let position = queue
             .iter()
-            .rposition(|entry| entry.is_fresh() && allows(&entry.conn))?;
-        let entry = queue.remove(position)?;
-        idle.count -= 1;
-        Some(entry.conn)
+            .rposition(|entry| entry.is_fresh() && allows(&entry.conn));
+        let entry = position.and_then(|position| queue.remove(position));
+        match entry {
+            Some(entry) => {
+                idle.count -= 1;
+                Some(entry.conn)
+            }
+            None => {
+                idle.remove_oldest_of(endpoint);
+                None
+            }
+        }
     }
 
     pub(crate) fn put(&self, endpoint: Endpoint, conn: Conn) {
--- a/crates/waxwing_http/tests/identified.rs
+++ b/crates/waxwing_http/tests/identified.rs
@@ -123,12 +123,7 @@
     rig(|executor| async move {
         let server = serve(&executor, limits(), |_| async { text("hello") }).await;
         let client = Client::new(Arc::clone(&executor), ClientLimits::default());
-        let cases = [
-            ("a", Returned::MayLackHarmlessly, 1),
-            ("b", Returned::MayLackHarmlessly, 1),
-            ("c", Returned::MayLack, 2),
-            ("d", Returned::MayLack, 3),
-        ];
+        let cases = [("a", Returned::MayLack, 1), ("b", Returned::MayLack, 2)];
         for (id, returned, connections) in cases {
             let sent = send(&client, server.address(), Some(id), returned).await;
             sent.expect("a response");
@@ -174,3 +169,19 @@
         assert_eq!(client.idle(), 2);
     });
 }
+
+/// Guards against idle connections that pile up because none of them takes the next request.
+#[test]
+fn requests_one_after_the_other_with_one_id_leave_one_idle_connection() {
+    for id in [Some("a"), None] {
+        rig(|executor| async move {
+            let server = start_echo(&executor).await;
+            let client = Client::new(Arc::clone(&executor), ClientLimits::default());
+            for _ in 0..100 {
+                let sent = send(&client, server.address(), id, Returned::Always).await;
+                sent.expect("a response");
+            }
+            assert_eq!((client.opened(), client.idle()), (100, 1), "{id:?}");
+        });
+    }
+}
--- a/crates/waxwing_testkit/src/target/server.rs
+++ b/crates/waxwing_testkit/src/target/server.rs
@@ -24,6 +24,8 @@
 
 /// Bytes of a body that are searched for poison.
 const POISON_BYTES: usize = 4096;
+/// Id of a request, which the target returns.
+const REQUEST_ID: &str = "x-request-id";
 /// Most bytes of a command.
 const MAX_CONTROL_BYTES: usize = 64 * 1024;
 /// Most bytes of a response body.
@@ -197,7 +199,17 @@
     }
 
     /// Runs a request that the daemon sent, or sheds it.
+    /// Handles a request, and returns its id.
     async fn work(&self, head: Parts, body: Incoming) -> Response<Body> {
+        let id = head.headers.get(REQUEST_ID).cloned();
+        let mut response = self.work_without_id(head, body).await;
+        if let Some(id) = id {
+            response.headers_mut().insert(REQUEST_ID, id);
+        }
+        response
+    }
+
+    async fn work_without_id(&self, head: Parts, body: Incoming) -> Response<Body> {
         let crashed = self.inner.crashed();
         let Some(slot) = Slot::take(&self.inner.state, &head) else {
             return shed();
--- a/crates/waxwingrail/src/edge/crash.rs
+++ b/crates/waxwingrail/src/edge/crash.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 use async_io::Timer;
-use waxwing_edge::{SelectedTarget, TargetKey, TargetProcess};
+use waxwing_edge::{SelectedTarget, TargetProcess};
 use waxwing_records::Registration;
 use waxwing_types::{Incarnation, Millis, TargetId};
 
@@ -21,7 +21,6 @@
 /// Records that the connection to a target broke while it ran a request, and probes the target.
 pub(crate) fn on_connection_broken(
     shared: &Arc<Shared>,
-    key: TargetKey,
     target: &SelectedTarget,
     fingerprint: u64,
 ) {
@@ -34,7 +33,7 @@
         .quarantine()
         .on_connection_broken(now, fingerprint, process);
     if must_probe {
-        let task = probe(Arc::clone(shared), key, target.clone());
+        let task = probe(Arc::clone(shared), target.clone());
         shared.executor.spawn(task).detach();
     }
 }
@@ -46,12 +45,11 @@
 }
 
 /// Opens a connection to a target until the answer shows whether its process is alive.
-async fn probe(shared: Arc<Shared>, key: TargetKey, target: SelectedTarget) {
-    let endpoint = endpoint(key, &target);
+async fn probe(shared: Arc<Shared>, target: SelectedTarget) {
     let process = TargetProcess::new(&target.id, target.incarnation);
     for delay in PROBE_DELAYS {
         Timer::after(delay.duration()).await;
-        match shared.client.connect(endpoint).await {
+        match shared.client.connect(endpoint(&target)).await {
             Ok(()) => {
                 shared.quarantine().clear_suspects(process);
                 return;
--- a/crates/waxwingrail/src/edge/forward.rs
+++ b/crates/waxwingrail/src/edge/forward.rs
@@ -2,10 +2,12 @@
 
 use std::sync::Arc;
 
+use async_io::Timer;
+use hyper::body::Body as _;
 use hyper::header::{CONTENT_ENCODING, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Request, Response, StatusCode};
-use waxwing_edge::{LoadReport, SelectedTarget, TargetKey, TargetOutcome};
+use waxwing_edge::{LoadReport, SelectedTarget, TargetKey, TargetOutcome, hash_bytes, mix64};
 use waxwing_http::{
     Body, CoarseSleep, Endpoint, ResponseId, Returned, SendError, remove_hop_headers, streamed,
 };
@@ -15,6 +17,7 @@
 use super::body::{TimedBody, buffer_body};
 use super::crash;
 use super::handlers::RunningRequestGuard;
+use super::memory::SMALL_BODY_BYTES;
 use super::notice::apply_notice;
 use super::state::Shared;
 
@@ -24,6 +27,8 @@
 /// Time by which a target's deadline precedes the deadline of the caller, so that the response can reach the
 /// caller in time.
 const DEADLINE_MARGIN: Millis = Millis(5);
+/// Time for the rest of a refusal to arrive. The next attempt waits for it.
+const REFUSAL_REST_TIME: Millis = Millis(10);
 
 /// A request and the target to send it to.
 pub(crate) struct Attempt<'a> {
@@ -134,10 +139,10 @@
     let outcome = futures_lite::future::or(response, timed_out).await;
     match &outcome {
         AttemptOutcome::TimedOut => slot.release(TargetOutcome::TimedOut),
-        AttemptOutcome::NoUsableResponse => slot.release(TargetOutcome::ConnectionBroken),
+        AttemptOutcome::NoUsableResponse => slot.release(TargetOutcome::NoUsableResponse),
         AttemptOutcome::ConnectionBroken => {
             slot.release(TargetOutcome::ConnectionBroken);
-            crash::on_connection_broken(shared, attempt.key, &attempt.target, attempt.fingerprint);
+            crash::on_connection_broken(shared, &attempt.target, attempt.fingerprint);
         }
         AttemptOutcome::Withdrawn => slot.release(TargetOutcome::Cancelled),
         AttemptOutcome::NotSent => slot.release(TargetOutcome::ConnectFailed),
@@ -165,7 +170,7 @@
         returned: Returned::Always,
     };
     let is_withdrawn = || shared.targets().is_withdrawn(shared.now(), &attempt.target);
-    let endpoint = endpoint(attempt.key, &attempt.target);
+    let endpoint = endpoint(&attempt.target);
     let sending = shared
         .client
         .send_identified(endpoint, request, id, is_withdrawn);
@@ -195,6 +200,7 @@
     // that process.
     if response.status() == StatusCode::MISDIRECTED_REQUEST {
         slot.release(TargetOutcome::Misdirected);
+        read_rest(shared, response.into_body()).await;
         return AttemptOutcome::NotRun;
     }
     if let Some(report) = parse_load_report(response.headers(), &header_names.load) {
@@ -204,6 +210,7 @@
     apply_notice(shared, &attempt.target, &response);
     if response.headers().contains_key(&header_names.not_run) {
         slot.release(TargetOutcome::Shed);
+        read_rest(shared, response.into_body()).await;
         return AttemptOutcome::NotRun;
     }
     if response.headers().contains_key(CONTENT_ENCODING) {
@@ -239,11 +246,27 @@
     }
 }
 
+/// Reads the rest of a refusal, so that its connection takes further requests. The connection is closed if the rest is long or
+/// does not arrive soon.
+async fn read_rest(shared: &Shared, body: Body) {
+    if body.is_end_stream() {
+        return;
+    }
+    let read = async {
+        let _rest = buffer_body(body, SMALL_BODY_BYTES, &shared.body_budget).await;
+    };
+    let timer = async {
+        Timer::after(REFUSAL_REST_TIME.duration()).await;
+    };
+    futures_lite::future::or(read, timer).await;
+}
+
 /// The connections of a target. Another process at its address has connections of its own.
-pub(super) fn endpoint(key: TargetKey, target: &SelectedTarget) -> Endpoint {
+pub(super) fn endpoint(target: &SelectedTarget) -> Endpoint {
+    let id_hash = hash_bytes(target.id.as_str().as_bytes());
     Endpoint {
         address: target.address,
-        group: key.as_u64(),
+        group: mix64(id_hash, target.incarnation.0),
     }
 }
 
--- a/crates/waxwingrail/src/request/driver.rs
+++ b/crates/waxwingrail/src/request/driver.rs
@@ -331,8 +331,7 @@
         // Releases the connection of the previous attempt's response.
         self.response = None;
         let client = self.shared.client.clone();
-        let is_idempotent = self.flow.is_idempotent();
-        self.http_call = Some(Box::pin(send(client, address, request, is_idempotent)));
+        self.http_call = Some(Box::pin(send(client, address, request)));
     }
 
     fn forward(&mut self, region: &RegionId, deadline: Millis) {
--- a/crates/waxwingrail/src/request/outbound.rs
+++ b/crates/waxwingrail/src/request/outbound.rs
@@ -113,21 +113,15 @@
     }
 }
 
-/// Sends a request. A response that may be an extra copy of an earlier one is returned only to an idempotent request.
+/// Sends a request. A response that may be an extra copy of an earlier one is not returned.
 pub(crate) async fn send(
     client: Client,
     address: SocketAddr,
     request: Request<Body>,
-    is_idempotent: bool,
 ) -> Result<Response<Body>, SendError> {
-    let returned = if is_idempotent {
-        Returned::MayLackHarmlessly
-    } else {
-        Returned::MayLack
-    };
     let id = ResponseId {
         header: &X_REQUEST_ID,
-        returned,
+        returned: Returned::MayLack,
     };
     client.send_identified(address, request, id, || false).await
 }
--- a/crates/waxwingrail/tests/broken_answers.rs
+++ b/crates/waxwingrail/tests/broken_answers.rs
@@ -124,3 +124,17 @@
         assert_eq!(target.requests(), 1 + 2 * REFUSALS.len());
     });
 }
+
+/// Guards against a copy of a refusal without an id that is taken for the answer to a once-only request, on a connection whose
+/// other answers had ids.
+#[test]
+fn a_refusal_without_an_id_does_not_apply_to_a_request_on_a_used_connection() {
+    run_test(|mut env| async move {
+        let refusal = "HTTP/1.1 503 Busy\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n";
+        let script = vec![vec![answer()], vec![write(refusal), pause(), answer()]];
+        let (daemon, _target) = start_daemon(&mut env, script).await;
+        let (first, _) = call(&env, &daemon, "id-1", text_body("body")).await;
+        let (second, _) = call(&env, &daemon, "id-2", text_body("other")).await;
+        assert_eq!((first, second), (200, 502));
+    });
+}
--- a/crates/waxwingrail/tests/edge_refusal_copies.rs
+++ b/crates/waxwingrail/tests/edge_refusal_copies.rs
@@ -247,3 +247,79 @@
         assert!(refused.connections < all / 4, "{copies:?}");
     }
 }
+
+/// Guards against a caller whose request has two id fields, of which the target returns the first: its answer is dropped, and
+/// counts against the target of all callers.
+#[test]
+fn a_request_with_two_ids_gets_the_answer_with_the_first() {
+    run_test(async |fixture| {
+        fixture.deploy(deployment(1));
+        start_target(&fixture, "t1", vec![vec![answer()]]).await;
+        let daemon = fixture.ready_daemon().await;
+        let mut statuses = Vec::new();
+        for _ in 0..6 {
+            let mut request = request("unsafe")
+                .header("authorization", format!("Bearer {API_KEY}"))
+                .body(full("body"))
+                .expect("a request");
+            request
+                .headers_mut()
+                .insert("x-request-id", "a".parse().expect("id"));
+            request
+                .headers_mut()
+                .append("x-request-id", "b".parse().expect("id"));
+            statuses.push(fixture.send(daemon.caller_address(), request).await.status);
+        }
+        let other = call_with_id(&fixture, &daemon, "unsafe", "id-1").await;
+        assert_eq!((statuses, other.status), (vec![200; 6], 200));
+    });
+}
+
+/// Guards against a new connection for each refusal under overload.
+#[test]
+fn a_refusal_with_a_body_keeps_its_connection() {
+    for refusal in [
+        "HTTP/1.1 503 Busy\r\nx-request-id: ID\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 503 Busy\r\nx-request-id: ID\r\nx-not-run: 1\r\ncontent-length: 4\r\n\r\nbusy",
+    ] {
+        run_test(async |fixture| {
+            fixture.deploy(deployment(1));
+            let script = vec![vec![write(refusal)], vec![write(refusal)], vec![answer()]];
+            let target = start_target(&fixture, "t1", script).await;
+            let daemon = fixture.ready_daemon().await;
+            for id in ["id-1", "id-2", "id-3"] {
+                call_with_id(&fixture, &daemon, "unsafe", id).await;
+            }
+            assert_eq!(
+                (target.requests(), target.connections()),
+                (3, 1),
+                "{refusal}"
+            );
+        });
+    }
+}
+
+/// Guards against new connections to all targets when their entries expire in an outage of the store and come back.
+#[test]
+fn a_process_that_is_registered_again_keeps_its_connections() {
+    run_test(async |fixture| {
+        fixture.deploy(deployment(1));
+        let target = start_target(&fixture, "t1", vec![vec![answer()]]).await;
+        let daemon = fixture.ready_daemon().await;
+        let first = call_with_id(&fixture, &daemon, "unsafe", "id-1").await;
+        fixture.registry.remove(Family::Targets, "t1");
+        let number = AtomicUsize::new(2);
+        wait_until("no target is usable", async || {
+            let id = format!("id-{}", number.fetch_add(1, Ordering::Relaxed));
+            call_with_id(&fixture, &daemon, "unsafe", &id).await.status == 503
+        })
+        .await;
+        fixture.register_target("t1", target.address, TargetState::Ready);
+        wait_until("the target gets requests", async || {
+            let id = format!("id-{}", number.fetch_add(1, Ordering::Relaxed));
+            call_with_id(&fixture, &daemon, "unsafe", &id).await.status == 200
+        })
+        .await;
+        assert_eq!((first.status, target.connections()), (200, 1));
+    });
+}
