Bound stored quota tokens by a lower limit

Cause: a lower burst changed the capacity for new tokens, not the tokens that were held. The same class twice more: a request that waited for a token set the account back to the limit of the deployment under which it was accepted; a coordinator kept tokens received for its own requests after these had ended, beside its share of the burst. Ruled out: cutting each VM to its share of the new burst, because tokens of other VMs' shares add up beyond it or are all lost; dropping the account of a workspace that is no longer listed, because a new account gets initial tokens again. Change: a lower burst reduces all tokens of an account in proportion; only a deployment sets limits; a coordinator moves received tokens that it no longer needs into its stock, up to the capacity. Conclusion: all VMs together hold no more tokens than the limit in force allows.

--- a/crates/waxwing_edge/src/quota/account.rs
+++ b/crates/waxwing_edge/src/quota/account.rs
@@ -14,6 +14,9 @@
 const INITIAL_BURST_PERCENT: u64 = 25;
 /// Need below which a VM holds no tokens for its own requests, in millionths of a token.
 const MIN_NEED: u64 = 2 * ONE_TOKEN;
+/// Number of whole received tokens that a VM may hold even if it needs fewer. One token request may bring
+/// several grants.
+const MAX_RECEIVED: u64 = 4;
 /// Longest time for which tokens are added at once. All accounts are updated four times per second, so a
 /// longer pause means that the VM was suspended. Other VMs have refilled the share of a suspended VM.
 const MAX_REFILL_TIME: Millis = Millis(1500);
@@ -79,6 +82,17 @@
         }
     }
 
+    /// Sets the limit. If the burst is lowered, the tokens are reduced in the same proportion: all VMs together then hold no
+    /// more than the new burst, wherever the tokens are.
+    pub(super) fn set_limit(&mut self, rate: u64, burst: u64) {
+        if burst < self.burst {
+            self.refilled = scale(self.refilled, burst, self.burst);
+            self.received = scale(self.received, burst, self.burst);
+        }
+        self.rate = rate;
+        self.burst = burst;
+    }
+
     /// Sets the coordinator. If it is this VM and this process knew no coordinator before, this VM gets the initial
     /// tokens of the shares that it refills: kept together they admit requests, while the initial share of one VM of a
     /// large fleet is below one token.
@@ -103,6 +117,31 @@
         self.burst * self.share_count / vm_count
     }
 
+    /// Most tokens from other VMs that this VM may hold.
+    pub(super) fn max_received(&self, vm_count: u64) -> u64 {
+        self.need(vm_count).max(ONE_TOKEN * MAX_RECEIVED)
+    }
+
+    /// Adds tokens to those of the shares that this VM refills, up to their capacity, if it is the coordinator. Returns the
+    /// added amount.
+    pub(super) fn store(&mut self, amount: u64, vm_count: u64) -> u64 {
+        if !self.is_coordinator {
+            return 0;
+        }
+        let room = self.refill_capacity(vm_count).saturating_sub(self.refilled);
+        let added = amount.min(room);
+        self.refilled += added;
+        added
+    }
+
+    /// Stores received tokens that the requests at this VM no longer need. Those without room are lost. Any other VM than the
+    /// coordinator sends such tokens to the coordinator.
+    pub(super) fn settle_received(&mut self, vm_count: u64) {
+        let surplus = self.received.saturating_sub(self.max_received(vm_count));
+        self.received -= surplus;
+        self.store(surplus, vm_count);
+    }
+
     pub(super) fn tokens(&self) -> u64 {
         self.refilled + self.received
     }
@@ -165,3 +204,9 @@
         if need < MIN_NEED { 0 } else { need }
     }
 }
+
+/// Returns `amount * numerator / denominator`, rounded down.
+fn scale(amount: u64, numerator: u64, denominator: u64) -> u64 {
+    let scaled = u128::from(amount) * u128::from(numerator) / u128::from(denominator);
+    u64::try_from(scaled).unwrap_or(u64::MAX)
+}
--- a/crates/waxwing_edge/src/quota/mod.rs
+++ b/crates/waxwing_edge/src/quota/mod.rs
@@ -37,9 +37,6 @@
 /// Tokens that a coordinator keeps when it grants tokens to other failure domains, as a multiple of the
 /// tokens that its own failure domain spends in an exchange interval.
 const COORDINATOR_RESERVE_INTERVALS: u64 = 1;
-/// Number of whole received tokens that a VM may hold even if it needs fewer. One token request may bring
-/// several grants.
-const MAX_RECEIVED: u64 = 4;
 /// Amount that a VM's surplus or shortage must exceed to be part of a regular exchange, in millionths of a
 /// token.
 const MIN_TRANSFER: u64 = ONE_TOKEN / 20;
@@ -115,30 +112,34 @@
 
 /// Commands.
 impl WorkspaceQuotas {
-    /// Updates the quotas of the workspaces. A new workspace has no tokens until its coordinator is known.
+    /// Updates the quotas of the workspaces, and drops the part of their tokens that a lower burst no longer allows. A new
+    /// workspace has no tokens until its coordinator is known. The account of a workspace that is no longer listed stays: a
+    /// new one would get initial tokens again.
     pub fn update_specs<'a>(
         &mut self,
         now: Millis,
         specs: impl Iterator<Item = &'a WorkspaceSpec>,
     ) {
         for spec in specs.filter(|s| s.rate > 0) {
-            self.upsert_account(now, spec);
+            self.account(now, spec)
+                .set_limit(spec.rate, spec.burst * ONE_TOKEN);
         }
     }
 
-    /// Takes a token for a new request, and counts the request as demand.
+    /// Takes a token for a new request, and counts the request as demand. The limit stays that of the last
+    /// [`Self::update_specs`], since the request may have been accepted under an older deployment.
     pub fn admit(&mut self, now: Millis, spec: &WorkspaceSpec) -> Admission {
         if spec.rate == 0 {
             return Admission::Admitted;
         }
-        self.upsert_account(now, spec).arrivals += 1;
+        self.account(now, spec).arrivals += 1;
         self.retry_admit(now, spec)
     }
 
     /// Takes a token for a caller's request that got none before. The request is not counted as demand again.
     pub fn retry_admit(&mut self, now: Millis, spec: &WorkspaceSpec) -> Admission {
         let vm_count = self.vm_count();
-        let account = self.upsert_account(now, spec);
+        let account = self.account(now, spec);
         if account.try_take() {
             return Admission::Admitted;
         }
@@ -189,19 +190,8 @@
         let vm_count = self.vm_count();
         if let Some(account) = self.accounts.get_mut(&tokens.workspace) {
             account.advance(now, vm_count);
-            let max_received = account
-                .need(vm_count)
-                .max(ONE_TOKEN * MAX_RECEIVED)
-                .max(account.received);
-            let room = account
-                .refill_capacity(vm_count)
-                .saturating_sub(account.refilled);
-            let to_refilled = tokens
-                .amount
-                .0
-                .min(if account.is_coordinator { room } else { 0 });
-            account.refilled += to_refilled;
-            let to_received = tokens.amount.0 - to_refilled;
+            let max_received = account.max_received(vm_count).max(account.received);
+            let to_received = tokens.amount.0 - account.store(tokens.amount.0, vm_count);
             account.received = account
                 .received
                 .saturating_add(to_received)
@@ -271,6 +261,7 @@
             let coordinator = coordinator_of(workspace);
             account.set_coordinator(&coordinator, vm_count);
             let QuotaCoordinator::Remote(coordinator) = coordinator else {
+                account.settle_received(vm_count);
                 continue;
             };
             let need = account.need(vm_count);
@@ -358,18 +349,14 @@
         self.vm_count.max(1)
     }
 
-    /// Returns the account of a workspace after applying the current quota and refilling the tokens. A
-    /// missing account is inserted.
-    fn upsert_account(&mut self, now: Millis, spec: &WorkspaceSpec) -> &mut Account {
+    /// Returns the account of a workspace after refilling the tokens. A missing account is inserted.
+    fn account(&mut self, now: Millis, spec: &WorkspaceSpec) -> &mut Account {
         let vm_count = self.vm_count();
-        let (rate, burst) = (spec.rate, spec.burst * ONE_TOKEN);
         let account = self
             .accounts
             .entry(spec.id.clone())
-            .or_insert_with(|| Account::new(now, rate, burst));
+            .or_insert_with(|| Account::new(now, spec.rate, spec.burst * ONE_TOKEN));
         account.advance(now, vm_count);
-        account.rate = rate;
-        account.burst = burst;
         account
     }
 }
--- a/crates/waxwing_edge/tests/quota.rs
+++ b/crates/waxwing_edge/tests/quota.rs
@@ -283,3 +283,93 @@
     }
     assert!(run >= 990, "{run} requests run in 10 s");
 }
+
+/// Quotas of four VMs in two failure domains, refilled for 20 s. VMs 0 and 1 are the coordinators.
+fn two_domains_with_full_burst(spec: &WorkspaceSpec) -> Vec<WorkspaceQuotas> {
+    let mut vms: Vec<WorkspaceQuotas> = (0..4).map(|_| WorkspaceQuotas::default()).collect();
+    for sec in 0..=20 {
+        for (i, vm) in vms.iter_mut().enumerate() {
+            vm.update_specs(Millis::from_secs(sec), std::iter::once(spec));
+            vm.assign_coordinators(Millis::from_secs(sec), 4, |_| coordinator_of(i));
+        }
+    }
+    vms
+}
+
+/// The coordinator of a VM of [`two_domains_with_full_burst`].
+fn coordinator_of(vm: usize) -> QuotaCoordinator<usize> {
+    if vm < 2 {
+        QuotaCoordinator::Local { share_count: 2 }
+    } else {
+        QuotaCoordinator::Remote(vm - 2)
+    }
+}
+
+/// Guards against tokens stored under a limit that admit requests after it was lowered, at coordinators and at VMs that were
+/// granted tokens, also if the workspace was missing in a deployment meanwhile.
+#[test]
+fn tokens_stored_under_a_limit_do_not_outlast_its_lowering() {
+    for was_removed in [false, true] {
+        let (old, new) = (spec(100, 100), spec(10, 10));
+        let mut vms = two_domains_with_full_burst(&old);
+        let now = Millis::from_secs(20);
+        for vm in 2..4 {
+            let amount = vms[vm - 2].grant(now, &old.id, Micros::from_units(4));
+            let workspace = old.id.clone();
+            vms[vm].credit(now, &WorkspaceTokens { workspace, amount });
+        }
+
+        let lowered_at = now + Millis(u64::from(was_removed) * 1000);
+        let mut admitted = 0;
+        for vm in &mut vms {
+            if was_removed {
+                vm.update_specs(now, std::iter::empty());
+            }
+            vm.update_specs(lowered_at, std::iter::once(&new));
+            admitted += admitted_at_once(vm, lowered_at, &new);
+        }
+
+        assert!((1..=10).contains(&admitted), "{admitted}");
+    }
+}
+
+/// Guards against a request that was accepted under an older deployment and brings its limit back when it asks for a token again.
+#[test]
+fn a_request_of_an_older_deployment_does_not_change_the_limit() {
+    let (old, new) = (spec(100, 100), spec(10, 10));
+    let mut vm = single_vm(Millis::ZERO, &old);
+    vm.update_specs(Millis::ZERO, std::iter::once(&new));
+    admitted_at_once(&mut vm, Millis::ZERO, &new);
+
+    let mut admitted = 0;
+    for ms in 1..=1000 {
+        let admission = vm.retry_admit(Millis(ms), &old);
+        admitted += u32::from(admission == Admission::Admitted);
+    }
+
+    assert!((9..=10).contains(&admitted), "{admitted}");
+}
+
+/// Guards against a coordinator that holds tokens of other VMs for requests that no longer arrive, beside its full share of the
+/// burst: they would outlast a lower rate.
+#[test]
+fn a_coordinator_keeps_received_tokens_only_while_its_requests_need_them() {
+    let spec = spec(100, 20);
+    let mut vm = single_vm(Millis::ZERO, &spec);
+    vm.assign_coordinators(Millis::ZERO, 10, |_| OWN_SHARE_ONLY);
+    for ms in 0..1000 {
+        vm.admit(Millis(ms), &spec);
+    }
+    let amount = Micros::from_units(80);
+    let workspace = spec.id.clone();
+    vm.credit(Millis(1000), &WorkspaceTokens { workspace, amount });
+
+    // The requests have ended.
+    for step in 4..=80 {
+        vm.prepare_exchanges(Millis(step * 250), |_| OWN_SHARE_ONLY);
+    }
+    let admitted = admitted_at_once(&mut vm, Millis(20_000), &spec);
+
+    // A tenth of the burst, and four received tokens.
+    assert!((1..=6).contains(&admitted), "{admitted}");
+}
