Hand the quota tokens of a stopping VM over to its successor

Cause: the first heartbeat of a stop makes the others choose another quota coordinator. The stopping VM counted itself as before: it refilled the shares of the others for up to 3.5 s beside its successor, and kept its tokens, while the successor began with none. The same class: VMs that stop together each took the whole rate once the entries of the others were gone; a VM that starts from a list that still holds its withdrawn entry could refill the shares of VMs that do not know it. Ruled out: a share for the stopping VM until its entry is gone, because the others learn of that at different times; no admission while stopping, because callers send requests for 2.5 s more. Change: a stopping VM is no candidate. Its coordinator is that of the others, or that of the nearest other failure domain. It refills nothing, unless no other VM has been registered since its stop began. Its tokens follow the heartbeat of the stop, on which the others choose again at once. The removal of its own entry makes a VM a joining one. The choice of coordinators moves to fleet/coordinator.rs. Conclusion: in a planned stop tokens are moved, not made, and not lost.

--- a/crates/waxwing_edge/src/fleet.rs
+++ b/crates/waxwing_edge/src/fleet.rs
@@ -1,15 +1,16 @@
 //! The entry VMs: which are registered and live, which role each has, and the datagrams between them.
 
+mod coordinator;
 mod vm;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use waxwing_records::VmEntry;
-use waxwing_types::{DomainId, Incarnation, Millis, VmId, WorkspaceId};
+use waxwing_types::{DomainId, Incarnation, Millis, VmId};
 
-use crate::QuotaCoordinator;
 use crate::hash::{hash_bytes, mix64};
+use coordinator::WORKSPACE_SHARDS;
 use vm::Vm;
 
 /// Difference of the start times of two VMs from which on they have not started together. Incarnations are times of
@@ -22,20 +23,12 @@
 pub const READER_STARTUP_TIME: Millis = Millis(2500);
 /// Time from the notice of a process until its first report as the store reader: its startup, a call and a datagram.
 const READER_START_TIME: Millis = Millis(READER_STARTUP_TIME.0 + 500);
-/// Number of shards into which the workspaces are divided. In each failure domain, every shard has its own
-/// quota coordinator.
-const WORKSPACE_SHARDS: u64 = 4;
 /// Shard number for the selection of the store reader of a failure domain. No workspace has this shard.
 const STORE_READER_SHARD: u64 = WORKSPACE_SHARDS;
 /// Number of VMs in the other failure domains of the region to which each heartbeat is sent. A few are enough:
 /// these VMs direct callers to this VM's domain only if too few VMs of their own domain are live.
 const OTHER_DOMAIN_HEARTBEATS: usize = 6;
 
-/// Returns the shard of a workspace, a number below [`WORKSPACE_SHARDS`].
-fn workspace_shard(workspace: &WorkspaceId) -> u64 {
-    hash_bytes(workspace.as_str().as_bytes()) % WORKSPACE_SHARDS
-}
-
 /// Rendezvous hashing score. The live VM with the highest score in a failure domain is the quota coordinator
 /// of the shard, or the store reader if the shard is [`STORE_READER_SHARD`].
 fn shard_score(vm_id: &VmId, shard: u64) -> u64 {
@@ -54,6 +47,8 @@
     /// Whether the first list of entries lacked this VM, so that the other VMs do not know it yet. `None` before that list.
     was_unlisted: Option<bool>,
     started_at: Millis,
+    /// Whether no other VM has been registered since the stop of this VM began. `None` before its stop.
+    stops_alone: Option<bool>,
 }
 
 /// Queries.
@@ -138,63 +133,6 @@
         self.other_vms().map(|vm| vm.entry.peer).collect()
     }
 
-    /// The quota coordinator of a workspace in this VM's failure domain, as far as this VM knows.
-    pub fn quota_coordinator(
-        &self,
-        now: Millis,
-        workspace: &WorkspaceId,
-    ) -> QuotaCoordinator<SocketAddr> {
-        let shard = workspace_shard(workspace);
-        let live: Vec<_> = self
-            .other_vms_in_domain()
-            .filter(|vm| self.takes_duties(vm, now))
-            .collect();
-        let highest = live
-            .iter()
-            .max_by_key(|vm| shard_score(&vm.entry.id, shard));
-        match highest {
-            Some(vm) if shard_score(&vm.entry.id, shard) > shard_score(&self.own.id, shard) => {
-                QuotaCoordinator::Remote(vm.entry.peer)
-            }
-            Some(_) | None => QuotaCoordinator::Local {
-                share_count: live.len() + 1,
-            },
-        }
-    }
-
-    /// Peer addresses of a workspace's quota coordinators in the other failure domains, as far as this VM
-    /// knows. Coordinators in this VM's region come first.
-    pub fn other_domain_coordinators(&self, workspace: &WorkspaceId) -> Vec<SocketAddr> {
-        let coordinators = self.other_domain_coordinator_entries(workspace);
-        coordinators.into_iter().map(|entry| entry.peer).collect()
-    }
-
-    /// Peer addresses of a workspace's quota coordinators in the other regions, as far as this VM knows.
-    pub fn other_region_coordinators(&self, workspace: &WorkspaceId) -> Vec<SocketAddr> {
-        let coordinators = self.other_domain_coordinator_entries(workspace).into_iter();
-        let other_regions = coordinators.filter(|entry| entry.region != self.own.region);
-        other_regions.map(|entry| entry.peer).collect()
-    }
-
-    /// Entries of a workspace's quota coordinators in the other failure domains. The registered VM with the
-    /// highest score in a domain counts as the coordinator, whether or not the registered VM is live.
-    fn other_domain_coordinator_entries(&self, workspace: &WorkspaceId) -> Vec<&VmEntry> {
-        let shard = workspace_shard(workspace);
-        let mut highest: BTreeMap<&DomainId, &VmEntry> = BTreeMap::new();
-        for vm in self
-            .other_vms()
-            .filter(|vm| vm.entry.domain != self.own.domain)
-        {
-            let current = highest.entry(&vm.entry.domain).or_insert(&vm.entry);
-            if shard_score(&vm.entry.id, shard) > shard_score(&current.id, shard) {
-                *current = &vm.entry;
-            }
-        }
-        let mut coordinators: Vec<_> = highest.into_values().collect();
-        coordinators.sort_by_key(|entry| entry.region != self.own.region);
-        coordinators
-    }
-
     /// Addresses of the VMs that callers in a failure domain should use. These are the live VMs of the domain
     /// or, if fewer than half of the domain's VMs are live, all live VMs of the region. Without `domain`, the
     /// failure domain of this VM is used. `own_vm_ready` tells whether this VM counts as live.
@@ -284,12 +222,16 @@
             earlier_entry_read: false,
             was_unlisted: None,
             started_at: Millis::ZERO,
+            stops_alone: None,
         }
     }
 
     /// Adds or updates the entry of a VM. A new or changed entry counts as a registration.
     pub fn upsert(&mut self, now: Millis, entry: VmEntry) {
         self.earlier_entry_read |= self.started_earlier(entry.incarnation);
+        self.stops_alone = self
+            .stops_alone
+            .map(|alone| alone && entry.id == self.own.id);
         match self.vms.get_mut(&entry.id) {
             Some(vm) if vm.entry == entry => vm.missing_since = None,
             Some(vm) => {
@@ -306,8 +248,17 @@
         }
     }
 
-    /// Removes a VM whose entry was deleted.
+    /// Records that this VM stops. To be called when it has told the other VMs, so that its tokens arrive after that.
+    pub fn begin_stop(&mut self) {
+        self.stops_alone
+            .get_or_insert(self.vms.keys().all(|id| *id == self.own.id));
+    }
+
+    /// Removes a VM whose entry was deleted. Without the entry of this VM, the others do not know it until it registers again.
     pub fn remove(&mut self, vm_id: &VmId) {
+        if *vm_id == self.own.id {
+            self.was_unlisted = Some(true);
+        }
         self.vms.remove(vm_id);
     }
 
@@ -350,18 +301,20 @@
     }
 
     /// Handles a heartbeat. A heartbeat of an earlier process of the VM is ignored. A heartbeat of a VM that is not
-    /// registered, or not listed yet, only shows whether the fleet served callers before this VM started.
+    /// registered, or not listed yet, only shows whether the fleet served callers before this VM started. Returns whether a VM
+    /// of this failure domain became ready or ceased to be, which may change the quota coordinators.
     pub fn on_heartbeat(
         &mut self,
         now: Millis,
         vm_id: &VmId,
         incarnation: Incarnation,
         ready: bool,
-    ) {
+    ) -> bool {
         self.earlier_vm_ready |= ready && self.started_earlier(incarnation);
         let Some(vm) = self.vms.get_mut(vm_id) else {
-            return;
+            return false;
         };
+        let was_ready = vm.ready;
         if incarnation >= vm.entry.incarnation {
             vm.notice(now, incarnation);
             vm.was_ready = ready || vm.was_ready && incarnation == vm.entry.incarnation;
@@ -369,5 +322,6 @@
             vm.last_heartbeat = Some(now);
             vm.ready = ready;
         }
+        vm.ready != was_ready && vm.entry.domain == self.own.domain
     }
 }
--- a/crates/waxwingrail/src/edge/apply.rs
+++ b/crates/waxwingrail/src/edge/apply.rs
@@ -130,10 +130,9 @@
         }
         Family::Vms => {
             let vm = VmId(name);
+            shared.fleet().remove(&vm);
             if vm == shared.own_entry.id {
                 register_again(shared);
-            } else {
-                shared.fleet().remove(&vm);
             }
         }
     }
--- a/crates/waxwingrail/src/edge/peers.rs
+++ b/crates/waxwingrail/src/edge/peers.rs
@@ -82,7 +82,11 @@
             ready,
             targets,
         } => {
-            shared.fleet().on_heartbeat(now, &vm, incarnation, ready);
+            let is_change = shared.fleet().on_heartbeat(now, &vm, incarnation, ready);
+            if is_change {
+                // The tokens of a stopping coordinator follow its heartbeat.
+                assign_coordinators(shared, now);
+            }
             shared.targets().apply_observations(now, &targets);
         }
         PeerMessage::Quota {
@@ -371,10 +375,12 @@
     }
 }
 
-/// Tells other VMs by a heartbeat that this VM is no longer ready, and removes the entry of this VM from the store.
-/// Called when the daemon stops.
+/// Tells other VMs by a heartbeat that this VM is no longer ready, hands its quota tokens over, and removes the entry of this
+/// VM from the store. Called when the daemon stops.
 pub(crate) async fn withdraw_registration(shared: Arc<Shared>) {
     send_heartbeat(&shared);
+    shared.fleet().begin_stop();
+    exchange_tokens(&shared, shared.now());
     let timeout = shared.settings.store_timeout;
     let answer = shared.registry.withdraw(&shared.own_entry, timeout).await;
     restore::record_epoch(&shared, answer.epoch);
