Refill no share at a joining VM that the others do not know

Cause: a VM that joins after a planned stop refilled its share at once and got initial tokens for it, while the others divided the same share until they had read its entry. Ruled out: waiting for the heartbeats of all VMs of the failure domain, because a VM does not know which of them are live; waiting without a limit, because a VM that is alone in its region gets no heartbeats. Change: a VM that joins a fleet that serves refills nothing until the first heartbeat of another VM, or for 3 s. Conclusion: a share is refilled by the VMs that know of it.

--- a/crates/waxwing_edge/src/fleet.rs
+++ b/crates/waxwing_edge/src/fleet.rs
@@ -184,8 +184,7 @@
     /// would refill the same shares until they have read the entry of this VM. In a fleet that starts as a whole, VMs count
     /// although none accepts requests yet: parts of the initial tokens at several VMs would be below one token each.
     fn takes_duties(&self, vm: &Vm, now: Millis) -> bool {
-        let joins = self.earlier_entry_read && self.was_unlisted == Some(true);
-        if joins {
+        if self.joins() {
             return vm.ready && vm.sends_heartbeats(now);
         }
         let latest_start = self.own.incarnation.0.saturating_add(MIN_EARLIER_START.0);
@@ -194,6 +193,11 @@
         vm.is_live(now) || starts && vm.responds(now)
     }
 
+    /// Whether this VM joined a fleet that served, and the others did not know it.
+    fn joins(&self) -> bool {
+        self.earlier_entry_read && self.was_unlisted == Some(true)
+    }
+
     /// Whether a VM has joined after the startup of this VM, and is still in its own.
     fn joins_later(&self, vm: &Vm, now: Millis) -> bool {
         let joined_later = vm.noticed_at >= self.started_at + READER_STARTUP_TIME;
--- a/crates/waxwing_edge/src/fleet/coordinator.rs
+++ b/crates/waxwing_edge/src/fleet/coordinator.rs
@@ -6,7 +6,7 @@
 use waxwing_records::VmEntry;
 use waxwing_types::{DomainId, Millis, WorkspaceId};
 
-use super::{Fleet, shard_score};
+use super::{FLEET_START_TIME, Fleet, shard_score};
 use crate::QuotaCoordinator;
 use crate::hash::hash_bytes;
 
@@ -42,7 +42,7 @@
             (Some(vm), None) if shard_score(&vm.entry.id, shard) < own_score => {
                 (None, live.len() + 1)
             }
-            (None, None) => (None, 1),
+            (None, None) => (None, usize::from(!self.is_new_to_others(now))),
             (Some(vm), _) => (Some(vm.entry.peer), 0),
             (None, Some(stops_alone)) => {
                 let other_domain = self.other_domain_coordinators(workspace).first().copied();
@@ -55,6 +55,14 @@
         )
     }
 
+    /// Whether this VM joins a fleet that serves, and no other VM has shown by a heartbeat that it knows this VM. Until then, the
+    /// others divide quotas without it. A VM that is alone in its region gets no heartbeats.
+    fn is_new_to_others(&self, now: Millis) -> bool {
+        self.joins()
+            && now.since(self.started_at) < FLEET_START_TIME
+            && !self.other_vms().any(|vm| vm.sends_heartbeats(now))
+    }
+
     /// Peer addresses of a workspace's quota coordinators in the other failure domains, as far as this VM
     /// knows. Coordinators in this VM's region come first.
     pub fn other_domain_coordinators(&self, workspace: &WorkspaceId) -> Vec<SocketAddr> {
--- a/crates/waxwing_edge/tests/decisions.rs
+++ b/crates/waxwing_edge/tests/decisions.rs
@@ -254,7 +254,7 @@
 
 /// Guards against two quota coordinators in a failure domain: a VM whose entry was withdrawn at a planned stop joins again, and
 /// the others do not know it until they have read its new entry. It must not refill their shares meanwhile, as their
-/// coordinator does.
+/// coordinator does, nor a share of its own, which they still divide.
 #[test]
 fn a_joining_vm_counts_only_vms_that_send_heartbeats() {
     let own = VmEntry {
@@ -266,7 +266,7 @@
     fleet.upsert(Millis::ZERO, vm("v2", "a", 2));
     fleet.upsert(Millis::ZERO, vm("v3", "a", 3));
     let workspace = "w".into();
-    let alone = QuotaCoordinator::Local { share_count: 1 };
+    let local = |share_count| QuotaCoordinator::Local { share_count };
 
     let before = fleet.quota_coordinator(Millis(100), &workspace);
     for id in ["v2", "v3"] {
@@ -274,8 +274,33 @@
     }
     let after = fleet.quota_coordinator(Millis(300), &workspace);
 
-    assert_eq!(before, alone);
-    assert_ne!(after, alone);
+    assert_eq!(before, local(0));
+    assert_ne!(after, local(0));
+    assert_ne!(after, local(1));
+}
+
+/// Guards against a joining VM that never refills its share, because no other VM of its failure domain or of its region is there
+/// to send it heartbeats.
+#[test]
+fn a_joining_vm_without_others_in_its_domain_refills_its_share() {
+    let own = VmEntry {
+        incarnation: Incarnation(100_000),
+        ..vm("v1", "a", 1)
+    };
+    let mut fleet = Fleet::new(own);
+    fleet.retain_listed(&["v2".into()]);
+    fleet.upsert(Millis::ZERO, vm("v2", "b", 2));
+    let workspace = "w".into();
+    let local = |share_count| QuotaCoordinator::Local { share_count };
+
+    let before = fleet.quota_coordinator(Millis(2900), &workspace);
+    let alone = fleet.quota_coordinator(Millis(3000), &workspace);
+    fleet.on_heartbeat(Millis(200), &"v2".into(), Incarnation(1), true);
+    let known = fleet.quota_coordinator(Millis(300), &workspace);
+
+    assert_eq!(before, local(0));
+    assert_eq!(alone, local(1));
+    assert_eq!(known, local(1));
 }
 
 /// Guards against a directory that names a VM which had ended before the store was restored from an older copy that holds its entry,
--- a/crates/waxwing_edge/tests/stopping.rs
+++ b/crates/waxwing_edge/tests/stopping.rs
@@ -135,6 +135,7 @@
 
     for workspace in workspaces() {
         let coordinator = fleet.quota_coordinator(NOW, &workspace);
+        // The VM has been running for longer than it takes to join.
         assert_eq!(coordinator, QuotaCoordinator::Local { share_count: 1 });
     }
 }
