Keep connections of their own for each kind of call to the platform's store

Cause: an extra copy of an answer of the store is taken for the answer to the next call on its connection: a watch of one family skips changes by the revision of another one, and a list counts as a registration. Ruled out: a new connection for each call, which adds a way to the store to each notice; ids, which the store does not return. Change: calls are grouped by method and path. A copy within a group has no later revision than is known. The users do not say that the store repeats answers.

--- a/crates/waxwing_http/src/exchange.rs
+++ b/crates/waxwing_http/src/exchange.rs
@@ -1,13 +1,11 @@
 //! One request with its whole answer.
 
-use std::net::SocketAddr;
-
 use futures_lite::future;
 use http_body_util::BodyExt;
 use hyper::{Request, Response};
 use waxwing_types::Millis;
 
-use crate::{Body, Client, SendError};
+use crate::{Body, Client, Endpoint, SendError};
 
 /// Why there is no whole answer, with the reason.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -36,13 +34,14 @@
 /// See [`ExchangeError`].
 pub async fn exchange(
     client: &Client,
-    address: SocketAddr,
+    endpoint: impl Into<Endpoint>,
     request: Request<Body>,
     timeout: Millis,
     max: usize,
 ) -> Result<Response<Vec<u8>>, ExchangeError> {
+    let endpoint = endpoint.into();
     let answer = async {
-        let response = match client.send(address, request).await {
+        let response = match client.send(endpoint, request).await {
             Ok(response) => response,
             Err(error @ (SendError::Connect(_) | SendError::Withdrawn | SendError::NotSent(_))) => {
                 return Err(ExchangeError::Unsent(error.to_string()));
@@ -58,7 +57,7 @@
     // The time may be over between sending and answering, so a write counts as sent.
     let expired = async {
         async_io::Timer::after(timeout.duration()).await;
-        client.close_idle(address);
+        client.close_idle(endpoint.address);
         Err(ExchangeError::Sent(format!("no answer within {timeout}")))
     };
     future::or(answer, expired).await
