Bound how long after an outage targets without an entry are kept

Cause: a target that the first list after an outage lacks was kept for 2 s from that list, so that it could write its entry again.

Change: a failed call states when it met the outage, which has not ended before. A delayed removal is logged at debug.

Conclusion: how late a VM notices the end of an outage no longer adds to the time for which it uses targets that have left.

--- a/crates/waxwingrail/src/edge/apply.rs
+++ b/crates/waxwingrail/src/edge/apply.rs
@@ -11,6 +11,7 @@
 use super::crash;
 use super::peers;
 use super::state::Shared;
+use super::state_age::max_removal_delay;
 
 /// Applies a list, which the registry returns as one change for each entry that exists.
 pub(crate) fn apply_list(
@@ -145,8 +146,12 @@
     {
         let mut status = shared.store_status();
         status.restore_grace.on_target_change(&id);
-        let deadline = status.reregistration_deadline();
+        let deadline = status.reregistration_deadline(max_removal_delay(&shared.settings));
         if now < deadline {
+            log::debug!(
+                target_id = id.0.as_str(), delay_ms = deadline.since(now).0;
+                "removal of a target delayed"
+            );
             status.pending_removals.entry(id).or_insert(deadline);
             return;
         }
--- a/crates/waxwingrail/src/edge/list.rs
+++ b/crates/waxwingrail/src/edge/list.rs
@@ -28,14 +28,26 @@
     pub(crate) position: Position,
     /// The failure of a call; `None` if the store only dropped its history or was restored, or a watch failed that had met a
     /// silence of the store long ago.
-    pub(crate) failure: Option<String>,
+    pub(crate) failure: Option<StoreFailure>,
+}
+
+/// A call to the store that failed.
+pub(crate) struct StoreFailure {
+    pub(crate) reason: String,
+    /// Time at which the call met the outage, or earlier: the outage has not ended before.
+    pub(crate) met_at: Millis,
 }
 
 impl Interruption {
-    pub(crate) fn failed(position: Position, reason: String) -> Self {
+    /// The failure of a call without a wait, which was sent at `sent_at`.
+    pub(crate) fn failed(position: Position, reason: String, sent_at: Millis) -> Self {
+        let failure = StoreFailure {
+            reason,
+            met_at: sent_at,
+        };
         Self {
             position,
-            failure: Some(reason),
+            failure: Some(failure),
         }
     }
 }
@@ -99,7 +111,10 @@
     let failure = match restore::record_epoch(shared, answer.epoch) {
         AnswerEpoch::Current => return Ok(answer.outcome),
         AnswerEpoch::Restored(_) => None,
-        AnswerEpoch::Earlier => Some("answer of an earlier epoch".to_owned()),
+        AnswerEpoch::Earlier => Some(StoreFailure {
+            reason: "answer of an earlier epoch".to_owned(),
+            met_at: shared.now(),
+        }),
     };
     Err(Interruption {
         position: Position::Restored,
@@ -125,7 +140,7 @@
             as_of: (freshness == Freshness::Latest).then_some(sent_at),
             epoch,
         }),
-        ListOutcome::Unreachable(reason) => Err(Interruption::failed(position, reason)),
+        ListOutcome::Unreachable(reason) => Err(Interruption::failed(position, reason, sent_at)),
     }
 }
 
--- a/crates/waxwingrail/src/edge/state.rs
+++ b/crates/waxwingrail/src/edge/state.rs
@@ -23,6 +23,7 @@
 use waxwing_store::{Family, Freshness, Registry};
 use waxwing_types::{Clock, DomainId, Incarnation, Millis, TargetId};
 
+use super::list::StoreFailure;
 use super::memory::{BodyBudget, MemoryLimits};
 use super::metric::Metrics;
 use super::restore::RestoreGrace;
@@ -33,10 +34,8 @@
 
 /// Resolution of the timer that ends requests at their deadlines.
 const DEADLINE_RESOLUTION: Duration = Duration::from_millis(20);
-/// Time for which targets are kept after a store outage although their entries expired in the outage. The time
-/// starts when this VM notices the recovery of the store. The platform gives targets about two seconds from the
-/// recovery to restore their entries. A VM that was cut off from the store notices the recovery within 1.2 s. 4 s
-/// after the recovery, the VM must have removed the targets that left during the outage.
+/// Time for which targets are kept after a store outage although their entries expired in the outage, from the first list after
+/// the outage. The platform gives targets about two seconds from the recovery of the store to restore their entries.
 const REREGISTRATION_TIME: Millis = Millis(2000);
 
 /// What this VM has read from the store, and which of its calls to the store fail.
@@ -46,6 +45,8 @@
     pub(crate) unavailable: BTreeSet<Family>,
     /// Time at which a family was first listed after a failed call.
     pub(crate) recovered_at: BTreeMap<Family, Millis>,
+    /// Time before which the last outage that a family met has not ended.
+    pub(crate) outage_met_at: BTreeMap<Family, Millis>,
     /// Families that were listed at least once.
     pub(crate) loaded: BTreeSet<Family>,
     /// Whether the store has accepted the entry of this VM.
@@ -60,10 +61,13 @@
 }
 
 impl StoreStatus {
-    /// Time until which targets may restore entries that expired during a store outage.
-    pub(crate) fn reregistration_deadline(&self) -> Millis {
+    /// Time until which targets may restore entries that expired during a store outage, at most `max_delay` after the end of the
+    /// outage. A VM that notices the end late keeps targets for a shorter time, because some of them left during the outage.
+    pub(crate) fn reregistration_deadline(&self, max_delay: Millis) -> Millis {
         let recovered_at = self.recovered_at.get(&Family::Targets);
-        recovered_at.map_or(Millis::ZERO, |time| *time + REREGISTRATION_TIME)
+        let deadline = recovered_at.map_or(Millis::ZERO, |time| *time + REREGISTRATION_TIME);
+        let met_at = self.outage_met_at.get(&Family::Targets);
+        met_at.map_or(deadline, |time| deadline.min(*time + max_delay))
     }
 
     /// Whether a list of VMs shows that this VM must register again. A list with [`Freshness::Recent`] may be
@@ -237,11 +241,15 @@
     }
 
     /// Records a failed call for a family.
-    pub(crate) fn record_store_failure(&self, family: Family, reason: &str) {
-        let is_first_failure = self.store_status().unavailable.insert(family);
+    pub(crate) fn record_store_failure(&self, family: Family, failure: &StoreFailure) {
+        let is_first_failure = {
+            let mut status = self.store_status();
+            status.outage_met_at.insert(family, failure.met_at);
+            status.unavailable.insert(family)
+        };
         self.metrics.count_store_failure(family);
         if is_first_failure {
-            log::warn!(family = family.as_str(), reason = reason; "store not reached");
+            log::warn!(family = family.as_str(), reason = failure.reason.as_str(); "store not reached");
         }
     }
 
@@ -250,6 +258,7 @@
         let now = self.now();
         let mut status = self.store_status();
         status.recovered_at.insert(family, now);
+        status.outage_met_at.remove(&family);
         status.restore_grace.on_restored_list(now, family);
     }
 
--- a/crates/waxwingrail/src/edge/state_age.rs
+++ b/crates/waxwingrail/src/edge/state_age.rs
@@ -92,6 +92,12 @@
     TICK_PERIOD + CALL_TIME + SEND_TIME + DATAGRAM_TIME
 }
 
+/// Time from the end of a store outage until which this VM may keep targets that left during it: the next tick removes them, and
+/// the last request that was sent before arrives when `store_recovery` ends.
+pub(super) fn max_removal_delay(settings: &EdgeSettings) -> Millis {
+    settings.store_recovery - TICK_PERIOD - SEND_TIME
+}
+
 /// Logs limits on the delay of changes that are too short to be kept if a store reader fails.
 pub(crate) fn log_short_limits(settings: &EdgeSettings) {
     let shortest = MIN_MAX_AGE + reaction_time();
--- a/crates/waxwingrail/src/edge/watch.rs
+++ b/crates/waxwingrail/src/edge/watch.rs
@@ -19,8 +19,8 @@
 
 use super::apply::{apply_changes, apply_list};
 use super::list::{
-    Interruption, Listed, Position, current_outcome, list, list_after_restore, list_again,
-    record_and_report,
+    Interruption, Listed, Position, StoreFailure, current_outcome, list, list_after_restore,
+    list_again, record_and_report,
 };
 use super::settings::EdgeSettings;
 use super::state::Shared;
@@ -98,8 +98,8 @@
             Err(interruption) => interruption,
         };
         position = interruption.position;
-        if let Some(reason) = interruption.failure {
-            shared.record_store_failure(family, &reason);
+        if let Some(failure) = interruption.failure {
+            shared.record_store_failure(family, &failure);
             let jitter = Millis(fastrand::u64(0..=pause.0 / 2));
             Timer::after((pause + jitter).duration()).await;
             pause = Millis(pause.0 * 2).min(max_pause);
@@ -147,6 +147,7 @@
     };
     let timeout = shared.settings.store_timeout;
     let freshness = shared.watch_progress().recent_freshness(shared.now());
+    let sent_at = shared.now();
     let probe = shared
         .registry
         .watch(family, known, freshness, Millis::ZERO, timeout);
@@ -165,7 +166,7 @@
         WatchOutcome::HistoryGone => {
             list_again(shared, family, known, Position::HistoryGone(known)).await
         }
-        WatchOutcome::Unreachable(reason) => Err(Interruption::failed(position, reason)),
+        WatchOutcome::Unreachable(reason) => Err(Interruption::failed(position, reason, sent_at)),
     }
 }
 
@@ -199,6 +200,17 @@
     }
 }
 
+/// Time at which a failed watch met the outage, or earlier. A watch that is answered within its wait, by a refusal or a broken
+/// connection, shows that the store could not be reached then. Without an answer, the outage may have ended right after the
+/// watch was sent.
+fn outage_met_at(settings: &EdgeSettings, sent_at: Millis, wait: Millis, now: Millis) -> Millis {
+    if now < sent_at + wait {
+        sent_at.max(now - settings.connect_timeout)
+    } else {
+        sent_at
+    }
+}
+
 /// Watches a family until a call fails or the store has dropped unread changes.
 async fn watch(
     shared: &Arc<Shared>,
@@ -265,11 +277,12 @@
                 };
             }
             WatchOutcome::Unreachable(reason) => {
-                let now = shared.now();
-                let shows_outage = shared.watch_progress().shows_outage(now, family, mode);
+                let met_at = outage_met_at(&shared.settings, now, wait, answered_at);
+                let progress = shared.watch_progress();
+                let shows_outage = progress.shows_outage(answered_at, family, mode);
                 return Interruption {
                     position: Position::Interrupted(revision),
-                    failure: shows_outage.then_some(reason),
+                    failure: shows_outage.then_some(StoreFailure { reason, met_at }),
                 };
             }
         }
--- a/crates/waxwingrail/tests/edge_watch.rs
+++ b/crates/waxwingrail/tests/edge_watch.rs
@@ -54,6 +54,40 @@
     });
 }
 
+/// Guards against a target that left during an outage and still gets requests when the limits apply again, because the VM noticed
+/// the end of the outage late.
+#[test]
+fn a_target_that_left_in_an_outage_gets_no_requests_after_the_recovery_time() {
+    run_test(async |fixture| {
+        fixture.deploy(deployment(1));
+        fixture.start_target("t1", TargetBehavior::Answer).await;
+        let settings = settings("v1", &["--store-timeout-ms=2500"]);
+        let recovery = settings.store_recovery.duration();
+        let daemon = fixture.start_daemon_with(settings, 1).await;
+        fixture.wait_until_ready(&daemon).await;
+        wait_until("the VM is the store reader", async || {
+            let watches = fixture.registry.watches(Family::Targets);
+            watches.contains(&Freshness::Latest)
+        })
+        .await;
+        fixture.registry.set_silent(true);
+        fixture.registry.expire(Family::Targets, "t1");
+        fixture.wait_until_watches_fail(&daemon).await;
+        let watches = || fixture.registry.watches(Family::Targets).len();
+        let watches_before = watches();
+        // The silence ends right after this call has begun, and the call stays without an answer.
+        wait_until("a call begins in the silence", async || {
+            watches() > watches_before
+        })
+        .await;
+        let recovered_at = Instant::now();
+        fixture.registry.set_silent(false);
+        fixture.wait_until_no_target(&daemon).await;
+        let elapsed = recovered_at.elapsed();
+        assert!(elapsed < recovery, "removed after {elapsed:?}");
+    });
+}
+
 /// Guards against sending requests to a target whose entry can no longer be decoded.
 #[test]
 fn a_target_whose_entry_becomes_unreadable_gets_no_requests() {
