Use the form that the linter asks for

Cause: clippy refuses a match on an Option with two arms where an if does (single_match_else). Change: the pool of idle connections uses an if. Conclusion: no change of behaviour.

--- a/crates/waxwing_http/src/pool.rs
+++ b/crates/waxwing_http/src/pool.rs
@@ -86,16 +86,12 @@
             .iter()
             .rposition(|entry| entry.is_fresh() && allows(&entry.conn));
         let entry = position.and_then(|position| queue.remove(position));
-        match entry {
-            Some(entry) => {
-                idle.count -= 1;
-                Some(entry.conn)
-            }
-            None => {
-                idle.remove_oldest_of(endpoint);
-                None
-            }
+        if entry.is_some() {
+            idle.count -= 1;
+        } else {
+            idle.remove_oldest_of(endpoint);
         }
+        entry.map(|entry| entry.conn)
     }
 
     pub(crate) fn put(&self, endpoint: Endpoint, conn: Conn) {
