Log when a VM learns of a later process of a target, and count cold sends

Seen: no line tells when a VM learned that a target started again, and a send does not say whether the target was taken for warm. Cause: only the crash of a target with running requests was logged, by the VMs that ran them. Change: event 'target restarted' with both incarnations and the cold time; field 'warmth' of 'request sent'; metric waxwing_edge_target_sends_total by target=warm and cold. SelectedTarget names what the target was taken for. No change of decisions.

--- a/crates/waxwing_edge/src/lib.rs
+++ b/crates/waxwing_edge/src/lib.rs
@@ -29,5 +29,5 @@
 pub use target::{
     ColdStartLimit, LoadReport, NoticeChange, NoticeKind, NoticedTarget, Pause, PauseRequest,
     SelectedTarget, Selection, TargetCriteria, TargetKey, TargetNotice, TargetObservation,
-    TargetOutcome, TargetPool, Topology,
+    TargetOutcome, TargetPool, Topology, Warmth,
 };
--- a/crates/waxwing_edge/src/target/mod.rs
+++ b/crates/waxwing_edge/src/target/mod.rs
@@ -68,6 +68,30 @@
     }
 }
 
+common_derives! {
+    key
+    /// Whether a target has become warm, as far as this VM knows, as a metric label.
+    pub enum Warmth {
+        /// The target handles requests at its full rate.
+        Warm,
+        /// The target tolerates only a few requests.
+        Cold,
+    }
+}
+
+impl Warmth {
+    /// All values.
+    pub const ALL: &'static [Self] = &[Self::Warm, Self::Cold];
+
+    /// The value as a metric label.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Warm => "warm",
+            Self::Cold => "cold",
+        }
+    }
+}
+
 common_derives! {
     /// The target that was selected for a request.
     pub struct SelectedTarget {
@@ -82,6 +106,8 @@
         pub region: RegionId,
         /// Expected queueing time of the request at the target.
         pub expected_wait: Millis,
+        /// What this VM took the target for.
+        pub warmth: Warmth,
     }
 }
 
--- a/crates/waxwing_edge/src/target/select.rs
+++ b/crates/waxwing_edge/src/target/select.rs
@@ -116,6 +116,7 @@
             };
         }
         let expected_wait = millis(expected_wait_ms);
+        let warmth = self.targets[key].warmth(now);
         self.on_request_start(now, key);
         let target = &self.targets[key];
         let selected = SelectedTarget {
@@ -124,6 +125,7 @@
             address: target.registration.address,
             region: target.region.clone(),
             expected_wait,
+            warmth,
         };
         Selection::Selected(key, selected)
     }
--- a/crates/waxwing_edge/src/target/tracked.rs
+++ b/crates/waxwing_edge/src/target/tracked.rs
@@ -5,7 +5,7 @@
 
 use super::notice::NoticeState;
 use super::observation::{TargetHealth, TargetObservation, UnsentOutcomes, bounded_load};
-use super::{ColdStartLimit, LoadReport, TargetOutcome};
+use super::{ColdStartLimit, LoadReport, TargetOutcome, Warmth};
 
 /// Greatest load that is used, in requests per slot. A wrong report must not keep a target out of use for long through
 /// the mean of the reports.
@@ -148,6 +148,14 @@
         now < self.cold_until
     }
 
+    pub(crate) fn warmth(&self, now: Millis) -> Warmth {
+        if self.is_cold(now) {
+            Warmth::Cold
+        } else {
+            Warmth::Warm
+        }
+    }
+
     /// Whether other targets are preferred, because this target was recently slow or failed often.
     /// `unloaded_latency_ms` is the average unloaded latency of the service.
     pub(crate) fn is_avoided(&self, now: Millis, unloaded_latency_ms: f64) -> bool {
--- a/crates/waxwing_edge/tests/common/process.rs
+++ b/crates/waxwing_edge/tests/common/process.rs
@@ -1,7 +1,7 @@
 //! Fixtures for the tests of what targets say of themselves.
 #![allow(dead_code, reason = "each test file uses only some of the items")]
 
-use waxwing_edge::{SelectedTarget, Selection, TargetNotice, TargetPool};
+use waxwing_edge::{SelectedTarget, Selection, TargetNotice, TargetPool, Warmth};
 use waxwing_records::Registration;
 use waxwing_types::{Incarnation, Millis, ServiceId};
 
@@ -29,6 +29,7 @@
         address: registration.address,
         region: "r1".into(),
         expected_wait: Millis::ZERO,
+        warmth: Warmth::Warm,
     }
 }
 
--- a/crates/waxwingrail/src/edge/apply.rs
+++ b/crates/waxwingrail/src/edge/apply.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use waxwing_edge::{ColdStartLimit, RoutingTable};
-use waxwing_records::Deployment;
+use waxwing_records::{Deployment, Registration};
 use waxwing_store::{Change, Entry, Family, Freshness};
 use waxwing_types::{DomainId, Millis, TargetId, VmId};
 
@@ -86,6 +86,7 @@
                     status.restore_grace.on_target_change(&entry.id);
                 }
                 crash::on_registration(shared, &entry);
+                log_restart(shared, &entry);
                 shared.targets().upsert(now, entry);
             }
             Some(Entry::Evacuation(domain)) => {
@@ -118,6 +119,18 @@
     }
 }
 
+/// Logs that a registration is that of a later process of a known target.
+fn log_restart(shared: &Shared, registration: &Registration) {
+    let earlier = shared.targets().incarnation(&registration.id);
+    if let Some(earlier) = earlier.filter(|earlier| *earlier < registration.incarnation) {
+        log::info!(
+            target_id = registration.id.as_str(), service = registration.service.as_str(),
+            earlier = earlier.0, incarnation = registration.incarnation.0, cold_ms = registration.cold_left.0;
+            "target restarted"
+        );
+    }
+}
+
 fn apply_removal(shared: &Arc<Shared>, now: Millis, family: Family, name: smol_str::SmolStr) {
     match family {
         Family::Deployment => {}
--- a/crates/waxwingrail/src/edge/metric.rs
+++ b/crates/waxwingrail/src/edge/metric.rs
@@ -6,7 +6,7 @@
 use metrics::{Counter, Gauge, Histogram, counter, gauge, histogram, with_local_recorder};
 use metrics_exporter_prometheus::{PrometheusHandle, PrometheusRecorder};
 use smol_str::SmolStr;
-use waxwing_edge::NoticeKind;
+use waxwing_edge::{NoticeKind, Warmth};
 use waxwing_store::Family;
 use waxwing_types::{Millis, RefusalReason, RetryReason, common_derives};
 
@@ -43,6 +43,7 @@
     refusals: Vec<Counter>,
     retries: Vec<Counter>,
     target_notices: Vec<Counter>,
+    target_sends: Vec<Counter>,
     store_failures: HashMap<Family, Counter>,
     unreadable_entries: HashMap<Family, Counter>,
     state_ages: HashMap<Family, Gauge>,
@@ -79,6 +80,7 @@
         let refusal = |reason: &RefusalReason| counter!("waxwing_edge_refusals_total", "reason" => reason.as_str());
         let retry = |reason: &RetryReason| counter!("waxwing_edge_retries_total", "reason" => reason.as_str());
         let notice = |kind: &NoticeKind| counter!("waxwing_edge_target_notices_total", "kind" => kind.as_str());
+        let send = |warmth: &Warmth| counter!("waxwing_edge_target_sends_total", "target" => warmth.as_str());
         let store_failure = |family: Family| counter!("waxwing_edge_store_failures_total", "family" => family.as_str());
         let unreadable =
             |family: Family| counter!("waxwing_edge_unreadable_total", "family" => family.as_str());
@@ -91,6 +93,7 @@
             refusals: RefusalReason::ALL.iter().map(refusal).collect(),
             retries: RetryReason::ALL.iter().map(retry).collect(),
             target_notices: NoticeKind::ALL.iter().map(notice).collect(),
+            target_sends: Warmth::ALL.iter().map(send).collect(),
             store_failures: Family::ALL
                 .into_iter()
                 .map(|family| (family, store_failure(family)))
@@ -130,6 +133,11 @@
         self.retries[reason as usize].increment(1);
     }
 
+    /// Counts a request for which a target was selected.
+    pub(crate) fn count_send(&self, warmth: Warmth) {
+        self.target_sends[warmth as usize].increment(1);
+    }
+
     /// Counts what a target said of itself in a response.
     pub(crate) fn count_notice(&self, kind: NoticeKind) {
         self.target_notices[kind as usize].increment(1);
--- a/crates/waxwingrail/src/edge/request.rs
+++ b/crates/waxwingrail/src/edge/request.rs
@@ -280,10 +280,11 @@
             log::debug!(
                 request = request_id(&self.head.headers, self.names()).as_str(), service = routed.service.as_str(),
                 target_id = selected.id.as_str(), address:% = selected.address, region = selected.region.as_str(),
-                wait_ms = selected.expected_wait.0, attempt = attempts.tried.len() + 1,
+                warmth = selected.warmth.as_str(), wait_ms = selected.expected_wait.0, attempt = attempts.tried.len() + 1,
                 left_ms = routed.deadline.since(shared.now()).0;
                 "request sent"
             );
+            shared.metrics.count_send(selected.warmth);
             let attempt = Attempt {
                 request_head: &self.head,
                 key,
