Show that a target that restarts under its id is flooded

Cause: a VM takes the process that it finds at the address of a target for the one that its entry describes. Ruled out: cold start tokens; none is used in the test.

--- /dev/null
+++ b/crates/waxwingrail/tests/edge_restart.rs
@@ -0,0 +1,81 @@
+//! Tests of the edge daemon with targets that start again under their id, while the entry of the process before is the only
+//! known one.
+
+#[path = "edge/fixture.rs"]
+mod fixture;
+#[path = "edge/restarting_target.rs"]
+mod restarting_target;
+#[path = "edge/script.rs"]
+mod script;
+mod scripted;
+
+use std::time::{Duration, Instant};
+
+use async_io::Timer;
+use fixture::{Fixture, deployment, run_test};
+use restarting_target::{Health, RestartingTarget};
+use script::call_with_id;
+use waxwing_records::TargetState;
+use waxwingrail::edge::EdgeDaemon;
+
+/// Requests that a cold target may get in one second: its rate of 10 times 1.5, and 5.
+const COLD_LIMIT: usize = 20;
+/// Cold time of a process that starts.
+const COLD_TIME: Duration = Duration::from_secs(3);
+/// VMs of a fleet in a test.
+const VMS: usize = 6;
+
+/// Starts a fleet of ready daemons and the target `t1`.
+async fn start_fleet(fixture: &Fixture) -> (Vec<EdgeDaemon>, RestartingTarget) {
+    fixture.deploy(deployment(1));
+    let target = RestartingTarget::start(&fixture.executor).await;
+    fixture.register_target("t1", target.address, TargetState::Ready);
+    let mut fleet = Vec::new();
+    for vm in 0..VMS {
+        fleet.push(fixture.start_daemon(&format!("v{vm}"), 1).await);
+    }
+    for daemon in &fleet {
+        fixture.wait_until_ready(daemon).await;
+    }
+    (fleet, target)
+}
+
+/// Sends a request to each VM, and returns how many were answered by a target.
+async fn call_all(fixture: &Fixture, fleet: &[EdgeDaemon], round: usize) -> usize {
+    let mut answered = 0;
+    for (vm, daemon) in fleet.iter().enumerate() {
+        let response = call_with_id(fixture, daemon, "safe", &format!("{round}-{vm}")).await;
+        answered += usize::from(response.status == 200);
+    }
+    answered
+}
+
+/// Sends requests to all VMs for a time.
+async fn load(fixture: &Fixture, fleet: &[EdgeDaemon], duration: Duration) {
+    let end = Instant::now() + duration;
+    let mut round = 0;
+    while Instant::now() < end {
+        call_all(fixture, fleet, round).await;
+        Timer::after(Duration::from_millis(10)).await;
+        round += 1;
+    }
+}
+
+/// Guards against a fleet that takes a target that started again for the warm process of before.
+#[test]
+fn a_target_that_restarts_under_its_id_is_not_flooded() {
+    run_test(async |fixture| {
+        let (fleet, target) = start_fleet(&fixture).await;
+        load(&fixture, &fleet, Duration::from_millis(500)).await;
+        target.crash();
+        load(&fixture, &fleet, Duration::from_millis(500)).await;
+
+        target
+            .restart(Health::ColdUntil(Instant::now() + COLD_TIME))
+            .await;
+        load(&fixture, &fleet, COLD_TIME / 2).await;
+
+        let most = target.most_per_second();
+        assert!(most <= COLD_LIMIT, "{most} requests in one second");
+    });
+}
--- a/crates/waxwingrail/tests/scripted/mod.rs
+++ b/crates/waxwingrail/tests/scripted/mod.rs
@@ -118,8 +118,20 @@
     }
 }
 
-/// Reads a request, of a long body only the start, and returns its head; `None` at the end of the connection.
+/// Reads a request, of a long body only the start, and returns its head; `None` at the end of the connection. Health checks are
+/// answered, and are no request.
 pub(crate) async fn read_request(stream: &mut TcpStream) -> Option<String> {
+    loop {
+        let head = read_any_request(stream).await?;
+        if !head.starts_with("GET /health ") {
+            return Some(head);
+        }
+        let healthy = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+        stream.write_all(healthy).await.ok()?;
+    }
+}
+
+pub(crate) async fn read_any_request(stream: &mut TcpStream) -> Option<String> {
     let mut bytes = Vec::new();
     let mut buffer = [0; 1024];
     loop {
