Keep a pause that a process asked for before its entry was read

Cause: the pause was noted for the process that the VM knew, and ended with it. Change: a pause in an answer on a connection that was opened within 3 s, the time in which an entry is read, also holds for the next process under the id. Pauses on older connections are those of the known process, as before. Tests: a_pause_of_a_process_whose_entry_is_read_later_holds_for_it fails without the change (no request of the next process is held back); a_pause_is_that_of_one_process holds. Conclusion: a process that cannot be told from the known one is believed for both.

--- a/crates/waxwing_edge/src/target/notice.rs
+++ b/crates/waxwing_edge/src/target/notice.rs
@@ -163,7 +163,7 @@
         change
     }
 
-    fn merge(&mut self, other: Self) {
+    pub(super) fn merge(&mut self, other: Self) {
         self.leaving |= other.leaving;
         self.has_odd_value |= other.has_odd_value;
         if other.paused_until > self.paused_until {
@@ -292,6 +292,26 @@
 
 /// Commands.
 impl TargetPool {
+    /// Remembers a pause for which a process asked on a connection that was opened lately. If the entry of a later process is
+    /// read soon, it may have been that process. To be called beside [`Self::on_notice`].
+    pub fn on_unidentified_pause(
+        &mut self,
+        now: Millis,
+        selected: &SelectedTarget,
+        pause: PauseRequest,
+    ) {
+        let key = self.keys_by_id.get(&selected.id);
+        if let Some(target) = key.and_then(|key| self.targets.get_mut(*key))
+            && target.registration.incarnation == selected.incarnation
+        {
+            let notice = TargetNotice {
+                leaving: false,
+                pause: Some(pause),
+            };
+            target.unidentified_notices.apply(now, notice);
+        }
+    }
+
     /// Applies what the process that was selected for a request said in its response. The target may have been removed
     /// since, or a later process may have replaced it.
     pub fn on_notice(
--- a/crates/waxwing_edge/src/target/tracked.rs
+++ b/crates/waxwing_edge/src/target/tracked.rs
@@ -112,6 +112,8 @@
     last_response: Millis,
     /// What the target said of itself.
     pub(crate) notices: NoticeState,
+    /// Pauses for which a process asked that may be a later one.
+    pub(super) unidentified_notices: NoticeState,
     /// Outcomes of the requests of all VMs of the failure domain.
     health: TargetHealth,
     /// What the next heartbeat tells other VMs.
@@ -237,6 +239,7 @@
             last_sample: Millis::ZERO,
             last_response: Millis::ZERO,
             notices: NoticeState::default(),
+            unidentified_notices: NoticeState::default(),
             health: TargetHealth::default(),
             unsent: UnsentOutcomes::default(),
         }
@@ -248,6 +251,7 @@
         if former.registration.incarnation < self.registration.incarnation {
             let cold_left = self.registration.cold_left;
             self.cold_start = former.cold_start.of_later_process(now, cold_left);
+            self.notices.merge(former.unidentified_notices);
         }
     }
 
--- a/crates/waxwing_edge/tests/pauses.rs
+++ b/crates/waxwing_edge/tests/pauses.rs
@@ -282,3 +282,22 @@
     }
     assert!(fractions[119] < fractions[0], "{fractions:?}");
 }
+
+/// Guards against a pause that is forgotten because the process that asked for it was taken for the one before: its entry is read
+/// after its first answer.
+#[test]
+fn a_pause_of_a_process_whose_entry_is_read_later_holds_for_it() {
+    let mut pool = pool();
+    pool.upsert(NOW, process(1));
+    let notice = pause("2");
+    let request = notice.pause.expect("a pause");
+    pool.on_notice(NOW, &selected(&process(1)), notice);
+    pool.on_unidentified_pause(NOW, &selected(&process(1)), request);
+
+    pool.upsert(NOW + Millis(500), process(2));
+
+    let in_pause = select(&mut pool, NOW + Millis(1900));
+    assert!(matches!(in_pause, Selection::Paused(_)), "{in_pause:?}");
+    let after = select(&mut pool, NOW + Millis(2100));
+    assert!(matches!(after, Selection::Selected(..)), "{after:?}");
+}
--- a/crates/waxwingrail/src/edge/forward.rs
+++ b/crates/waxwingrail/src/edge/forward.rs
@@ -231,7 +231,7 @@
         let now = shared.now();
         shared.targets().on_load_report(now, attempt.key, report);
     }
-    apply_notice(shared, &attempt.target, &response);
+    apply_notice(shared, &attempt.target, &response, connection);
     if response.headers().contains_key(&header_names.not_run) {
         slot.release(TargetOutcome::Shed);
         read_rest(shared, response.into_body()).await;
