Let VMs take the place of a sender that leaves at once

Cause: by reading: a VM became a sender only when it had been one by all lists of 3 s, also after a VM had left, and a VM that started again waited too, though its entry had stayed in the lists. Change: only VMs that join wait. A VM that stops ceases to send to cold targets before its entry is removed, so its place may be taken at once. Tests: the_place_of_a_vm_that_leaves_is_taken_at_once; vms_that_join_do_not_send_beside_the_ones_of_before with lists that lack the joining VMs first.

--- a/crates/waxwing_edge/src/fleet.rs
+++ b/crates/waxwing_edge/src/fleet.rs
@@ -82,10 +82,11 @@
         })
     }
 
-    /// Ids of the VMs in this VM's region, including this one.
+    /// Ids of the registered VMs in this VM's region.
     pub fn region_vm_ids(&self) -> Vec<VmId> {
-        let others = self.other_vms_in_region().map(|vm| vm.entry.id.clone());
-        others.chain([self.own.id.clone()]).collect()
+        let vms = self.vms.values().map(|vm| &vm.entry);
+        let in_region = vms.filter(|entry| entry.region == self.own.region);
+        in_region.map(|entry| entry.id.clone()).collect()
     }
 
     /// Peer addresses to send a heartbeat to: all other VMs of the failure domain, and a few random VMs in the
--- a/crates/waxwing_edge/src/target/cold_start.rs
+++ b/crates/waxwing_edge/src/target/cold_start.rs
@@ -12,8 +12,8 @@
 const MAX_SENDERS: u64 = 4;
 /// Sets of senders for which the limit has room: a VM that is cut off from the store may go on by an old list of VMs.
 const SENDER_SETS: u64 = 2;
-/// Time within which a change of the list of VMs is known to all VMs that reach the store. A VM becomes a sender when it has
-/// been one by all lists of this time, so that no VM of a newer list sends beside one of an older list.
+/// Time within which a change of the list of VMs is known to all VMs that reach the store. A VM that joins sends after this time,
+/// when the VM whose place it takes knows of it. The place of a VM that leaves is taken at once, because that VM has ceased to send.
 const LIST_LAG: Millis = Millis::from_secs(3);
 /// Time from the use of a token until its request is sent, at most. The connection may have to be opened first.
 pub(super) const MAX_OPENING_TIME: Millis = Millis(100);
@@ -160,21 +160,23 @@
 pub(super) struct SenderLists {
     /// Lists that were in force in the last [`LIST_LAG`], with the times of their ends.
     former: Vec<(Millis, Vec<u64>)>,
-    is_listed: bool,
+    is_first_read: bool,
 }
 
 impl SenderLists {
-    /// Records that a list is replaced. The first one only replaces that this VM knows no other, which says nothing.
+    /// Records that a list is replaced. The one before the first list that was read says nothing.
     pub(super) fn replace(&mut self, now: Millis, replaced: Vec<u64>) {
         self.former.retain(|(end, _)| now.since(*end) < LIST_LAG);
-        let replaced = if self.is_listed { replaced } else { Vec::new() };
-        self.former.push((now, replaced));
-        self.is_listed = true;
+        if std::mem::replace(&mut self.is_first_read, true) {
+            self.former.push((now, replaced));
+        }
     }
 
-    fn in_force_lately(&self, now: Millis) -> impl Iterator<Item = &[u64]> {
-        let lately = move |(end, _): &&(Millis, Vec<u64>)| now.since(*end) < LIST_LAG;
-        self.former.iter().filter(lately).map(|(_, list)| &list[..])
+    /// Whether all lists of the last [`LIST_LAG`] have a VM.
+    fn all_have(&self, now: Millis, vm: u64) -> bool {
+        let lately = |(end, _): &&(Millis, Vec<u64>)| now.since(*end) < LIST_LAG;
+        let mut lists = self.former.iter().filter(lately);
+        lists.all(|(_, list)| list.contains(&vm))
     }
 }
 
@@ -193,6 +195,12 @@
         self
     }
 
+    /// Ends the requests of this VM to cold targets. To be called before its entry is removed, from which on others take its place.
+    pub fn begin_leaving(&mut self, now: Millis) {
+        self.is_leaving = true;
+        self.assign_cold_targets(now);
+    }
+
     /// Determines the cold targets to which this VM sends requests, and at which rate.
     pub(super) fn assign_cold_targets(&mut self, now: Millis) {
         let cold = self.targets.iter().filter(|(_, t)| t.is_cold(now));
@@ -206,10 +214,11 @@
     pub(super) fn assign_cold_target(&mut self, now: Millis, key: TargetKey) {
         let target = &self.targets[key];
         let senders = self.cold_start_terms.senders();
-        let sends = |list: &[u64]| is_sender(list, self.own_vm_hash, target.id_hash, senders);
-        let is_sender = target.region_index == self.own_region_index
-            && sends(&self.region_vm_hashes)
-            && self.sender_lists.in_force_lately(now).all(sends);
+        let own_vm = self.own_vm_hash;
+        let is_sender = !self.is_leaving
+            && target.region_index == self.own_region_index
+            && is_sender(&self.region_vm_hashes, own_vm, target.id_hash, senders)
+            && self.sender_lists.all_have(now, own_vm);
         let service = self.services.get(&target.registration.service);
         let rate = service.map_or(0, |service| {
             self.cold_start_terms.sender_rate(service.cold_start_limit)
--- a/crates/waxwing_edge/src/target/pool.rs
+++ b/crates/waxwing_edge/src/target/pool.rs
@@ -58,9 +58,11 @@
     evacuated_domains: HashSet<DomainId>,
     /// Hash of this VM's id.
     pub(super) own_vm_hash: u64,
-    /// Hashes of the ids of all VMs in the region, including this one.
+    /// Hashes of the ids of all registered VMs in the region.
     pub(super) region_vm_hashes: Vec<u64>,
     pub(super) sender_lists: SenderLists,
+    /// Whether this VM is about to leave.
+    pub(super) is_leaving: bool,
     pub(super) cold_start_terms: ColdStartTerms,
     pub(super) unsent_alerts: UnsentAlerts,
 }
@@ -124,7 +126,7 @@
     ) -> OtherVmLoadEstimator {
         let totals = service.region_totals[region_index];
         #[allow(clippy::cast_precision_loss, reason = "VMs are few")]
-        let other_vm_count = self.region_vm_hashes.len().saturating_sub(1) as f64;
+        let other_vm_count = self.other_vms_in_region().count() as f64;
         OtherVmLoadEstimator {
             other_vm_count,
             mean_own_in_flight: f64::from(totals.in_flight) / f64::from(totals.target_count.max(1)),
@@ -132,6 +134,11 @@
         }
     }
 
+    fn other_vms_in_region(&self) -> impl Iterator<Item = &u64> {
+        let vms = self.region_vm_hashes.iter();
+        vms.filter(|vm| **vm != self.own_vm_hash)
+    }
+
     /// Capacity and load of a service's usable targets in each region.
     pub(crate) fn region_capacities(
         &self,
@@ -183,13 +190,14 @@
             own_vm_hash,
             region_vm_hashes: vec![own_vm_hash],
             sender_lists: SenderLists::default(),
+            is_leaving: false,
             cold_start_terms: ColdStartTerms::default(),
             unsent_alerts: UnsentAlerts::default(),
         }
     }
 
-    /// Sets the ids of all VMs in the region, including this one. These VMs send requests to the same targets
-    /// and share each cold target's limit on requests per time.
+    /// Sets the ids of all VMs in the region that are registered. These VMs and this one send requests to the same targets, and
+    /// share each cold target's limit on requests per time. This VM sends to cold targets once it is registered itself.
     pub fn set_region_vms<'a>(&mut self, now: Millis, vms: impl Iterator<Item = &'a str>) {
         let list: Vec<u64> = vms.map(|vm| hash_bytes(vm.as_bytes())).collect();
         if list != self.region_vm_hashes {
--- a/crates/waxwing_edge/tests/cold_start.rs
+++ b/crates/waxwing_edge/tests/cold_start.rs
@@ -170,20 +170,16 @@
 #[test]
 fn vms_that_join_do_not_send_beside_the_ones_of_before() {
     let case = case(60, 6_900, 5);
-    let before: Vec<usize> = (0..30).collect();
-    let after: Vec<usize> = (0..60).collect();
-    let joined: Vec<String> = after.iter().map(|vm| format!("vm{vm}")).collect();
-    let mut vms = case.start(&before);
-    let mut joining = case.start(&[]);
-    for vm in 30..60 {
-        let mut pool = pool_of(&format!("vm{vm}")).with_cold_start_terms(case.terms);
-        let limit = ColdStartLimit {
-            requests_per_1000_s: case.rate,
-            cold_time: COLD_TIME,
-        };
-        pool.set_cold_start_limit(&"s".into(), limit);
-        pool.set_region_vms(NOW, joined.iter().map(String::as_str));
-        joining.push(pool);
+    let before: Vec<String> = (0..30).map(|vm| format!("vm{vm}")).collect();
+    let after: Vec<String> = (0..60).map(|vm| format!("vm{vm}")).collect();
+    let all: Vec<usize> = (0..60).collect();
+    let mut vms = case.start(&all);
+    for vm in &mut vms {
+        vm.set_region_vms(NOW - SETTLED, before.iter().map(String::as_str));
+    }
+    let mut joining = vms.split_off(30);
+    for vm in &mut joining {
+        vm.set_region_vms(NOW, after.iter().map(String::as_str));
     }
     for vm in vms.iter_mut().chain(&mut joining) {
         vm.upsert(NOW, cold_target());
@@ -195,13 +191,45 @@
     assert!(sent.is_empty(), "{sent:?}");
     // A VM that has read the entries makes place at once.
     for vm in &mut vms {
-        vm.set_region_vms(NOW, joined.iter().map(String::as_str));
+        vm.set_region_vms(NOW, after.iter().map(String::as_str));
     }
-    let mut all: Vec<TargetPool> = vms.into_iter().chain(joining).collect();
-    let sent = send_all(&mut all, NOW + Millis(2900), NOW + Millis(2990));
+    vms.extend(joining);
+    let sent = send_all(&mut vms, NOW + Millis(2900), NOW + Millis(2990));
     assert!(sent.len() as u64 <= case.terms.senders(), "{sent:?}");
 }
 
+/// Guards against a cold target that gets nothing for a while after its senders have left, and against senders that go on beside
+/// those that took their places.
+#[test]
+fn the_place_of_a_vm_that_leaves_is_taken_at_once() {
+    let case = case(30, 6_900, 5);
+    let all: Vec<usize> = (0..30).collect();
+    let mut vms = case.start(&all);
+    for vm in &mut vms {
+        vm.upsert(NOW, cold_target());
+        vm.tick(NOW);
+    }
+    let senders: Vec<usize> = (0..30).filter(|vm| send(&mut vms[*vm], NOW)).collect();
+    assert_eq!(senders.len() as u64, case.terms.senders());
+
+    let left = NOW + Millis(10);
+    for vm in &senders {
+        vms[*vm].begin_leaving(left);
+    }
+    let names = all.iter().filter(|vm| !senders.contains(vm));
+    let names: Vec<String> = names.map(|vm| format!("vm{vm}")).collect();
+    for vm in &mut vms {
+        vm.set_region_vms(left, names.iter().map(String::as_str));
+    }
+
+    let sent = send_all(&mut vms, left, left + Millis(10));
+    assert_eq!(sent.len() as u64, case.terms.senders());
+    let by_former = senders
+        .iter()
+        .filter(|vm| send(&mut vms[**vm], NOW + Millis(1000)));
+    assert_eq!(by_former.count(), 0);
+}
+
 /// The key of the only target.
 fn key_of(vm: &mut TargetPool) -> TargetKey {
     let service = ServiceId::from("s");
--- a/crates/waxwing_edge/tests/continuity.rs
+++ b/crates/waxwing_edge/tests/continuity.rs
@@ -228,10 +228,10 @@
 #[test]
 fn a_process_that_does_not_say_whether_it_is_cold_counts_as_cold_for_a_short_time() {
     let mut vm = vm("vm");
-    let names = ["vm", "vm1", "vm2"].into_iter();
+    let names = ["vm1", "vm2"].into_iter();
     vm.set_region_vms(NOW, names);
     let (key, _) = select(&mut vm, NOW);
     let connection = vm.on_health_answer(NOW, key, HealthAnswer::Unclear);
-    assert_eq!(connection, ConnectionUse::Withdrawn, "not a sender yet");
+    assert_eq!(connection, ConnectionUse::Withdrawn, "not registered");
     assert_eq!(open(&mut vm, NOW + Millis(600)), ConnectionUse::Unknown);
 }
--- a/crates/waxwingrail/src/edge/peers.rs
+++ b/crates/waxwingrail/src/edge/peers.rs
@@ -393,6 +393,7 @@
 pub(crate) async fn withdraw_registration(shared: Arc<Shared>) {
     send_heartbeat(&shared);
     shared.fleet().begin_stop();
+    shared.targets().begin_leaving(shared.now());
     exchange_tokens(&shared, shared.now());
     let timeout = shared.settings.store_timeout;
     let answer = shared.registry.withdraw(&shared.own_entry, timeout).await;
