Test that VMs are told of a cold process that one of them has found

Cause: in the review, edge_restart.rs passed with a daemon that sends no alerts. Change: all_vms_go_by_the_cold_process_that_one_vm_has_found. Conclusion: the alerts are covered end to end.

--- a/crates/waxwingrail/tests/edge_restart.rs
+++ b/crates/waxwingrail/tests/edge_restart.rs
@@ -233,3 +233,24 @@
         });
     }
 }
+
+/// Guards against VMs that have heard of the process of before a moment ago, and are not told that another VM found a cold one.
+#[test]
+fn all_vms_go_by_the_cold_process_that_one_vm_has_found() {
+    run_test(async |fixture| {
+        let (fleet, target) = start_fleet(&fixture).await;
+        load(&fixture, &fleet[..1], Duration::from_millis(2500)).await;
+        target.crash();
+        target
+            .restart(Health::ColdUntil(Instant::now() + COLD_TIME))
+            .await;
+        call_all(&fixture, &fleet[..1], 1).await;
+        // Longer than alerts gather, and shorter than what was heard of the process of before counts.
+        Timer::after(Duration::from_millis(100)).await;
+
+        load(&fixture, &fleet, Duration::from_millis(500)).await;
+
+        let most = target.most_per_second();
+        assert!(most <= COLD_LIMIT, "{most} requests in one second");
+    });
+}
