Ask targets of other regions only after a sign of their end

Change: a target of another region is asked only within 3 s after a sign that its process has ended. VMs send alerts to all VMs instead of those of their region; the VMs of the target's region ask it, and tell all others when it is cold. Tests: a_process_of_another_region_is_asked_after_a_sign_of_its_end.

--- a/crates/waxwing_edge/src/target/continuity.rs
+++ b/crates/waxwing_edge/src/target/continuity.rs
@@ -15,6 +15,10 @@
 /// Time for which an answer shows that the process of a target still runs. A process that starts again needs longer, and VMs
 /// without a connection to it see no sign of its end.
 const HEARD_TIME: Millis = Millis(1000);
+/// Time for which a target of another region must be asked after a sign that its process has ended. Until then its entry is read.
+/// Without a sign it is not asked: a question to another region delays a request by a tenth of a second, and the VMs of that
+/// region, which ask, tell all others.
+const FAR_DOUBT_TIME: Millis = Millis::from_secs(3);
 /// An answer counts only from this time after a sign that the process has ended: the time of an answer to another VM is known
 /// with the delay of its heartbeat.
 const DOUBT_MARGIN: Millis = Millis(250);
@@ -53,7 +57,7 @@
 
 common_derives! {
     copy
-    /// What a VM tells the others of its region about the process of a target. Encoded as a pair of numbers.
+    /// What a VM tells all others about the process of a target. Encoded as a pair of numbers.
     #[derive(Serialize, Deserialize)]
     #[serde(from = "Encoded", into = "Encoded")]
     pub struct TargetAlert {
@@ -104,6 +108,12 @@
         })
     }
 
+    /// Whether there was no sign lately that the process has ended.
+    fn is_undoubted(&self, now: Millis) -> bool {
+        self.doubted
+            .is_none_or(|doubted| now.since(doubted) >= FAR_DOUBT_TIME)
+    }
+
     /// Records an answer of the process.
     pub(super) fn hear(&mut self, at: Millis) {
         self.heard = self.heard.max(Some(at));
@@ -130,7 +140,7 @@
     }
 }
 
-/// What the other VMs of the region have not been told yet.
+/// What the other VMs have not been told yet.
 pub(super) type UnsentAlerts = BTreeMap<u32, Option<Millis>>;
 
 /// Connections to targets.
@@ -146,11 +156,13 @@
             return ConnectionUse::Withdrawn;
         }
         let target = &self.targets[key];
+        let is_far = target.region_index != self.own_region_index;
+        let continuity = &target.continuity;
         if target.is_cold(now) {
             let holds_token = selected.warmth == Warmth::Cold
                 && now.since(selected.selected_at) <= MAX_OPENING_TIME;
             self.use_cold(now, key, holds_token)
-        } else if target.continuity.is_known(now) {
+        } else if continuity.is_known(now) || is_far && continuity.is_undoubted(now) {
             ConnectionUse::Known
         } else {
             ConnectionUse::Unknown
@@ -239,12 +251,12 @@
 
 /// Alerts.
 impl TargetPool {
-    /// Whether there is something to tell the other VMs of the region.
+    /// Whether there is something to tell the other VMs.
     pub fn has_alerts(&self) -> bool {
         !self.unsent_alerts.is_empty()
     }
 
-    /// Returns what the other VMs of the region have not been told yet.
+    /// Returns what the other VMs have not been told yet.
     pub fn take_alerts(&mut self) -> Vec<TargetAlert> {
         let alerts = std::mem::take(&mut self.unsent_alerts).into_iter();
         alerts
--- a/crates/waxwing_edge/tests/continuity.rs
+++ b/crates/waxwing_edge/tests/continuity.rs
@@ -77,6 +77,22 @@
     assert_eq!(open(&mut vm, NOW + Millis(1100)), ConnectionUse::Unknown);
 }
 
+/// Guards against a health check for each request to another region, and against a target there that is believed although a VM
+/// has told of its end.
+#[test]
+fn a_process_of_another_region_is_asked_after_a_sign_of_its_end() {
+    let mut vm = pool_of("vm");
+    vm.upsert(NOW, target("t1", "c"));
+    assert_eq!(open(&mut vm, NOW), ConnectionUse::Known);
+    let alert = TargetAlert {
+        process: short(1),
+        cold_left: None,
+    };
+    vm.apply_alerts(NOW, &[alert]);
+    assert_eq!(open(&mut vm, NOW + Millis(2900)), ConnectionUse::Unknown);
+    assert_eq!(open(&mut vm, NOW + Millis(3100)), ConnectionUse::Known);
+}
+
 /// Guards against a process that restarts between two requests and is taken for the one that answered the first.
 #[test]
 fn a_process_whose_connection_broke_must_be_asked() {
--- a/crates/waxwingrail/src/edge/alerts.rs
+++ b/crates/waxwingrail/src/edge/alerts.rs
@@ -1,4 +1,4 @@
-//! Tells the other VMs of the region that the process of a target may have ended, or that one is cold.
+//! Tells the other VMs that the process of a target may have ended, or that one is cold.
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -31,7 +31,7 @@
 
 fn send(shared: &Shared) {
     let alerts = shared.targets().take_alerts();
-    let peers = shared.fleet().region_peers();
+    let peers = shared.fleet().all_peers();
     for alerts in alerts.chunks(MAX_ALERTS) {
         let message = PeerMessage::TargetAlerts {
             alerts: alerts.to_vec(),
