Log by which way each version of the deployment comes, its bytes and its time

Change: 'deployment in force' states the version replaced, the source, the bytes and the time of the call; a call that is ended for another read is logged and counted; a time-out states the bytes received; rejected deployments are counted; a refusal with 404 or 401 names the version in force in the header waxwing-deployment. No change of what is read or when.

--- a/crates/waxwing_http/src/exchange.rs
+++ b/crates/waxwing_http/src/exchange.rs
@@ -1,5 +1,7 @@
 //! One request with its whole answer.
 
+use std::sync::atomic::{AtomicUsize, Ordering};
+
 use futures_lite::future;
 use http_body_util::BodyExt;
 use hyper::{Request, Response};
@@ -40,6 +42,7 @@
     max: usize,
 ) -> Result<Response<Vec<u8>>, ExchangeError> {
     let endpoint = endpoint.into();
+    let received = AtomicUsize::new(0);
     let answer = async {
         let response = match client.send(endpoint, request).await {
             Ok(response) => response,
@@ -56,21 +59,27 @@
             }
         };
         let (head, body) = response.into_parts();
-        let body = read(body, max).await?;
+        let body = read(body, max, &received).await?;
         Ok(Response::from_parts(head, body))
     };
     // The time may be over between sending and answering, so a write counts as sent.
     let expired = async {
         async_io::Timer::after(timeout.duration()).await;
         client.close_idle(endpoint.address);
-        Err(ExchangeError::Sent(format!("no answer within {timeout}")))
+        let count = received.load(Ordering::Relaxed);
+        let reason = format!("no answer within {timeout}, {count} bytes of it received");
+        Err(ExchangeError::Sent(reason))
     };
     future::or(answer, expired).await
 }
 
 /// Reads frame by frame: the compiler cannot show that the future of [`crate::collect`] over a
 /// [`Body`] is `Send`.
-async fn read(mut body: Body, max: usize) -> Result<Vec<u8>, ExchangeError> {
+async fn read(
+    mut body: Body,
+    max: usize,
+    received: &AtomicUsize,
+) -> Result<Vec<u8>, ExchangeError> {
     let mut whole = Vec::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|e| ExchangeError::Sent(e.to_string()))?;
@@ -82,6 +91,7 @@
             return Err(ExchangeError::TooLong(reason));
         }
         whole.extend_from_slice(&data);
+        received.store(whole.len(), Ordering::Relaxed);
     }
     Ok(whole)
 }
--- a/crates/waxwing_store/src/registry.rs
+++ b/crates/waxwing_store/src/registry.rs
@@ -121,6 +121,8 @@
         pub outcome: T,
         /// The epoch that the answer states. `None` if there was no answer, or if the store states none.
         pub epoch: Option<StoreEpoch>,
+        /// Size of the answer in bytes, 0 if there was none.
+        pub bytes: u64,
     }
 }
 
@@ -130,6 +132,7 @@
         Answer {
             outcome: convert(self.outcome),
             epoch: self.epoch,
+            bytes: self.bytes,
         }
     }
 }
--- a/crates/waxwing_testkit/src/registry.rs
+++ b/crates/waxwing_testkit/src/registry.rs
@@ -186,6 +186,7 @@
         Answer {
             outcome,
             epoch: Some(self.epoch),
+            bytes: 0,
         }
     }
 }
@@ -247,6 +248,7 @@
     Answer {
         outcome,
         epoch: None,
+        bytes: 0,
     }
 }
 
--- a/crates/waxwingrail/src/edge/apply.rs
+++ b/crates/waxwingrail/src/edge/apply.rs
@@ -9,6 +9,7 @@
 use waxwing_types::{DomainId, Millis, TargetId, VmId};
 
 use super::crash;
+use super::origin::Origin;
 use super::peers;
 use super::state::Shared;
 use super::state_age::max_removal_delay;
@@ -18,6 +19,7 @@
     shared: &Arc<Shared>,
     family: Family,
     freshness: Freshness,
+    origin: Origin,
     mut changes: Vec<Change>,
 ) {
     let now = shared.now();
@@ -53,12 +55,17 @@
             }
         }
     }
-    apply_changes(shared, family, changes);
+    apply_changes(shared, family, origin, changes);
 }
 
 /// Applies the first list after a restore of the store. It is a copy of an earlier state, and may lack what other VMs, the
 /// operator and targets have written since.
-pub(crate) fn apply_restored_list(shared: &Arc<Shared>, family: Family, mut changes: Vec<Change>) {
+pub(crate) fn apply_restored_list(
+    shared: &Arc<Shared>,
+    family: Family,
+    origin: Origin,
+    mut changes: Vec<Change>,
+) {
     shared.record_restored_list(family);
     if family == Family::Vms {
         let listed: Vec<_> = changes.iter().map(|c| VmId(c.name.clone())).collect();
@@ -70,15 +77,20 @@
             }
         }
     }
-    apply_list(shared, family, Freshness::Latest, changes);
+    apply_list(shared, family, Freshness::Latest, origin, changes);
 }
 
 /// Applies the changes that a watch returned.
-pub(crate) fn apply_changes(shared: &Arc<Shared>, family: Family, changes: Vec<Change>) {
+pub(crate) fn apply_changes(
+    shared: &Arc<Shared>,
+    family: Family,
+    origin: Origin,
+    changes: Vec<Change>,
+) {
     let now = shared.now();
     for change in changes {
         match change.entry {
-            Some(Entry::Deployment(record)) => apply_deployment(shared, now, record),
+            Some(Entry::Deployment(record)) => apply_deployment(shared, now, origin, record),
             Some(Entry::Target(entry)) => {
                 {
                     let mut status = shared.store_status();
@@ -99,8 +111,8 @@
             Some(Entry::Unreadable(reason)) => {
                 shared.metrics.count_unreadable_entry(family);
                 log::warn!(
-                    family = family.as_str(), name = change.name.as_str(),
-                    reason = reason.as_str();
+                    family = family.as_str(), name = change.name.as_str(), revision = change.revision.0,
+                    source = origin.source.as_str(), reason = reason.as_str();
                     "entry not read"
                 );
                 if family == Family::Targets {
@@ -211,19 +223,26 @@
     }
 }
 
-fn apply_deployment(shared: &Shared, now: Millis, record: Deployment) {
+fn apply_deployment(shared: &Shared, now: Millis, origin: Origin, record: Deployment) {
     if let Err(findings) = record.check() {
-        log::warn!(version = record.version, findings = findings.to_string().as_str(); "deployment rejected");
+        shared.metrics.count_rejected_deployment();
+        log::warn!(
+            version = record.version, source = origin.source.as_str(), bytes = origin.bytes,
+            findings = findings.to_string().as_str();
+            "deployment rejected"
+        );
         return;
     }
     let version = record.version;
     // The limits of an older deployment must not replace those in use either.
-    if shared
-        .routing_table()
-        .is_some_and(|table| table.version() >= version)
-    {
+    let in_force = shared.routing_table().map_or(0, |table| table.version());
+    if in_force >= version {
+        if in_force > version {
+            log::info!(version = version, in_force = in_force, source = origin.source.as_str(); "deployment older than the one in force");
+        }
         return;
     }
+    let routes = record.routes.len();
     let routing_table = RoutingTable::new(record);
     {
         let mut targets = shared.targets();
@@ -238,7 +257,12 @@
     shared.quota().update_specs(now, routing_table.workspaces());
     peers::assign_coordinators(shared, now);
     shared.replace_routing_table(routing_table);
-    log::info!(version = version; "deployment in force");
+    shared.metrics.count_deployment(origin);
+    log::info!(
+        version = version, replaced = in_force, source = origin.source.as_str(), bytes = origin.bytes,
+        call_ms = now.since(origin.sent_at).0, routes = routes;
+        "deployment in force"
+    );
 }
 
 fn update_evacuations(shared: &Shared, now: Millis) {
--- a/crates/waxwingrail/src/edge/list.rs
+++ b/crates/waxwingrail/src/edge/list.rs
@@ -6,6 +6,7 @@
 use waxwing_types::{Millis, Revision, StoreEpoch};
 
 use super::apply::{apply_list, apply_restored_list};
+use super::origin::{Origin, ReadSource};
 use super::peers;
 use super::restore::{self, AnswerEpoch};
 use super::state::Shared;
@@ -72,7 +73,8 @@
     }
     let (revision, as_of) = (listed.revision, listed.as_of);
     shared.record_store_success(family);
-    apply_list(shared, family, freshness, listed.entries);
+    let origin = listed.origin(ReadSource::List);
+    apply_list(shared, family, freshness, origin, listed.entries);
     // The list may contain changes that no watch returned, if the store has dropped them.
     let last_change = history_gone.then_some(revision);
     record_and_report(shared, family, revision, last_change, as_of);
@@ -87,10 +89,11 @@
     let listed = list(shared, family, Freshness::Latest, Position::Restored).await?;
     let is_reload = shared.store_status().loaded.contains(&family);
     shared.record_store_success(family);
+    let origin = listed.origin(ReadSource::Restore);
     if is_reload {
-        apply_restored_list(shared, family, listed.entries);
+        apply_restored_list(shared, family, origin, listed.entries);
     } else {
-        apply_list(shared, family, Freshness::Latest, listed.entries);
+        apply_list(shared, family, Freshness::Latest, origin, listed.entries);
     }
     let mut progress = shared.watch_progress();
     progress.record_restored_list(family, listed.epoch, listed.revision, listed.as_of);
@@ -104,6 +107,18 @@
     /// Time up to which the list holds all changes, `None` for a list of a recent state.
     pub(crate) as_of: Option<Millis>,
     epoch: Option<StoreEpoch>,
+    bytes: u64,
+    sent_at: Millis,
+}
+
+impl Listed {
+    pub(crate) const fn origin(&self, source: ReadSource) -> Origin {
+        Origin {
+            source,
+            bytes: self.bytes,
+            sent_at: self.sent_at,
+        }
+    }
 }
 
 /// The outcome of a call, unless the answer shows that the store was restored, or states what may be lost.
@@ -132,13 +147,15 @@
     let timeout = shared.settings.store_timeout;
     let sent_at = shared.now();
     let answer = shared.registry.list(family, freshness, timeout).await;
-    let epoch = answer.epoch;
+    let (epoch, bytes) = (answer.epoch, answer.bytes);
     match current_outcome(shared, answer)? {
         ListOutcome::Listed { entries, revision } => Ok(Listed {
             entries,
             revision,
             as_of: (freshness == Freshness::Latest).then_some(sent_at),
             epoch,
+            bytes,
+            sent_at,
         }),
         ListOutcome::Unreachable(reason) => Err(Interruption::failed(position, reason, sent_at)),
     }
--- a/crates/waxwingrail/src/edge/metric.rs
+++ b/crates/waxwingrail/src/edge/metric.rs
@@ -10,6 +10,7 @@
 use waxwing_store::Family;
 use waxwing_types::{Millis, RefusalReason, RetryReason, common_derives};
 
+use super::origin::{Origin, ReadSource};
 use crate::metric::recorder;
 
 common_derives! {
@@ -91,6 +92,10 @@
     health_checks: Vec<Counter>,
     store_failures: HashMap<Family, Counter>,
     unreadable_entries: HashMap<Family, Counter>,
+    given_up_calls: HashMap<Family, Counter>,
+    deployments: Vec<Counter>,
+    deployment_bytes: Vec<Counter>,
+    rejected_deployments: Counter,
     state_ages: HashMap<Family, Gauge>,
     watch_ages: HashMap<Family, Gauge>,
     latencies: Mutex<HashMap<(SmolStr, RequestOutcome), Histogram>>,
@@ -130,6 +135,9 @@
         let store_failure = |family: Family| counter!("waxwing_edge_store_failures_total", "family" => family.as_str());
         let unreadable =
             |family: Family| counter!("waxwing_edge_unreadable_total", "family" => family.as_str());
+        let given_up = |family: Family| counter!("waxwing_edge_store_calls_given_up_total", "family" => family.as_str());
+        let deployment = |source: &ReadSource| counter!("waxwing_edge_deployments_total", "source" => source.as_str());
+        let deployment_bytes = |source: &ReadSource| counter!("waxwing_edge_deployment_bytes_total", "source" => source.as_str());
         let state_age =
             |family: Family| gauge!("waxwing_edge_state_age_seconds", "family" => family.as_str());
         let watch_age =
@@ -149,6 +157,13 @@
                 .into_iter()
                 .map(|family| (family, unreadable(family)))
                 .collect(),
+            given_up_calls: Family::ALL
+                .into_iter()
+                .map(|family| (family, given_up(family)))
+                .collect(),
+            deployments: ReadSource::ALL.iter().map(deployment).collect(),
+            deployment_bytes: ReadSource::ALL.iter().map(deployment_bytes).collect(),
+            rejected_deployments: counter!("waxwing_edge_deployments_rejected_total"),
             state_ages: Family::ALL
                 .into_iter()
                 .map(|family| (family, state_age(family)))
@@ -208,6 +223,24 @@
         }
     }
 
+    /// Counts a call to the store that was ended without an answer, for a read of the latest state.
+    pub(crate) fn count_given_up(&self, family: Family) {
+        if let Some(counter) = self.given_up_calls.get(&family) {
+            counter.increment(1);
+        }
+    }
+
+    /// Counts a deployment that came into force.
+    pub(crate) fn count_deployment(&self, origin: Origin) {
+        self.deployments[origin.source as usize].increment(1);
+        self.deployment_bytes[origin.source as usize].increment(origin.bytes);
+    }
+
+    /// Counts a deployment that was read and not used, because it is invalid.
+    pub(crate) fn count_rejected_deployment(&self) {
+        self.rejected_deployments.increment(1);
+    }
+
     /// Sets the time since this VM was known to have all changes of a family, and the time for which its watch waits.
     #[allow(clippy::cast_precision_loss, reason = "metrics are floating point")]
     pub(crate) fn set_ages(&self, family: Family, state_age: Millis, watch_age: Millis) {
--- a/crates/waxwingrail/src/edge/mod.rs
+++ b/crates/waxwingrail/src/edge/mod.rs
@@ -14,6 +14,7 @@
 mod memory;
 mod metric;
 mod notice;
+mod origin;
 mod peers;
 mod refusal;
 mod request;
--- a/crates/waxwingrail/src/edge/refusal.rs
+++ b/crates/waxwingrail/src/edge/refusal.rs
@@ -1,6 +1,6 @@
 //! Error responses that the daemon creates itself, instead of passing on the response of a target.
 
-use hyper::header::{HeaderValue, RETRY_AFTER};
+use hyper::header::{HeaderName, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 use waxwing_edge::{Pause, pause_retry_after, spread_retry_after, startup_retry_after};
 use waxwing_http::{Body, announce_close, empty};
@@ -8,6 +8,9 @@
 
 use super::state::Shared;
 
+/// Header of a refusal by the deployment, with the version in force.
+const DEPLOYMENT_HEADER: HeaderName = HeaderName::from_static("waxwing-deployment");
+
 /// Why the daemon refuses a request, and when the caller may retry it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Refusal {
@@ -15,6 +18,8 @@
     /// Time after which the caller may retry, for the `Retry-After` header. Set only if no target has run
     /// the request.
     pub(crate) retry_after: Option<Millis>,
+    /// Version of the deployment by which the request is refused; `None` for other reasons.
+    pub(crate) deployment: Option<u64>,
 }
 
 impl Refusal {
@@ -23,6 +28,15 @@
         Self {
             reason,
             retry_after: None,
+            deployment: None,
+        }
+    }
+
+    /// Creates a refusal of a request that a version of the deployment does not allow.
+    pub(crate) const fn by_deployment(reason: RefusalReason, version: u64) -> Self {
+        Self {
+            deployment: Some(version),
+            ..Self::new(reason)
         }
     }
 
@@ -32,6 +46,7 @@
         Self {
             reason,
             retry_after: Some(spread_retry_after(expected_wait, fastrand::f64())),
+            deployment: None,
         }
     }
 
@@ -40,6 +55,7 @@
         Self {
             reason,
             retry_after: Some(pause_retry_after(pause, fastrand::f64())),
+            deployment: None,
         }
     }
 
@@ -53,6 +69,7 @@
         Self {
             reason: RefusalReason::ConfigStale,
             retry_after: Some(retry_after),
+            deployment: None,
         }
     }
 
@@ -76,6 +93,9 @@
         {
             headers.insert(RETRY_AFTER, value);
         }
+        if let Some(version) = self.deployment {
+            headers.insert(DEPLOYMENT_HEADER, version.into());
+        }
         if shared.is_stopping() {
             announce_close(&mut response);
         }
--- a/crates/waxwingrail/src/edge/request.rs
+++ b/crates/waxwingrail/src/edge/request.rs
@@ -108,7 +108,7 @@
                     reason = refusal.reason.as_str(), request = request_id(&self.head.headers, self.names()).as_str(),
                     route = self.route_name.as_str(), workspace = self.workspace_name.as_str(),
                     path = self.head.uri.path(), age_ms = shared.now().since(self.arrived_at).0,
-                    retry_ms = refusal.retry_after.map_or(0, |time| time.0);
+                    deployment = refusal.deployment.unwrap_or_default(), retry_ms = refusal.retry_after.map_or(0, |time| time.0);
                     "request refused"
                 );
                 refusal.response(shared)
@@ -182,7 +182,7 @@
         let key = key.and_then(|v| v.strip_prefix(' ')).map(str::trim);
         routing_table
             .match_route(host, self.head.uri.path(), key)
-            .map_err(Refusal::new)
+            .map_err(|reason| Refusal::by_deployment(reason, routing_table.version()))
     }
 
     fn names(&self) -> &HeaderNames {
--- a/crates/waxwingrail/src/edge/watch.rs
+++ b/crates/waxwingrail/src/edge/watch.rs
@@ -22,6 +22,7 @@
     Interruption, Listed, Position, StoreFailure, current_outcome, list, list_after_restore,
     list_again, record_and_report,
 };
+use super::origin::{Origin, ReadSource};
 use super::settings::EdgeSettings;
 use super::state::Shared;
 use super::state_age::{CALL_TIME, DATAGRAM_TIME, MAX_ANSWER_TIME, SEND_TIME};
@@ -124,14 +125,16 @@
     let known = match position {
         Position::Unlisted => {
             let freshness = first_list_freshness(family);
+            let listed = list(shared, family, freshness, position).await?;
+            let origin = listed.origin(ReadSource::List);
             let Listed {
                 entries,
                 revision,
                 as_of,
                 ..
-            } = list(shared, family, freshness, position).await?;
+            } = listed;
             shared.record_store_success(family);
-            apply_list(shared, family, freshness, entries);
+            apply_list(shared, family, freshness, origin, entries);
             // If the first list counted as a change, a store reader would report its revision, and all VMs of the
             // region would read the latest state again.
             record_and_report(shared, family, revision, None, as_of);
@@ -151,12 +154,18 @@
     let probe = shared
         .registry
         .watch(family, known, freshness, Millis::ZERO, timeout);
-    match current_outcome(shared, probe.await)? {
+    let answer = probe.await;
+    let origin = Origin {
+        source: ReadSource::Resume,
+        bytes: answer.bytes,
+        sent_at,
+    };
+    match current_outcome(shared, answer)? {
         WatchOutcome::Changed { changes, revision } => {
             let last_change = last_change_revision(&changes, known, revision);
             let revision = revision.max(known);
             shared.record_store_success(family);
-            apply_changes(shared, family, changes);
+            apply_changes(shared, family, origin, changes);
             record_and_report(shared, family, revision, last_change, None);
             if family == Family::Targets {
                 return list_again(shared, family, revision, Position::Interrupted(revision)).await;
@@ -245,9 +254,20 @@
         let answer = future::or(watch, interruption).await;
         shared.watch_progress().watch_ended(family);
         let Some(answer) = answer else {
+            log::info!(
+                family = family.as_str(), source = mode.source().as_str(), revision = revision.0,
+                call_ms = shared.now().since(now).0;
+                "call given up for a read of the latest state"
+            );
+            shared.metrics.count_given_up(family);
             continue;
         };
         let answered_at = shared.now();
+        let origin = Origin {
+            source: mode.source(),
+            bytes: answer.bytes,
+            sent_at: now,
+        };
         let outcome = match current_outcome(shared, answer) {
             Ok(outcome) => outcome,
             Err(interruption) => return interruption,
@@ -260,7 +280,7 @@
                 let as_of = answered_as_of(now, wait, answered_at, !changes.is_empty());
                 let as_of = (mode.freshness() == Freshness::Latest).then_some(as_of);
                 let last_change = last_change_revision(&changes, revision, watched_revision);
-                apply_changes(shared, family, changes);
+                apply_changes(shared, family, origin, changes);
                 revision = watched_revision.max(revision);
                 if mode == WatchMode::CatchUp {
                     shared.watch_progress().record_catch_up(family, reported);
--- a/crates/waxwingrail/src/edge/watch_progress.rs
+++ b/crates/waxwingrail/src/edge/watch_progress.rs
@@ -19,6 +19,7 @@
 use waxwing_store::{Family, Freshness};
 use waxwing_types::{Millis, Revision, StoreEpoch, common_derives};
 
+use super::origin::ReadSource;
 use super::restore::AnswerEpoch;
 use super::state_age::AgeLimits;
 use family::FamilyProgress;
@@ -65,6 +66,13 @@
 }
 
 impl WatchMode {
+    pub(crate) const fn source(self) -> ReadSource {
+        match self {
+            Self::Latest | Self::Restored | Self::Recent | Self::Probe => ReadSource::Watch,
+            Self::CatchUp => ReadSource::CatchUp,
+        }
+    }
+
     pub(crate) const fn freshness(self) -> Freshness {
         match self {
             Self::Latest | Self::Restored | Self::CatchUp => Freshness::Latest,
--- a/crates/waxwingrail/tests/edge.rs
+++ b/crates/waxwingrail/tests/edge.rs
@@ -69,6 +69,24 @@
     });
 }
 
+/// Guards against refusals of which nobody can tell whether the VM runs an old deployment.
+#[test]
+fn a_refusal_by_the_deployment_names_its_version() {
+    run_test(async |fixture| {
+        let daemon = fixture.start_daemon("v1", 1).await;
+        fixture.deploy(deployment(7));
+        fixture.wait_until_ready(&daemon).await;
+
+        let refused = fixture.call(&daemon, "unknown").await;
+        let without_target = fixture.call(&daemon, "safe").await;
+
+        assert_eq!(refused.status, 404);
+        assert_eq!(refused.headers["waxwing-deployment"], "7");
+        assert_eq!(without_target.status, 503);
+        assert!(!without_target.headers.contains_key("waxwing-deployment"));
+    });
+}
+
 /// Guards against refusing a request that one target rejected without running, although another target would
 /// run the request.
 #[test]
--- a/crates/waxwingrail/tests/edge/vm.rs
+++ b/crates/waxwingrail/tests/edge/vm.rs
@@ -49,6 +49,7 @@
         let unanswered = |reason: &str| Answer {
             outcome: failure(reason.to_owned()),
             epoch: None,
+            bytes: 0,
         };
         if self.link.is_refused.load(Ordering::SeqCst) {
             return unanswered("status 503");
