--- a/crates/waxwing_testkit/src/registry.rs
+++ b/crates/waxwing_testkit/src/registry.rs
@@ -40,6 +40,8 @@
     /// Whether calls get no answer, and the number of silences so far. A call that meets a silence gets none for good.
     silent: bool,
     silences: u64,
+    /// Time that one record of the deployment takes on the way to a caller.
+    transfer_time: Millis,
     /// The lists that were asked for.
     lists: Vec<(Family, Freshness)>,
     /// The watches that were asked for, with their longest waits.
@@ -106,6 +108,11 @@
         state.silences += u64::from(silent);
     }
 
+    /// Sets the time that one record of the deployment takes on the way to a caller. A version in an answer is one record.
+    pub fn set_transfer_time(&self, time: Millis) {
+        self.lock().transfer_time = time;
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -240,6 +247,17 @@
     }
 }
 
+impl MemoryRegistry {
+    /// Waits while an answer with some records of a family is on its way.
+    async fn transfer(&self, family: Family, records: usize) {
+        let time = self.lock().transfer_time;
+        if family == Family::Deployment && time > Millis::ZERO {
+            let records = u32::try_from(records).unwrap_or(u32::MAX);
+            Timer::after(time.duration() * records).await;
+        }
+    }
+}
+
 fn no_answer(time: Millis) -> String {
     format!("no answer within {time}")
 }
@@ -263,16 +281,21 @@
             if self.is_unanswered(timeout).await {
                 return unanswered(ListOutcome::Unreachable(no_answer(timeout)));
             }
-            let mut state = self.lock();
-            state.lists.push((family, freshness));
-            if state.down {
-                return unanswered(ListOutcome::Unreachable("down".into()));
-            }
-            let contents = state.contents(freshness);
-            contents.answer(ListOutcome::Listed {
-                entries: contents.list(family),
-                revision: contents.revision,
-            })
+            let (answer, records) = {
+                let mut state = self.lock();
+                state.lists.push((family, freshness));
+                if state.down {
+                    return unanswered(ListOutcome::Unreachable("down".into()));
+                }
+                let contents = state.contents(freshness);
+                let entries = contents.list(family);
+                let records = entries.len();
+                let revision = contents.revision;
+                let listed = ListOutcome::Listed { entries, revision };
+                (contents.answer(listed), records)
+            };
+            self.transfer(family, records).await;
+            answer
         })
     }
 
@@ -301,6 +324,9 @@
                 }
                 let answer = self.lock().watched(family, after, freshness, epoch);
                 if let Some(answer) = answer {
+                    if let WatchOutcome::Changed { changes, .. } = &answer.outcome {
+                        self.transfer(family, changes.len()).await;
+                    }
                     return answer;
                 }
                 if left == Millis::ZERO {
--- a/crates/waxwingrail/tests/edge/vm.rs
+++ b/crates/waxwingrail/tests/edge/vm.rs
@@ -31,6 +31,9 @@
     latest_waits: AtomicUsize,
 }
 
+/// Longest time for which an answer that has begun may be on its way.
+const MAX_TRANSFER_TIME: Millis = Millis::from_secs(5);
+
 /// The registry as one VM reaches it.
 #[derive(Clone)]
 struct LinkedRegistry {
@@ -55,7 +58,7 @@
             return unanswered("status 503");
         }
         let answer = future::or(async { Some(call.await) }, async {
-            Timer::after(time.duration()).await;
+            Timer::after((time + MAX_TRANSFER_TIME).duration()).await;
             None
         })
         .await;
