Read the deployment as one record, and bring each read of it to its end

Cause: work that is begun, thrown away and begun again. A read of the latest state was ended 400 ms after a report that it lacked, also while its answer arrived, and each later report did so again; a watch returns each version missed as a whole, so that the next read was larger than the one given up, for every VM, until the link of the store was full. Change: a call that waits for nothing is never ended for a newer report. A VM that is behind reads the record itself, one version whatever it has missed. VMs that reports confirm no longer watch the deployment. The time for which a report lacks counts from the first change missing. The pause between two reads leaves room for three reads of the measured length. Conclusion: a read of a large deployment costs one version and is never begun twice for a newer one.

--- a/crates/waxwing_http/src/lib.rs
+++ b/crates/waxwing_http/src/lib.rs
@@ -23,7 +23,7 @@
 pub use client::{Client, ClientLimits, Endpoint, SendError};
 pub use coarse::{CoarseSleep, CoarseTimer};
 pub use dialect::{Dialect, DirectoryQuery, HeaderNames, OwnDialect, query_value};
-pub use exchange::{ExchangeError, exchange};
+pub use exchange::{ExchangeError, exchange, exchange_in_parts};
 pub use hop::{remove_hop_headers, remove_proxy_headers};
 pub use problem::{Problem, json};
 pub use response_id::{ResponseId, Returned};
--- a/crates/waxwing_store/src/registry.rs
+++ b/crates/waxwing_store/src/registry.rs
@@ -139,7 +139,8 @@
 
 /// Lists and watches families of entries.
 pub trait Registry: Send + Sync {
-    /// All entries of a family.
+    /// All entries of a family. `timeout` bounds the time until the answer begins, and each pause in it; an answer that goes
+    /// on is not given up.
     fn list(
         &self,
         family: Family,
@@ -147,7 +148,7 @@
         timeout: Millis,
     ) -> Pending<'_, Answer<ListOutcome>>;
 
-    /// Changes after a revision. Waits up to `wait` for the first one. Of an older state, changes may come
+    /// Changes after a revision. Waits up to `wait` for the first one; `timeout` holds from then on as for a list. Of an older state, changes may come
     /// seconds late.
     fn watch(
         &self,
--- a/crates/waxwing_testkit/src/registry.rs
+++ b/crates/waxwing_testkit/src/registry.rs
@@ -18,7 +18,8 @@
 /// What the store holds.
 #[derive(Clone, Default)]
 struct Contents {
-    entries: BTreeMap<(Family, SmolStr), Entry>,
+    /// Entries with the revisions of their last changes.
+    entries: BTreeMap<(Family, SmolStr), (Entry, Revision)>,
     /// Every change with its revision.
     history: Vec<(Revision, Family, Change)>,
     /// Changes at or below this revision are forgotten.
@@ -42,7 +43,7 @@
     silences: u64,
     /// Time that one record of the deployment takes on the way to a caller.
     transfer_time: Millis,
-    /// The lists that were asked for.
+    /// The lists that were answered.
     lists: Vec<(Family, Freshness)>,
     /// The watches that were asked for, with their longest waits.
     watches: Vec<(Family, Freshness, Millis)>,
@@ -120,7 +121,7 @@
 
 /// Queries.
 impl MemoryRegistry {
-    /// How new the lists of a family had to be, in the order in which they were asked for.
+    /// How new the lists of a family had to be, in the order in which they were answered.
     pub fn lists(&self, family: Family) -> Vec<Freshness> {
         let state = self.lock();
         let lists = state.lists.iter().filter(|(of, _)| *of == family);
@@ -164,7 +165,7 @@
         let key = (family, SmolStr::new(name));
         match &entry {
             Some(entry) => {
-                self.entries.insert(key, entry.clone());
+                self.entries.insert(key, (entry.clone(), self.revision));
             }
             None => {
                 self.entries.remove(&key);
@@ -181,11 +182,12 @@
     /// The entries of a family as changes from nothing.
     fn list(&self, family: Family) -> Vec<Change> {
         let entries = self.entries.iter().filter(|((of, _), _)| *of == family);
-        let change = |((_, name), entry): (&(Family, SmolStr), &Entry)| Change {
-            name: name.clone(),
-            entry: Some(entry.clone()),
-            revision: self.revision,
-        };
+        let change =
+            |((_, name), (entry, revision)): (&(Family, SmolStr), &(Entry, Revision))| Change {
+                name: name.clone(),
+                entry: Some(entry.clone()),
+                revision: *revision,
+            };
         entries.map(change).collect()
     }
 
@@ -283,10 +285,10 @@
             }
             let (answer, records) = {
                 let mut state = self.lock();
-                state.lists.push((family, freshness));
                 if state.down {
                     return unanswered(ListOutcome::Unreachable("down".into()));
                 }
+                state.lists.push((family, freshness));
                 let contents = state.contents(freshness);
                 let entries = contents.list(family);
                 let records = entries.len();
--- /dev/null
+++ b/crates/waxwingrail/src/edge/deployment.rs
@@ -0,0 +1,75 @@
+//! Reads the deployment, whose record may be large.
+//!
+//! A watch returns each version since the known one as a whole. A VM that is behind would read more the longer it is behind, so
+//! that it reads the record itself instead: one version, whatever it has missed.
+
+use std::sync::Arc;
+
+use waxwing_store::{Family, Freshness};
+use waxwing_types::{Millis, Revision};
+
+use super::apply::apply_list;
+use super::list::{Interruption, Position, list, record_and_report};
+use super::origin::ReadSource;
+use super::settings::EdgeSettings;
+use super::state::Shared;
+use super::state_age::{CALL_TIME, DATAGRAM_TIME, SEND_TIME};
+use super::ticks::TICK_PERIOD;
+use super::watch_progress::{MAX_LAG, WatchMode};
+
+/// Part of `max_apply_delay` that is not used to batch changes of the deployment. The changes must be in use within
+/// `max_apply_delay`, and a slow store may need this time to return them.
+const APPLY_MARGIN: Millis = Millis(2000);
+/// Maximum batch time. It delays new routes.
+const MAX_BATCH_TIME: Millis = Millis(2000);
+
+/// The result of a read of the latest record.
+pub(crate) struct LatestRead {
+    /// Revision up to which all changes are known.
+    pub(crate) revision: Revision,
+    /// Whether the record has changed since the revision that was known before.
+    pub(crate) is_newer: bool,
+}
+
+/// Reads the latest record and puts it in force. All changes up to `known` were known before.
+pub(crate) async fn read_latest(
+    shared: &Arc<Shared>,
+    known: Revision,
+    source: ReadSource,
+) -> Result<LatestRead, Interruption> {
+    let family = Family::Deployment;
+    let sent_at = shared.now();
+    let mode = WatchMode::CatchUp;
+    let reported = shared.watch_progress().watch_started(sent_at, family, mode);
+    let position = Position::Interrupted(known);
+    let listed = list(shared, family, Freshness::Latest, position).await;
+    shared.watch_progress().watch_ended(family);
+    let listed = listed?;
+    let changes = listed.entries.iter().map(|change| change.revision);
+    let last_change = changes.max().filter(|revision| *revision > known);
+    let (revision, as_of) = (listed.revision.max(known), listed.as_of);
+    let origin = listed.origin(source);
+    shared.record_store_success(family);
+    apply_list(shared, family, Freshness::Latest, origin, listed.entries);
+    {
+        let mut progress = shared.watch_progress();
+        progress.record_catch_up(family, reported);
+        progress.record_deployment_read(shared.now().since(sent_at));
+    }
+    record_and_report(shared, family, revision, last_change, as_of);
+    Ok(LatestRead {
+        revision,
+        is_newer: last_change.is_some(),
+    })
+}
+
+/// Pause between two reads. Changes in this time are read as a batch, as each read has a cost. A record that takes long to read
+/// leaves less time for it: a change right after the start of a read waits for the end of that read, the pause, the next read
+/// and the read of a VM that gets it by a report.
+pub(crate) fn batch_time(settings: &EdgeSettings, read_time: Millis) -> Millis {
+    let read_time = read_time.max(CALL_TIME);
+    let reads = read_time + read_time + read_time;
+    let steps = reads + DATAGRAM_TIME + MAX_LAG + TICK_PERIOD + SEND_TIME;
+    let longest = (settings.max_apply_delay - APPLY_MARGIN).min(MAX_BATCH_TIME);
+    longest.min(settings.max_apply_delay - steps)
+}
--- a/crates/waxwingrail/src/edge/mod.rs
+++ b/crates/waxwingrail/src/edge/mod.rs
@@ -8,6 +8,7 @@
 mod connection;
 mod crash;
 mod daemon;
+mod deployment;
 mod forward;
 mod handlers;
 mod list;
--- a/crates/waxwingrail/src/edge/watch.rs
+++ b/crates/waxwingrail/src/edge/watch.rs
@@ -14,10 +14,11 @@
 use async_executor::Task;
 use async_io::Timer;
 use futures_lite::future;
-use waxwing_store::{Change, Family, Freshness, WatchOutcome};
+use waxwing_store::{Answer, Change, Family, Freshness, WatchOutcome};
 use waxwing_types::{Millis, Revision};
 
 use super::apply::{apply_changes, apply_list};
+use super::deployment;
 use super::list::{
     Interruption, Listed, Position, StoreFailure, current_outcome, list, list_after_restore,
     list_again, record_and_report,
@@ -47,14 +48,11 @@
 /// Period at which the waiting families check whether the probe has succeeded.
 const PROBE_POLL_PERIOD: Millis = Millis(100);
 
-/// Part of `max_apply_delay` that is not used to batch changes of the deployment. The changes must be in use within
-/// `max_apply_delay`, and a slow store may need this time to return them.
-const APPLY_MARGIN: Millis = Millis(2000);
 /// Part of `max_drain_delay` that is not used to batch changes of targets: a reader reads and reports the change, another VM
 /// waits for it in a recent state, reads the latest state, and its last request arrives at the target.
 const DRAIN_MARGIN: Millis =
     Millis(CALL_TIME.0 + DATAGRAM_TIME.0 + MAX_LAG.0 + TICK_PERIOD.0 + CALL_TIME.0 + SEND_TIME.0);
-/// Maximum batch time of the deployment and of targets. It delays new routes and the first request to a new target.
+/// Maximum batch time of targets. It delays the first request to a new target.
 const MAX_BATCH_TIME: Millis = Millis(2000);
 /// Time for which evacuations are batched. An evacuation should take effect within 1 s, because each further
 /// second of delay has a cost.
@@ -140,11 +138,15 @@
             record_and_report(shared, family, revision, None, as_of);
             if family == Family::Vms {
                 // All VMs may start at once. After this delay, one call returns the entries of all VMs.
-                Timer::after(batch_time(&shared.settings, family).duration()).await;
+                Timer::after(VMS_BATCH_TIME.duration()).await;
             }
             return Ok(revision);
         }
         Position::HistoryGone(known) => return list_again(shared, family, known, position).await,
+        Position::Interrupted(known) if family == Family::Deployment => {
+            let read = deployment::read_latest(shared, known, ReadSource::Resume).await?;
+            return Ok(read.revision);
+        }
         Position::Interrupted(known) => known,
         Position::Restored => return list_after_restore(shared, family).await,
     };
@@ -190,7 +192,7 @@
     let timeout = settings.store_timeout;
     match mode {
         WatchMode::CatchUp | WatchMode::Probe => (Millis::ZERO, timeout),
-        WatchMode::Recent | WatchMode::Restored => (longest, timeout),
+        WatchMode::Recent | WatchMode::Restored | WatchMode::Reported => (longest, timeout),
         WatchMode::Latest => {
             let wait = longest.min(confirm_wait).max(MIN_WATCH_WAIT);
             (wait, timeout.min(MAX_ANSWER_TIME))
@@ -220,6 +222,40 @@
     }
 }
 
+/// Waits for changes of a family after a revision. `None` if the wait is interrupted.
+async fn wait_for_changes(
+    shared: &Shared,
+    family: Family,
+    revision: Revision,
+    mode: WatchMode,
+    (wait, timeout): (Millis, Millis),
+    interruptions: &Receiver<()>,
+) -> Option<Answer<WatchOutcome>> {
+    let sent_at = shared.now();
+    let watch = async {
+        if mode == WatchMode::Reported {
+            future::pending::<()>().await;
+        }
+        let freshness = mode.freshness();
+        let call = shared
+            .registry
+            .watch(family, revision, freshness, wait, timeout);
+        Some(call.await)
+    };
+    let interruption = async { interruptions.recv().await.ok().and(None) };
+    let answer = future::or(watch, interruption).await;
+    shared.watch_progress().watch_ended(family);
+    if answer.is_none() && mode != WatchMode::Reported {
+        log::info!(
+            family = family.as_str(), source = mode.source().as_str(), revision = revision.0,
+            call_ms = shared.now().since(sent_at).0;
+            "call given up for a read of the latest state"
+        );
+        shared.metrics.count_given_up(family);
+    }
+    answer
+}
+
 /// Watches a family until a call fails or the store has dropped unread changes.
 async fn watch(
     shared: &Arc<Shared>,
@@ -227,12 +263,18 @@
     mut revision: Revision,
     interruptions: &Receiver<()>,
 ) -> Interruption {
+    // Whether the last answer showed a new version of the deployment, so that more are likely to have followed.
+    let mut has_changed = false;
     loop {
         let now = shared.now();
         let is_store_reader = shared.fleet().is_store_reader(now);
         let (mode, reported, confirm_wait) = {
             let mut progress = shared.watch_progress();
-            let mode = progress.next_mode(now, family, is_store_reader);
+            let mut mode = progress.next_mode(now, family, is_store_reader);
+            if std::mem::take(&mut has_changed) && mode != WatchMode::Reported {
+                mode = WatchMode::CatchUp;
+            }
+            revision = revision.max(progress.known_revision(family));
             let reported = progress.watch_started(now, family, mode);
             let confirm_wait = progress.next_read(family, true).since(now);
             (mode, reported, confirm_wait)
@@ -246,20 +288,22 @@
                 failure: None,
             };
         }
-        let call = shared
-            .registry
-            .watch(family, revision, mode.freshness(), wait, timeout);
-        let watch = async { Some(call.await) };
-        let interruption = async { interruptions.recv().await.ok().and(None) };
-        let answer = future::or(watch, interruption).await;
-        shared.watch_progress().watch_ended(family);
+        if family == Family::Deployment && mode == WatchMode::CatchUp {
+            match deployment::read_latest(shared, revision, mode.source()).await {
+                Ok(read) => {
+                    revision = read.revision;
+                    has_changed = read.is_newer;
+                }
+                Err(interruption) => return interruption,
+            }
+            if has_changed {
+                pause_for_batch(shared, family).await;
+            }
+            continue;
+        }
+        let times = (wait, timeout);
+        let answer = wait_for_changes(shared, family, revision, mode, times, interruptions).await;
         let Some(answer) = answer else {
-            log::info!(
-                family = family.as_str(), source = mode.source().as_str(), revision = revision.0,
-                call_ms = shared.now().since(now).0;
-                "call given up for a read of the latest state"
-            );
-            shared.metrics.count_given_up(family);
             continue;
         };
         let answered_at = shared.now();
@@ -287,6 +331,7 @@
                 }
                 record_and_report(shared, family, revision, last_change, as_of);
                 if last_change.is_some() {
+                    has_changed = family == Family::Deployment;
                     pause_for_batch(shared, family).await;
                 }
             }
@@ -311,7 +356,8 @@
 
 /// Waits while changes of a family gather, until the next read of the latest state is due.
 async fn pause_for_batch(shared: &Shared, family: Family) {
-    let batch_end = shared.now() + batch_time(&shared.settings, family);
+    let read_time = shared.watch_progress().deployment_read_time();
+    let batch_end = shared.now() + batch_time(&shared.settings, family, read_time);
     loop {
         let now = shared.now();
         let is_store_reader = shared.fleet().is_store_reader(now);
@@ -367,10 +413,11 @@
     Some(if first > known { last } else { watched })
 }
 
-/// Pause between two calls for a family. Changes in this time are read as a batch, as each call has a cost.
-fn batch_time(settings: &EdgeSettings, family: Family) -> Millis {
+/// Pause between two calls for a family. Changes in this time are read as a batch, as each call has a cost. `read_time` is
+/// the time of a read of the deployment.
+fn batch_time(settings: &EdgeSettings, family: Family, read_time: Millis) -> Millis {
     match family {
-        Family::Deployment => (settings.max_apply_delay - APPLY_MARGIN).min(MAX_BATCH_TIME),
+        Family::Deployment => deployment::batch_time(settings, read_time),
         Family::Targets => (settings.max_drain_delay - DRAIN_MARGIN).min(MAX_BATCH_TIME),
         Family::Evacuations => EVACUATIONS_BATCH_TIME,
         Family::Vms => VMS_BATCH_TIME,
--- a/crates/waxwingrail/src/edge/watch/tests.rs
+++ b/crates/waxwingrail/src/edge/watch/tests.rs
@@ -87,7 +87,7 @@
 #[test]
 fn the_steps_of_a_reported_change_fit_into_the_limits() {
     check_steps(|settings, family| {
-        let read = batch_time(settings, family) + CALL_TIME + DATAGRAM_TIME;
+        let read = batch_time(settings, family, CALL_TIME) + CALL_TIME + DATAGRAM_TIME;
         read + MAX_LAG + TICK_PERIOD + CALL_TIME + SEND_TIME
     });
 }
--- a/crates/waxwingrail/src/edge/watch_progress.rs
+++ b/crates/waxwingrail/src/edge/watch_progress.rs
@@ -49,6 +49,9 @@
         Restored,
         /// A recent state, for as long as the history of the store allows.
         Recent,
+        /// No state: the reports of store readers show that this VM has all changes. It waits for a report of one that it
+        /// lacks.
+        Reported,
         /// A recent state, without waiting: whether it has reached the list that another VM started from.
         Probe,
         /// The latest state, without waiting, to fetch changes that other VMs have reported, or because nothing has confirmed
@@ -68,15 +71,26 @@
 impl WatchMode {
     pub(crate) const fn source(self) -> ReadSource {
         match self {
-            Self::Latest | Self::Restored | Self::Recent | Self::Probe => ReadSource::Watch,
+            Self::Latest | Self::Restored | Self::Recent | Self::Reported | Self::Probe => {
+                ReadSource::Watch
+            }
             Self::CatchUp => ReadSource::CatchUp,
         }
     }
 
+    /// Whether the call waits for a change, so that it may be ended for a read that waits for nothing. A read that was begun is
+    /// brought to its end: a later one would have to begin anew, and a change each time would keep it from ever ending.
+    const fn waits(self) -> bool {
+        match self {
+            Self::Latest | Self::Restored | Self::Recent | Self::Reported => true,
+            Self::Probe | Self::CatchUp => false,
+        }
+    }
+
     pub(crate) const fn freshness(self) -> Freshness {
         match self {
             Self::Latest | Self::Restored | Self::CatchUp => Freshness::Latest,
-            Self::Recent | Self::Probe => Freshness::Recent,
+            Self::Recent | Self::Reported | Self::Probe => Freshness::Recent,
         }
     }
 }
@@ -95,6 +109,8 @@
     /// Time at which this VM learned of the last restore of the store.
     restored_at: Option<Millis>,
     families: BTreeMap<Family, FamilyProgress>,
+    /// Time that the last read of the deployment as a whole took.
+    deployment_read_time: Millis,
 }
 
 impl WatchProgress {
@@ -108,6 +124,7 @@
             is_later_epoch_reported: false,
             restored_at: None,
             families: BTreeMap::new(),
+            deployment_read_time: Millis::ZERO,
         }
     }
 
@@ -136,6 +153,8 @@
             WatchMode::Latest
         } else if self.is_unconfirmed(now, family) {
             WatchMode::CatchUp
+        } else if family == Family::Deployment && now >= self.started_at + self.limits.startup {
+            self.deployment_mode(now)
         } else if self.is_recent_state_void(now) {
             WatchMode::Restored
         } else if self.must_probe(now, family) {
@@ -145,6 +164,22 @@
         }
     }
 
+    /// The mode of a VM that is no store reader, for the deployment. Each change of it returns the record as a whole, so that a
+    /// watch at every VM would take its size for each change and each VM from the store.
+    fn deployment_mode(&self, now: Millis) -> WatchMode {
+        let family = Family::Deployment;
+        let max_age = self.limits.of(family).max;
+        let progress = self.families.get(&family);
+        let reported_as_of = progress.and_then(FamilyProgress::reported_as_of);
+        if reported_as_of.is_none_or(|as_of| now >= as_of + max_age) {
+            WatchMode::Latest
+        } else if self.must_probe(now, family) {
+            WatchMode::Probe
+        } else {
+            WatchMode::Reported
+        }
+    }
+
     /// Whether this VM must watch the latest state as the store reader. Not in the startup: a watch of a recent state that
     /// still waits at its end is interrupted then.
     fn must_watch_latest(&self, now: Millis, is_store_reader: bool) -> bool {
@@ -262,6 +297,22 @@
         }
     }
 
+    /// Records the time that a read of the deployment as a whole took.
+    pub(crate) fn record_deployment_read(&mut self, time: Millis) {
+        self.deployment_read_time = time;
+    }
+
+    /// Time that the last read of the deployment as a whole took, zero before the first one.
+    pub(crate) fn deployment_read_time(&self) -> Millis {
+        self.deployment_read_time
+    }
+
+    /// The revision up to which this VM knows all changes of a family.
+    pub(crate) fn known_revision(&self, family: Family) -> Revision {
+        let progress = self.families.get(&family);
+        progress.map_or(Revision::default(), |progress| progress.known_revision)
+    }
+
     /// Records the start of a watch. Returns the highest revision that other VMs have reported before, which the latest state
     /// contains.
     pub(crate) fn watch_started(
@@ -361,15 +412,25 @@
             let Some((watch_started_at, mode)) = progress.current_watch else {
                 continue;
             };
+            if !mode.waits() {
+                continue;
+            }
             let lag_exceeded =
                 now.since(watch_started_at.max(progress.reported.1)) >= max_lag(*family);
-            let is_long = matches!(mode, WatchMode::Recent | WatchMode::Restored);
+            let is_long = matches!(
+                mode,
+                WatchMode::Recent | WatchMode::Restored | WatchMode::Reported
+            );
             let must_read_latest =
                 self.must_watch_latest(now, is_store_reader) || self.is_unconfirmed(now, *family);
-            let must_replace_recent =
-                self.must_probe(now, *family) || self.is_recent_state_void(now);
-            let must_switch =
-                is_long && must_read_latest || mode == WatchMode::Recent && must_replace_recent;
+            let must_replace_recent = match mode {
+                WatchMode::Recent => {
+                    self.must_probe(now, *family) || self.is_recent_state_void(now)
+                }
+                WatchMode::Reported => self.must_probe(now, *family),
+                _ => false,
+            };
+            let must_switch = is_long && must_read_latest || must_replace_recent;
             let must_end = progress.is_behind() && lag_exceeded || self.is_later_epoch_reported;
             if (must_end || must_switch) && progress.interruptions.try_send(()).is_ok() {
                 interrupted_families.push(*family);
--- a/crates/waxwingrail/src/edge/watch_progress/family.rs
+++ b/crates/waxwingrail/src/edge/watch_progress/family.rs
@@ -18,7 +18,7 @@
     /// Revision from which on this VM knows the changes: that of the list that it started from. The list may contain changes
     /// that the list of another VM lacks.
     pub(super) floor: Revision,
-    /// Highest revision of a change that another VM has reported, and the time of this report.
+    /// Highest revision of a change that another VM has reported, and the time since which this VM has lacked one.
     pub(super) reported: (Revision, Millis),
     /// Highest floor that another VM has reported, and the time of this report or of the last probe after it.
     pub(super) reported_floor: (Revision, Millis),
@@ -41,6 +41,11 @@
         self.reported.0 > self.known_revision
     }
 
+    /// Time up to which a VM that knows all reported changes has all changes, `None` before the first report.
+    pub(super) fn reported_as_of(&self) -> Option<Millis> {
+        self.reported_as_of
+    }
+
     /// Whether another VM started from a list that may contain changes which this VM lacks.
     pub(super) fn is_below_floor(&self) -> bool {
         self.reported_floor.0 > self.known_revision
@@ -117,7 +122,13 @@
     /// Records the revision of the last change that another VM reports.
     pub(super) fn record_reported_change(&mut self, now: Millis, revision: Revision) {
         if revision > self.reported.0 {
-            self.reported = (revision, now);
+            // The time counts from the first change that is missing, however often later ones are reported.
+            let missing_since = if self.is_behind() {
+                self.reported.1
+            } else {
+                now
+            };
+            self.reported = (revision, missing_since);
         }
     }
 
--- a/crates/waxwingrail/tests/edge/vm.rs
+++ b/crates/waxwingrail/tests/edge/vm.rs
@@ -1,4 +1,5 @@
 //! A VM whose process can be killed or frozen, and cut off from the registry.
+#![allow(dead_code, reason = "each test file uses only some of the items")]
 
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
