Leave room in the pause between two reads for the fleet that reads the record

Change: the read of the other VMs is estimated from the bytes of the record, the number of VMs, and links of 1,000 and 10 Mbit/s.

--- a/crates/waxwingrail/src/edge/deployment.rs
+++ b/crates/waxwingrail/src/edge/deployment.rs
@@ -3,10 +3,13 @@
 //! A watch returns each version since the known one as a whole. A VM that is behind would read more the longer it is behind, so
 //! that it reads the record itself instead: one version, whatever it has missed.
 
+#[cfg(test)]
+mod tests;
+
 use std::sync::Arc;
 
 use waxwing_store::{Family, Freshness};
-use waxwing_types::{Millis, Revision};
+use waxwing_types::{Millis, Revision, common_derives};
 
 use super::apply::apply_list;
 use super::list::{Interruption, Position, list, record_and_report};
@@ -20,9 +23,22 @@
 /// Part of `max_apply_delay` that is not used to batch changes of the deployment. The changes must be in use within
 /// `max_apply_delay`, and a slow store may need this time to return them.
 const APPLY_MARGIN: Millis = Millis(2000);
+/// Bandwidth of a store with 1,000 Mbit/s, and of a VM with 10 Mbit/s.
+const STORE_BYTES_PER_MS: u64 = 125_000;
+const SLOW_LINK_BYTES_PER_MS: u64 = 1_250;
 /// Maximum batch time. It delays new routes.
 const MAX_BATCH_TIME: Millis = Millis(2000);
 
+common_derives! {
+    copy
+    /// What a read of the whole record cost.
+    #[derive(Default)]
+    pub(crate) struct ReadCost {
+        pub(crate) time: Millis,
+        pub(crate) bytes: u64,
+    }
+}
+
 /// The result of a read of the latest record.
 pub(crate) struct LatestRead {
     /// Revision up to which all changes are known.
@@ -54,7 +70,10 @@
     {
         let mut progress = shared.watch_progress();
         progress.record_catch_up(family, reported);
-        progress.record_deployment_read(shared.now().since(sent_at));
+        progress.record_deployment_read(ReadCost {
+            time: shared.now().since(sent_at),
+            bytes: origin.bytes,
+        });
     }
     record_and_report(shared, family, revision, last_change, as_of);
     Ok(LatestRead {
@@ -65,11 +84,14 @@
 
 /// Pause between two reads. Changes in this time are read as a batch, as each read has a cost. A record that takes long to read
 /// leaves less time for it: a change right after the start of a read waits for the end of that read, the pause, the next read
-/// and the read of a VM that gets it by a report.
-pub(crate) fn batch_time(settings: &EdgeSettings, read_time: Millis) -> Millis {
-    let read_time = read_time.max(CALL_TIME);
-    let reads = read_time + read_time + read_time;
-    let steps = reads + DATAGRAM_TIME + MAX_LAG + TICK_PERIOD + SEND_TIME;
+/// and the read of a VM that gets it by a report. That VM may have a slow link, and all `vms` read at that moment.
+pub(crate) fn batch_time(settings: &EdgeSettings, read: ReadCost, vms: u64) -> Millis {
+    let transfer_time = read.time - CALL_TIME;
+    let shared_transfer = Millis(read.bytes * vms / STORE_BYTES_PER_MS);
+    let slow_transfer = Millis(read.bytes / SLOW_LINK_BYTES_PER_MS);
+    let own_read = CALL_TIME + transfer_time;
+    let vm_read = CALL_TIME + shared_transfer.max(slow_transfer);
+    let steps = own_read + own_read + vm_read + DATAGRAM_TIME + MAX_LAG + TICK_PERIOD + SEND_TIME;
     let longest = (settings.max_apply_delay - APPLY_MARGIN).min(MAX_BATCH_TIME);
     longest.min(settings.max_apply_delay - steps)
 }
--- a/crates/waxwingrail/src/edge/watch.rs
+++ b/crates/waxwingrail/src/edge/watch.rs
@@ -18,7 +18,7 @@
 use waxwing_types::{Millis, Revision};
 
 use super::apply::{apply_changes, apply_list};
-use super::deployment;
+use super::deployment::{self, ReadCost};
 use super::list::{
     Interruption, Listed, Position, StoreFailure, current_outcome, list, list_after_restore,
     list_again, record_and_report,
@@ -356,8 +356,9 @@
 
 /// Waits while changes of a family gather, until the next read of the latest state is due.
 async fn pause_for_batch(shared: &Shared, family: Family) {
-    let read_time = shared.watch_progress().deployment_read_time();
-    let batch_end = shared.now() + batch_time(&shared.settings, family, read_time);
+    let read = shared.watch_progress().deployment_read();
+    let vms = shared.fleet().vm_count() as u64;
+    let batch_end = shared.now() + batch_time(&shared.settings, family, (read, vms));
     loop {
         let now = shared.now();
         let is_store_reader = shared.fleet().is_store_reader(now);
@@ -413,11 +414,11 @@
     Some(if first > known { last } else { watched })
 }
 
-/// Pause between two calls for a family. Changes in this time are read as a batch, as each call has a cost. `read_time` is
-/// the time of a read of the deployment.
-fn batch_time(settings: &EdgeSettings, family: Family, read_time: Millis) -> Millis {
+/// Pause between two calls for a family. Changes in this time are read as a batch, as each call has a cost. `read` is
+/// what a read of the deployment costs, and `vms` how many VMs read it.
+fn batch_time(settings: &EdgeSettings, family: Family, (read, vms): (ReadCost, u64)) -> Millis {
     match family {
-        Family::Deployment => deployment::batch_time(settings, read_time),
+        Family::Deployment => deployment::batch_time(settings, read, vms),
         Family::Targets => (settings.max_drain_delay - DRAIN_MARGIN).min(MAX_BATCH_TIME),
         Family::Evacuations => EVACUATIONS_BATCH_TIME,
         Family::Vms => VMS_BATCH_TIME,
--- a/crates/waxwingrail/src/edge/watch/tests.rs
+++ b/crates/waxwingrail/src/edge/watch/tests.rs
@@ -3,6 +3,7 @@
 use waxwing_store::Family;
 use waxwing_types::Millis;
 
+use super::super::deployment::ReadCost;
 use super::super::settings::EdgeSettings;
 use super::super::state_age::{AgeLimits, CALL_TIME, DATAGRAM_TIME, SEND_TIME};
 use super::super::test_settings::settings;
@@ -87,7 +88,8 @@
 #[test]
 fn the_steps_of_a_reported_change_fit_into_the_limits() {
     check_steps(|settings, family| {
-        let read = batch_time(settings, family, CALL_TIME) + CALL_TIME + DATAGRAM_TIME;
+        let read =
+            batch_time(settings, family, (ReadCost::default(), 1)) + CALL_TIME + DATAGRAM_TIME;
         read + MAX_LAG + TICK_PERIOD + CALL_TIME + SEND_TIME
     });
 }
--- a/crates/waxwingrail/src/edge/watch_progress.rs
+++ b/crates/waxwingrail/src/edge/watch_progress.rs
@@ -19,6 +19,7 @@
 use waxwing_store::{Family, Freshness};
 use waxwing_types::{Millis, Revision, StoreEpoch, common_derives};
 
+use super::deployment::ReadCost;
 use super::origin::ReadSource;
 use super::restore::AnswerEpoch;
 use super::state_age::AgeLimits;
@@ -109,8 +110,8 @@
     /// Time at which this VM learned of the last restore of the store.
     restored_at: Option<Millis>,
     families: BTreeMap<Family, FamilyProgress>,
-    /// Time that the last read of the deployment as a whole took.
-    deployment_read_time: Millis,
+    /// What the last read of the deployment as a whole cost.
+    deployment_read: ReadCost,
 }
 
 impl WatchProgress {
@@ -124,7 +125,7 @@
             is_later_epoch_reported: false,
             restored_at: None,
             families: BTreeMap::new(),
-            deployment_read_time: Millis::ZERO,
+            deployment_read: ReadCost::default(),
         }
     }
 
@@ -297,14 +298,14 @@
         }
     }
 
-    /// Records the time that a read of the deployment as a whole took.
-    pub(crate) fn record_deployment_read(&mut self, time: Millis) {
-        self.deployment_read_time = time;
+    /// Records what a read of the deployment as a whole cost.
+    pub(crate) fn record_deployment_read(&mut self, read: ReadCost) {
+        self.deployment_read = read;
     }
 
-    /// Time that the last read of the deployment as a whole took, zero before the first one.
-    pub(crate) fn deployment_read_time(&self) -> Millis {
-        self.deployment_read_time
+    /// What the last read of the deployment as a whole cost, nothing before the first one.
+    pub(crate) fn deployment_read(&self) -> ReadCost {
+        self.deployment_read
     }
 
     /// The revision up to which this VM knows all changes of a family.
