--- a/crates/waxwing_http/tests/unanswered.rs
+++ b/crates/waxwing_http/tests/unanswered.rs
@@ -13,7 +13,7 @@
 use async_net::{TcpListener, TcpStream};
 use common::{get, rig};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
-use waxwing_http::{Client, ClientLimits, ExchangeError, exchange};
+use waxwing_http::{Client, ClientLimits, ExchangeError, exchange, exchange_in_parts};
 use waxwing_types::Millis;
 
 const TIMEOUT: Millis = Millis(500);
@@ -87,3 +87,71 @@
         assert!(next.is_ok(), "{next:?}");
     });
 }
+
+/// Calls a server that sends an answer in parts, with a pause between them, and returns the length of the answer.
+fn length_of_answer_in_parts(
+    parts: usize,
+    part_bytes: usize,
+    pause: Duration,
+) -> Result<usize, ExchangeError> {
+    let (sender, receiver) = std::sync::mpsc::channel();
+    rig(|executor| async move {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let answer = async move {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let _request = stream.read(&mut [0; 1024]).await.unwrap();
+            let length = parts * part_bytes;
+            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n");
+            stream.write_all(head.as_bytes()).await.unwrap();
+            for _ in 0..parts {
+                Timer::after(pause).await;
+                if stream.write_all(&vec![b'x'; part_bytes]).await.is_err() {
+                    return;
+                }
+            }
+            Timer::after(Duration::from_mins(1)).await;
+        };
+        executor.spawn(answer).detach();
+        let client = Client::new(Arc::clone(&executor), ClientLimits::default());
+        let timeouts = (TIMEOUT, TIMEOUT);
+        let answer =
+            exchange_in_parts(&client, address, get("/"), timeouts, 10 * MAX_PART_BYTES).await;
+        sender
+            .send(answer.map(|answer| answer.body().len()))
+            .unwrap();
+    });
+    receiver.recv().unwrap()
+}
+
+const MAX_PART_BYTES: usize = 100_000;
+
+/// Guards against a long answer that is given up and asked for anew, although it goes on.
+#[test]
+fn an_answer_that_goes_on_is_not_given_up() {
+    let pause = TIMEOUT.duration() / 4;
+
+    let length = length_of_answer_in_parts(8, MAX_PART_BYTES, pause);
+
+    assert_eq!(length, Ok(8 * MAX_PART_BYTES));
+}
+
+/// Guards against a call that waits for the rest of an answer for good.
+#[test]
+fn an_answer_that_stops_is_given_up() {
+    let pause = TIMEOUT.duration() * 20;
+
+    let length = length_of_answer_in_parts(2, MAX_PART_BYTES, pause);
+
+    assert!(matches!(length, Err(ExchangeError::Sent(_))), "{length:?}");
+}
+
+/// Guards against a call that some bytes now and then keep alive.
+#[test]
+fn an_answer_that_dribbles_is_given_up() {
+    let pause = TIMEOUT.duration() / 4;
+
+    let length = length_of_answer_in_parts(200, 1, pause);
+
+    assert!(matches!(length, Err(ExchangeError::Sent(_))), "{length:?}");
+}
--- a/crates/waxwingrail/src/edge/watch/tests.rs
+++ b/crates/waxwingrail/src/edge/watch/tests.rs
@@ -9,7 +9,8 @@
 use super::super::test_settings::settings;
 use super::super::ticks::TICK_PERIOD;
 use super::super::watch_progress::{MAX_LAG, WatchMode};
-use super::{PROBE_POLL_PERIOD, RETRY_BACKOFF, answered_as_of, batch_time, watch_times};
+use super::times::{answered_as_of, watch_times};
+use super::{PROBE_POLL_PERIOD, RETRY_BACKOFF, batch_time};
 
 /// Answer time of a slow store.
 const SLOW_CALL_TIME: Millis = Millis(200);
--- a/crates/waxwingrail/src/edge/watch_progress.rs
+++ b/crates/waxwingrail/src/edge/watch_progress.rs
@@ -7,6 +7,7 @@
 //! nothing has confirmed for too long that they have all changes.
 
 mod family;
+mod mode;
 mod report;
 #[cfg(test)]
 mod tests;
@@ -17,13 +18,13 @@
 use async_channel::Receiver;
 use waxwing_edge::READER_STARTUP_TIME;
 use waxwing_store::{Family, Freshness};
-use waxwing_types::{Millis, Revision, StoreEpoch, common_derives};
+use waxwing_types::{Millis, Revision, StoreEpoch};
 
 use super::deployment::ReadCost;
-use super::origin::ReadSource;
 use super::restore::AnswerEpoch;
 use super::state_age::AgeLimits;
 use family::FamilyProgress;
+pub(crate) use mode::WatchMode;
 
 /// Time for which a recent state may lack a revision that another VM reported.
 pub(super) const MAX_LAG: Millis = Millis(400);
@@ -39,28 +40,6 @@
 /// restore.
 const RESTORE_TIME: Millis = Millis::from_secs(8);
 
-common_derives! {
-    copy
-    /// Which state of the store the next watch of a family reads, and for how long it waits.
-    pub(crate) enum WatchMode {
-        /// The latest state, for as long as a silence of the store may last unnoticed.
-        Latest,
-        /// The latest state, for as long as the history of the store allows: after a restore, when a recent state may be that
-        /// of before.
-        Restored,
-        /// A recent state, for as long as the history of the store allows.
-        Recent,
-        /// No state: the reports of store readers show that this VM has all changes. It waits for a report of one that it
-        /// lacks.
-        Reported,
-        /// A recent state, without waiting: whether it has reached the list that another VM started from.
-        Probe,
-        /// The latest state, without waiting, to fetch changes that other VMs have reported, or because nothing has confirmed
-        /// the state for too long.
-        CatchUp,
-    }
-}
-
 /// Time for which a recent state of a family may lack a reported revision.
 const fn max_lag(family: Family) -> Millis {
     match family {
@@ -69,33 +48,6 @@
     }
 }
 
-impl WatchMode {
-    pub(crate) const fn source(self) -> ReadSource {
-        match self {
-            Self::Latest | Self::Restored | Self::Recent | Self::Reported | Self::Probe => {
-                ReadSource::Watch
-            }
-            Self::CatchUp => ReadSource::CatchUp,
-        }
-    }
-
-    /// Whether the call waits for a change, so that it may be ended for a read that waits for nothing. A read that was begun is
-    /// brought to its end: a later one would have to begin anew, and a change each time would keep it from ever ending.
-    const fn waits(self) -> bool {
-        match self {
-            Self::Latest | Self::Restored | Self::Recent | Self::Reported => true,
-            Self::Probe | Self::CatchUp => false,
-        }
-    }
-
-    pub(crate) const fn freshness(self) -> Freshness {
-        match self {
-            Self::Latest | Self::Restored | Self::CatchUp => Freshness::Latest,
-            Self::Recent | Self::Reported | Self::Probe => Freshness::Recent,
-        }
-    }
-}
-
 /// The revisions of all families that this VM and other VMs know, and the watches that run.
 pub(crate) struct WatchProgress {
     started_at: Millis,
--- a/crates/waxwingrail/src/edge/watch_progress/tests.rs
+++ b/crates/waxwingrail/src/edge/watch_progress/tests.rs
@@ -331,3 +331,52 @@
     assert_eq!(progress.next_mode(later, FAMILY, false), WatchMode::Recent);
     assert_eq!(progress.recent_freshness(later), Freshness::Recent);
 }
+
+/// Guards against a read that is given up for a later change, and begun again for each one that follows.
+#[test]
+fn a_read_of_the_latest_state_is_not_interrupted() {
+    let (mut progress, now) = progress_and_startup_end(5);
+    let _interruptions = progress.add_family(FAMILY);
+    progress.record_answer(FAMILY, Revision(5), Some(Revision(5)), Some(now));
+    progress.watch_started(now, FAMILY, WatchMode::CatchUp);
+    progress.record_report(now, &report(6));
+
+    let interrupted = progress.interrupt_outdated(now + MAX_LAG + MAX_LAG, false);
+
+    assert_eq!(interrupted, []);
+}
+
+/// Guards against changes in quick succession whose reports put off the read of the first one again and again.
+#[test]
+fn a_later_report_does_not_put_off_a_read() {
+    let (mut progress, now) = progress_and_startup_end(5);
+    let _interruptions = progress.add_family(FAMILY);
+    progress.record_answer(FAMILY, Revision(5), Some(Revision(5)), Some(now));
+    progress.watch_started(now, FAMILY, WatchMode::Recent);
+    progress.record_report(now, &report(6));
+    progress.record_report(now + MAX_LAG - Millis(1), &report(7));
+
+    let interrupted = progress.interrupt_outdated(now + MAX_LAG, false);
+
+    assert_eq!(interrupted, [FAMILY]);
+}
+
+/// Guards against VMs that each take every version of a large deployment from the store although a reader reports to them, and
+/// against a VM that waits for reports when there are none.
+#[test]
+fn a_vm_that_reports_confirm_does_not_watch_the_deployment() {
+    let family = Family::Deployment;
+    let (mut progress, now) = progress_and_startup_end(5);
+    let _interruptions = progress.add_family(family);
+    progress.record_answer(family, Revision(5), None, Some(now));
+    let without_reports = progress.next_mode(now, family, false);
+    let now = now + RESUMPTION_TIME;
+    progress.record_report(now, &report(5));
+
+    let with_reports = progress.next_mode(now, family, false);
+    let is_due = progress.next_mode(now + limits().of(family).max, family, false);
+
+    assert_eq!(without_reports, WatchMode::Latest);
+    assert_eq!(with_reports, WatchMode::Reported);
+    assert_eq!(is_due, WatchMode::CatchUp);
+}
