Use a valid version of the deployment whose successor is invalid

Cause: a VM that is behind reads the newest record only. If that one cannot be used, a valid one before it was skipped. Change: if the newest record cannot be used, the VM reads the versions since the known revision once. Conclusion: a version that is confirmed is in force whatever follows it.

--- a/crates/waxwingrail/src/edge/deployment.rs
+++ b/crates/waxwingrail/src/edge/deployment.rs
@@ -8,12 +8,12 @@
 
 use std::sync::Arc;
 
-use waxwing_store::{Family, Freshness};
+use waxwing_store::{Change, Entry, Family, Freshness, WatchOutcome};
 use waxwing_types::{Millis, Revision, common_derives};
 
-use super::apply::apply_list;
-use super::list::{Interruption, Position, list, record_and_report};
-use super::origin::ReadSource;
+use super::apply::{apply_changes, apply_list};
+use super::list::{Interruption, Position, current_outcome, list, record_and_report};
+use super::origin::{Origin, ReadSource};
 use super::settings::EdgeSettings;
 use super::state::Shared;
 use super::state_age::{CALL_TIME, DATAGRAM_TIME, SEND_TIME};
@@ -65,8 +65,13 @@
     let last_change = changes.max().filter(|revision| *revision > known);
     let (revision, as_of) = (listed.revision.max(known), listed.as_of);
     let origin = listed.origin(source);
+    let version = listed.entries.iter().find_map(version_of);
     shared.record_store_success(family);
     apply_list(shared, family, Freshness::Latest, origin, listed.entries);
+    let in_force = shared.routing_table().map_or(0, |table| table.version());
+    if last_change.is_some() && version.is_none_or(|version| version > in_force) {
+        read_missed_versions(shared, known).await?;
+    }
     {
         let mut progress = shared.watch_progress();
         progress.record_catch_up(family, reported);
@@ -82,6 +87,41 @@
     })
 }
 
+/// The version of an entry, `None` if it cannot be read.
+fn version_of(change: &Change) -> Option<u64> {
+    match &change.entry {
+        Some(Entry::Deployment(record)) => Some(record.version),
+        _ => None,
+    }
+}
+
+/// Reads the versions since a revision, of which the last one cannot be used. One before it may be newer than that in force.
+async fn read_missed_versions(shared: &Arc<Shared>, known: Revision) -> Result<(), Interruption> {
+    let family = Family::Deployment;
+    let (wait, timeout) = (Millis::ZERO, shared.settings.store_timeout);
+    let sent_at = shared.now();
+    let call = shared
+        .registry
+        .watch(family, known, Freshness::Latest, wait, timeout);
+    let answer = call.await;
+    let origin = Origin {
+        source: ReadSource::CatchUp,
+        bytes: answer.bytes,
+        sent_at,
+    };
+    match current_outcome(shared, answer)? {
+        WatchOutcome::Changed { changes, .. } => {
+            apply_changes(shared, family, origin, changes);
+            Ok(())
+        }
+        WatchOutcome::HistoryGone => Ok(()),
+        WatchOutcome::Unreachable(reason) => {
+            let position = Position::Interrupted(known);
+            Err(Interruption::failed(position, reason, sent_at))
+        }
+    }
+}
+
 /// Pause between two reads. Changes in this time are read as a batch, as each read has a cost. A record that takes long to read
 /// leaves less time for it: a change right after the start of a read waits for the end of that read, the pause, the next read
 /// and the read of a VM that gets it by a report. That VM may have a slow link, and all `vms` read at that moment.
