--- a/crates/waxwingrail/tests/edge_large_deployment.rs
+++ b/crates/waxwingrail/tests/edge_large_deployment.rs
@@ -1,4 +1,4 @@
-//! Tests of a deployment so large that reading it takes longer than its changes are apart.
+//! Tests of a deployment whose changes follow each other faster than a VM reads them.
 
 #[path = "edge/fixture.rs"]
 mod fixture;
@@ -100,3 +100,27 @@
 fn a_large_deployment_that_changes_as_a_whole_is_in_use_in_time() {
     check_that_versions_are_in_use_in_time(200);
 }
+
+/// Guards against a VM that skips a valid version because the one after it, which it reads instead, is invalid.
+#[test]
+fn a_version_before_an_invalid_one_is_in_use() {
+    run_test(async |fixture| {
+        let (daemon, _target) = fixture.daemon_with_target().await;
+        fixture.registry.set_down(true);
+        fixture.wait_until_watches_fail(&daemon).await;
+        let mut valid = deployment(2);
+        valid.routes.remove(1);
+        fixture.deploy(valid);
+        let mut invalid = deployment(3);
+        invalid.routes[0].attempts = 0;
+        fixture.deploy(invalid);
+
+        fixture.registry.set_down(false);
+
+        wait_until("the valid version is in use", async || {
+            fixture.call(&daemon, "unsafe").await.status == 404
+        })
+        .await;
+        assert_eq!(fixture.call(&daemon, "safe").await.status, 200);
+    });
+}
--- a/crates/waxwingrail/tests/edge_watch.rs
+++ b/crates/waxwingrail/tests/edge_watch.rs
@@ -363,30 +363,6 @@
     });
 }
 
-/// Guards against a VM that skips a valid version because the one after it, which it reads instead, is invalid.
-#[test]
-fn a_version_before_an_invalid_one_is_in_use() {
-    run_test(async |fixture| {
-        let (daemon, _target) = fixture.daemon_with_target().await;
-        fixture.registry.set_down(true);
-        fixture.wait_until_watches_fail(&daemon).await;
-        let mut valid = deployment(2);
-        valid.routes.remove(1);
-        fixture.deploy(valid);
-        let mut invalid = deployment(3);
-        invalid.routes[0].attempts = 0;
-        fixture.deploy(invalid);
-
-        fixture.registry.set_down(false);
-
-        wait_until("the valid version is in use", async || {
-            fixture.call(&daemon, "unsafe").await.status == 404
-        })
-        .await;
-        assert_eq!(fixture.call(&daemon, "safe").await.status, 200);
-    });
-}
-
 /// Guards against limits of an older deployment that are in use although the deployment itself is ignored.
 #[test]
 fn the_limits_of_an_older_deployment_are_ignored() {
