Count lists that were asked for again in the registry double

Cause: changed MemoryRegistry::lists from the lists that were asked for to those that were answered, without saying so. Tests that expect no list in an outage then missed the ones that fail.

--- a/crates/waxwing_store/src/registry.rs
+++ b/crates/waxwing_store/src/registry.rs
@@ -148,8 +148,8 @@
         timeout: Millis,
     ) -> Pending<'_, Answer<ListOutcome>>;
 
-    /// Changes after a revision. Waits up to `wait` for the first one; `timeout` holds from then on as for a list. Of an older state, changes may come
-    /// seconds late.
+    /// Changes after a revision. Waits up to `wait` for the first one; `timeout` holds from then on as for a list. Of an older
+    /// state, changes may come seconds late.
     fn watch(
         &self,
         family: Family,
--- a/crates/waxwing_testkit/src/registry.rs
+++ b/crates/waxwing_testkit/src/registry.rs
@@ -43,8 +43,9 @@
     silences: u64,
     /// Time that one record of the deployment takes on the way to a caller.
     transfer_time: Millis,
-    /// The lists that were answered.
+    /// The lists that were asked for, and the families of those that were answered.
     lists: Vec<(Family, Freshness)>,
+    answered_lists: Vec<Family>,
     /// The watches that were asked for, with their longest waits.
     watches: Vec<(Family, Freshness, Millis)>,
 }
@@ -121,13 +122,23 @@
 
 /// Queries.
 impl MemoryRegistry {
-    /// How new the lists of a family had to be, in the order in which they were answered.
+    /// How new the lists of a family had to be, in the order in which they were asked for.
     pub fn lists(&self, family: Family) -> Vec<Freshness> {
         let state = self.lock();
         let lists = state.lists.iter().filter(|(of, _)| *of == family);
         lists.map(|(_, freshness)| *freshness).collect()
     }
 
+    /// Number of lists of a family that were answered.
+    pub fn answered_lists(&self, family: Family) -> usize {
+        let state = self.lock();
+        state
+            .answered_lists
+            .iter()
+            .filter(|of| **of == family)
+            .count()
+    }
+
     /// How new the watches of a family had to be, in the order in which they were asked for.
     pub fn watches(&self, family: Family) -> Vec<Freshness> {
         let state = self.lock();
@@ -285,10 +296,11 @@
             }
             let (answer, records) = {
                 let mut state = self.lock();
+                state.lists.push((family, freshness));
                 if state.down {
                     return unanswered(ListOutcome::Unreachable("down".into()));
                 }
-                state.lists.push((family, freshness));
+                state.answered_lists.push(family);
                 let contents = state.contents(freshness);
                 let entries = contents.list(family);
                 let records = entries.len();
--- a/crates/waxwingrail/tests/edge_watch.rs
+++ b/crates/waxwingrail/tests/edge_watch.rs
@@ -155,7 +155,7 @@
     run_test(async |fixture| {
         let (daemon, _target) = fixture.daemon_with_target().await;
         let families = [Family::Evacuations, Family::Vms];
-        let deployment_reads = || fixture.registry.lists(Family::Deployment).len();
+        let deployment_reads = || fixture.registry.answered_lists(Family::Deployment);
         let deployment_reads_before = deployment_reads();
         let lists_before = families.map(|family| fixture.registry.lists(family).len());
         fixture.registry.set_down(true);
