Add patches between versions of a deployment

Cause: the record is one object, and each VM reads it as a whole for each change.

Change: `DeploymentPatch` holds the items that changed since an earlier version, and the digest of the result, so that it results in the deployment of the sender or in nothing. Nothing uses them yet.

--- a/crates/waxwing_records/src/deployment.rs
+++ b/crates/waxwing_records/src/deployment.rs
@@ -15,7 +15,7 @@
 common_derives! {
     copy
     /// How often a request of a route may run.
-    #[derive(Serialize, Deserialize)]
+    #[derive(Hash, Serialize, Deserialize)]
     #[serde(rename_all = "snake_case")]
     pub enum RunKind {
         /// It is idempotent and may run more than once.
@@ -39,7 +39,7 @@
 
 common_derives! {
     /// A service to which a route sends a part of its requests.
-    #[derive(Serialize, Deserialize)]
+    #[derive(Hash, Serialize, Deserialize)]
     pub struct Backend {
         /// The service.
         pub service: ServiceId,
@@ -50,7 +50,7 @@
 
 common_derives! {
     /// A route, selected by host and longest path prefix.
-    #[derive(Serialize, Deserialize)]
+    #[derive(Hash, Serialize, Deserialize)]
     pub struct HostRoute {
         /// Name of the route.
         pub name: SmolStr,
@@ -81,7 +81,7 @@
 
 common_derives! {
     /// A service, whose targets register themselves.
-    #[derive(Serialize, Deserialize)]
+    #[derive(Hash, Serialize, Deserialize)]
     pub struct ServiceSpec {
         /// The service.
         pub id: ServiceId,
@@ -98,7 +98,7 @@
 
 common_derives! {
     /// A workspace with its keys and its quota.
-    #[derive(Serialize, Deserialize)]
+    #[derive(Hash, Serialize, Deserialize)]
     pub struct WorkspaceSpec {
         /// The workspace.
         pub id: WorkspaceId,
@@ -118,7 +118,7 @@
 common_derives! {
     copy
     /// What a caller may send.
-    #[derive(Serialize, Deserialize)]
+    #[derive(Hash, Serialize, Deserialize)]
     pub struct CallerLimits {
         /// Greatest header section in bytes.
         pub header_bytes: u64,
--- a/crates/waxwing_records/src/lib.rs
+++ b/crates/waxwing_records/src/lib.rs
@@ -7,6 +7,7 @@
 mod document;
 mod finding;
 mod key;
+mod patch;
 mod reference;
 mod region;
 mod registration;
@@ -23,6 +24,7 @@
 pub use document::{Document, Kind, MAX_RECORD_BYTES, Record, RecordName};
 pub use finding::{Finding, Findings};
 pub use key::{Key, KeyHash};
+pub use patch::{ChangeLog, DeploymentPatch, Item, ItemChange, ItemId, PatchError};
 pub use reference::check_references;
 pub use region::{Domain, Link, Region};
 pub use registration::{Registration, TargetState, VmEntry};
