Move the registration of a VM out of the datagrams between VMs

Callers saw: nothing; the code moves, and nothing else changes.

Change: `edge/registration.rs` registers and withdraws the VM.

Conclusion: no measurement, as nothing that runs has changed.

--- a/crates/waxwingrail/src/edge/apply.rs
+++ b/crates/waxwingrail/src/edge/apply.rs
@@ -11,6 +11,7 @@
 use super::crash;
 use super::origin::Origin;
 use super::peers;
+use super::registration;
 use super::state::Shared;
 use super::state_age::max_removal_delay;
 
@@ -280,7 +281,7 @@
 /// Registers this VM again after its entry was removed, unless the VM is stopping.
 fn register_again(shared: &Arc<Shared>) {
     if !shared.is_stopping() {
-        let task = peers::register(Arc::clone(shared));
+        let task = registration::register(Arc::clone(shared));
         shared.executor.spawn(task).detach();
     }
 }
--- a/crates/waxwingrail/src/edge/daemon.rs
+++ b/crates/waxwingrail/src/edge/daemon.rs
@@ -18,7 +18,7 @@
 use super::memory::MemoryLimits;
 use super::settings::EdgeSettings;
 use super::state::Shared;
-use super::{peers, state_age, ticks, watch};
+use super::{peers, registration, state_age, ticks, watch};
 use crate::run::{Workers, new_incarnation};
 use crate::signal::StopSignals;
 
@@ -111,6 +111,11 @@
         .await?;
         let mut tasks = watch::spawn_watches(&shared);
         tasks.extend(peers::spawn_tasks(&shared));
+        tasks.push(
+            shared
+                .executor
+                .spawn(registration::register_at_start(Arc::clone(&shared))),
+        );
         tasks.push(shared.executor.spawn(ticks::run_ticks(Arc::clone(&shared))));
         log::info!(
             vm = shared.settings.vm.as_str(), domain = shared.settings.domain.as_str(),
@@ -155,7 +160,7 @@
         log::info!(running = shared.running_requests.load(Ordering::Relaxed); "stop begins");
         let times = shared.begin_stop();
         self.caller_server.close_after_response();
-        let task = peers::withdraw_registration(Arc::clone(shared));
+        let task = registration::withdraw(Arc::clone(shared));
         let withdrawal = shared.executor.spawn(task);
         Timer::after(times.notice.duration()).await;
         let drain_timeout = times.end - times.notice;
--- a/crates/waxwingrail/src/edge/mod.rs
+++ b/crates/waxwingrail/src/edge/mod.rs
@@ -18,6 +18,7 @@
 mod origin;
 mod peers;
 mod refusal;
+mod registration;
 mod request;
 mod request_head;
 mod restore;
--- a/crates/waxwingrail/src/edge/peers.rs
+++ b/crates/waxwingrail/src/edge/peers.rs
@@ -1,5 +1,5 @@
 //! Datagrams between VMs: heartbeats, revisions of changes in the registry, quota tokens, and fingerprints of
-//! requests that crashed targets. Also the registration of this VM.
+//! requests that crashed targets.
 //!
 //! Each admitted request takes one quota token of its workspace. In each failure domain, one VM is the
 //! coordinator of a workspace: it distributes the tokens of the workspace to the VMs. Another role is that of the
@@ -20,11 +20,9 @@
 use waxwing_edge::{
     Datagram, NoTokenAction, PeerMessage, QuotaCoordinator, TargetProcess, WorkspaceTokens,
 };
-use waxwing_store::{Family, WriteOutcome};
 use waxwing_types::{Micros, Millis, WorkspaceId};
 
 use super::crash;
-use super::restore::{self, AnswerEpoch};
 use super::state::Shared;
 
 /// Period of heartbeats. Other VMs treat a VM as down after three and a half periods without a heartbeat.
@@ -37,19 +35,13 @@
 const MAX_OBSERVATIONS: usize = 24;
 /// Maximum number of [`WorkspaceTokens`] in one datagram. A larger datagram may not fit into one packet.
 const MAX_TOKEN_ENTRIES: usize = 16;
-/// Initial and maximum backoff between attempts to register.
-const REGISTER_BACKOFF: (Millis, Millis) = (Millis(100), Millis(1600));
-/// Maximum time for which the registration waits for the list of VMs, and the period of the check.
-const MAX_LIST_WAIT: Millis = Millis(1000);
-const LIST_POLL_PERIOD: Millis = Millis(50);
 
-/// Starts the tasks of this module: receipt of datagrams, heartbeats and the registration.
+/// Starts the tasks of this module: receipt of datagrams and heartbeats.
 pub(crate) fn spawn_tasks(shared: &Arc<Shared>) -> Vec<Task<()>> {
     let executor = &shared.executor;
     vec![
         executor.spawn(receive_datagrams(Arc::clone(shared))),
         executor.spawn(send_heartbeats(Arc::clone(shared))),
-        executor.spawn(register_at_start(Arc::clone(shared))),
     ]
 }
 
@@ -194,7 +186,7 @@
 }
 
 /// Sends a heartbeat to other VMs.
-fn send_heartbeat(shared: &Shared) {
+pub(crate) fn send_heartbeat(shared: &Shared) {
     let message = PeerMessage::Heartbeat {
         vm: shared.own_entry.id.clone(),
         incarnation: shared.own_entry.incarnation,
@@ -349,54 +341,3 @@
         send(shared, message, &recipients);
     }
 }
-
-/// Registers this VM, unless the entry of an earlier process still states the same. After a loss of all VMs, each write
-/// would be an event for every VM.
-async fn register_at_start(shared: Arc<Shared>) {
-    let mut waited = Millis::ZERO;
-    while waited < MAX_LIST_WAIT && !shared.store_status().loaded.contains(&Family::Vms) {
-        Timer::after(LIST_POLL_PERIOD.duration()).await;
-        waited += LIST_POLL_PERIOD;
-    }
-    if shared.fleet().has_entry_of_earlier_process() {
-        shared.store_status().is_registered = true;
-        log::info!(vm = shared.own_entry.id.as_str(); "registered by an earlier process");
-        return;
-    }
-    register(shared).await;
-}
-
-/// Registers this VM. Retries with exponential backoff until the store accepts the entry.
-pub(crate) async fn register(shared: Arc<Shared>) {
-    let (mut pause, max_pause) = REGISTER_BACKOFF;
-    loop {
-        let timeout = shared.settings.store_timeout;
-        let answer = shared.registry.announce(&shared.own_entry, timeout).await;
-        let is_lost = restore::record_epoch(&shared, answer.epoch) == AnswerEpoch::Earlier;
-        match answer.outcome {
-            WriteOutcome::Created(_) | WriteOutcome::Updated(_) if !is_lost => {
-                shared.store_status().is_registered = true;
-                log::info!(vm = shared.own_entry.id.as_str(); "registered");
-                return;
-            }
-            outcome => {
-                log::warn!(outcome:? = outcome; "not registered");
-            }
-        }
-        Timer::after(pause.duration()).await;
-        pause = Millis(pause.0 * 2).min(max_pause);
-    }
-}
-
-/// Tells other VMs by a heartbeat that this VM is no longer ready, hands its quota tokens over, and removes the entry of this
-/// VM from the store. Called when the daemon stops.
-pub(crate) async fn withdraw_registration(shared: Arc<Shared>) {
-    send_heartbeat(&shared);
-    shared.fleet().begin_stop();
-    shared.targets().begin_leaving(shared.now());
-    exchange_tokens(&shared, shared.now());
-    let timeout = shared.settings.store_timeout;
-    let answer = shared.registry.withdraw(&shared.own_entry, timeout).await;
-    restore::record_epoch(&shared, answer.epoch);
-    log::info!(outcome:? = answer.outcome; "registration withdrawn");
-}
