Send the changes of the deployment to the VMs of a region as patches

Cause: each VM read the whole record for each change: its size times the number of VMs on the store's link, 1.1 GB for 10,000 routes and 1,146 VMs.

Patches only to the failure domain of the reader: readers pause at different times, and the report of another one makes its VMs read.

Change: a store reader that has read a new version sends the VMs of its region what changed since the one before, and since earlier ones as far as one packet holds them, at half the rate of a link with 10 Mbit/s. The receiver uses the patch only if the result has the digest of the sender's record, in the same epoch, and from an address of a VM of its region; otherwise, or if it is lost, it reads the record as before. A patched VM names the change in its own reports, so that they confirm no VM that lost the patch. Versions are put in force under a lock, since two tasks now do so. The tests of heartbeats and alerts keep their bound of 1,200 bytes.

`a_changed_deployment_reaches_a_vm_that_the_store_refuses` cannot pass without patches.

--- a/crates/waxwing_edge/src/peer_message.rs
+++ b/crates/waxwing_edge/src/peer_message.rs
@@ -1,6 +1,7 @@
 //! The datagrams that VMs send to each other.
 
 use serde::{Deserialize, Serialize};
+use waxwing_records::DeploymentPatch;
 use waxwing_types::{Incarnation, Millis, Revision, StoreEpoch, VmId, common_derives};
 
 use crate::{TargetAlert, TargetObservation, TargetProcess, WorkspaceTokens};
@@ -37,6 +38,19 @@
         /// Reports up to which change the sender knows the registry, and as of when.
         #[serde(rename = "news")]
         StateReport(StateReport),
+        /// Contains what the latest versions of the deployment changed.
+        #[serde(rename = "patch")]
+        DeploymentPatch {
+            /// Epoch of the store in which the revision holds, if the sender knows one.
+            #[serde(default, skip_serializing_if = "Option::is_none")]
+            epoch: Option<StoreEpoch>,
+            /// Revision of the last change of the deployment that the sender has read. The result of the patch contains it.
+            #[serde(rename = "seen")]
+            revision: Revision,
+            /// The changes.
+            #[serde(rename = "of")]
+            patch: DeploymentPatch,
+        },
         /// Reports targets whose processes may have ended, or are cold.
         #[serde(rename = "alert")]
         TargetAlerts {
--- a/crates/waxwing_records/src/patch.rs
+++ b/crates/waxwing_records/src/patch.rs
@@ -108,8 +108,8 @@
     }
 
     /// Size of the change in a patch, in bytes.
-    fn encoded_bytes(&self) -> usize {
-        serde_json::to_vec(self).map_or(usize::MAX, |json| json.len())
+    fn encoded_bytes(&self) -> u64 {
+        serde_json::to_vec(self).map_or(u64::MAX, |json| json.len() as u64)
     }
 }
 
@@ -238,22 +238,31 @@
         }
     }
 
-    /// The patch to `latest`, the version recorded last, from the earliest one from which the changes take at most `max_bytes`.
-    /// `None` if those of the last version take more.
-    pub fn patch(&self, latest: &Deployment, max_bytes: usize) -> Option<DeploymentPatch> {
+    /// The patch to `latest`, the version recorded last. It contains the changes of the last version, unless they take more
+    /// than `max_bytes`, and those of versions before as far as all together take no more than `packet_bytes`.
+    pub fn patch(
+        &self,
+        latest: &Deployment,
+        (packet_bytes, max_bytes): (u64, u64),
+    ) -> Option<DeploymentPatch> {
         let mut from = latest.version;
         let mut changes = Vec::new();
-        let mut changed = HashSet::new();
+        let mut seen_ids = HashSet::new();
         let mut bytes = 0;
         for step in self.steps.iter().rev() {
             let earlier = step.changes.iter();
-            let added: Vec<_> = earlier.filter(|c| !changed.contains(&c.id())).collect();
-            bytes += added.iter().map(|c| c.encoded_bytes()).sum::<usize>();
-            if bytes > max_bytes {
+            let added: Vec<_> = earlier.filter(|c| !seen_ids.contains(&c.id())).collect();
+            bytes += added.iter().map(|c| c.encoded_bytes()).sum::<u64>();
+            let limit = if from == latest.version {
+                max_bytes
+            } else {
+                packet_bytes
+            };
+            if bytes > limit {
                 break;
             }
             from = step.from;
-            changed.extend(added.iter().map(|change| change.id()));
+            seen_ids.extend(added.iter().map(|change| change.id()));
             changes.extend(added.into_iter().cloned());
         }
         (from < latest.version).then(|| DeploymentPatch {
--- a/crates/waxwing_records/tests/patch.rs
+++ b/crates/waxwing_records/tests/patch.rs
@@ -12,7 +12,7 @@
 /// A number that stands for the content of an item, by the number that names the item.
 type Contents = Vec<(u8, u8)>;
 
-const NO_LIMIT: usize = usize::MAX;
+const NO_LIMIT: (u64, u64) = (u64::MAX, u64::MAX);
 
 fn route(name: u8, content: u8) -> HostRoute {
     HostRoute {
@@ -73,12 +73,12 @@
 }
 
 /// The patch to the last of the versions, of which each replaced the one before.
-fn patch_of(versions: &[Deployment], max_bytes: usize) -> Option<DeploymentPatch> {
+fn patch_of(versions: &[Deployment], limits: (u64, u64)) -> Option<DeploymentPatch> {
     let mut log = ChangeLog::default();
     for pair in versions.windows(2) {
         log.record(&pair[0], &pair[1]);
     }
-    log.patch(versions.last()?, max_bytes)
+    log.patch(versions.last()?, limits)
 }
 
 /// A deployment with its items in an order that does not depend on how it came about.
@@ -121,9 +121,9 @@
 proptest! {
     /// Guards against a patch that leaves out a change, or restores an item that a later version removed.
     #[test]
-    fn a_patch_brings_each_version_since_its_first_up_to_date(versions in versions(), max_bytes in 0..4000_usize) {
+    fn a_patch_brings_each_version_since_its_first_up_to_date(versions in versions(), packet_bytes in 0..4000_u64) {
         let latest = sorted(versions.last().expect("a version").clone());
-        let patch = patch_of(&versions, max_bytes);
+        let patch = patch_of(&versions, (packet_bytes, 2000));
         for base in &versions {
             let Some(patch) = &patch else { continue };
 
@@ -178,10 +178,26 @@
         .map(|version| deployment(version.into(), &[(version, 0)]))
         .collect();
 
-    let patch = patch_of(&versions, 1000).expect("a patch");
+    let patch = patch_of(&versions, (1000, 1000)).expect("a patch");
 
     let bytes = serde_json::to_vec(&patch.changes).map(|json| json.len());
     assert_matches!(bytes, Ok(500..=1010));
     assert_eq!(patch.version, 20);
-    assert_eq!(patch_of(&versions, 10), None);
+    assert_eq!(patch_of(&versions, (1000, 10)), None);
+}
+
+/// Guards against patches that hold earlier versions as well as long as they are small enough for several packets, of which each may
+/// be lost.
+#[test]
+fn earlier_versions_are_left_out_of_a_patch_that_needs_several_packets() {
+    let routes = [(0, 0), (1, 1), (2, 2)];
+    let versions = [
+        deployment(1, &routes[..1]),
+        deployment(2, &routes[..2]),
+        deployment(3, &routes),
+    ];
+
+    let patch = patch_of(&versions, (100, 1000)).expect("a patch");
+
+    assert_eq!((patch.from, patch.version), (2, 3));
 }
--- a/crates/waxwingrail/src/edge/apply.rs
+++ b/crates/waxwingrail/src/edge/apply.rs
@@ -224,7 +224,8 @@
     }
 }
 
-fn apply_deployment(shared: &Shared, now: Millis, origin: Origin, record: Deployment) {
+/// Puts a deployment in force if it is valid and newer than the one in force.
+pub(crate) fn apply_deployment(shared: &Shared, now: Millis, origin: Origin, record: Deployment) {
     if let Err(findings) = record.check() {
         shared.metrics.count_rejected_deployment();
         log::warn!(
@@ -235,8 +236,10 @@
         return;
     }
     let version = record.version;
+    let mut log = shared.deployment_log();
     // The limits of an older deployment must not replace those in use either.
-    let in_force = shared.routing_table().map_or(0, |table| table.version());
+    let replaced = shared.routing_table();
+    let in_force = replaced.as_ref().map_or(0, |table| table.version());
     if in_force >= version {
         if in_force > version {
             log::info!(version = version, in_force = in_force, source = origin.source.as_str(); "deployment older than the one in force");
@@ -244,6 +247,9 @@
         return;
     }
     let routes = record.routes.len();
+    if let Some(replaced) = replaced {
+        log.changes.record(replaced.deployment(), &record);
+    }
     let routing_table = RoutingTable::new(record);
     {
         let mut targets = shared.targets();
--- a/crates/waxwingrail/src/edge/deployment/tests.rs
+++ b/crates/waxwingrail/src/edge/deployment/tests.rs
@@ -2,6 +2,7 @@
 
 use waxwing_types::Millis;
 
+use super::super::patch::MAX_SEND_TIME;
 use super::super::state_age::{CALL_TIME, DATAGRAM_TIME, SEND_TIME};
 use super::super::test_settings::settings;
 use super::super::ticks::TICK_PERIOD;
@@ -16,20 +17,30 @@
 const SLOW_LINK: u64 = 1_250;
 const FAST_LINK: u64 = 87_500;
 
-/// Time from a change right after the start of a read by the store reader to the last request of the old version, where each VM
-/// reads the record itself.
-fn delay(limit: Millis, link: u64, vms: u64, routes: u64) -> Millis {
+/// Time from a change right after the start of a read by the store reader to the end of the next read.
+fn reader_delay(limit: Millis, link: u64, vms: u64, routes: u64) -> Millis {
     let settings = settings(&[&format!("--apply-ms={}", limit.0)]);
     let bytes = routes * ROUTE_BYTES;
     let reader_read = CALL_TIME + Millis(bytes / link);
-    let vm_read = CALL_TIME + Millis((bytes / link).max(bytes * vms / STORE_BANDWIDTH));
     let cost = ReadCost {
         time: reader_read,
         bytes,
     };
     let pause = batch_time(&settings, cost, vms);
-    let read = reader_read + pause + reader_read;
-    read + DATAGRAM_TIME + MAX_LAG + TICK_PERIOD + vm_read + SEND_TIME
+    reader_read + pause + reader_read
+}
+
+/// Time from a change to the last request of the old version, where each VM reads the record itself.
+fn delay_by_read(limit: Millis, link: u64, vms: u64, routes: u64) -> Millis {
+    let bytes = routes * ROUTE_BYTES;
+    let vm_read = CALL_TIME + Millis((bytes / link).max(bytes * vms / STORE_BANDWIDTH));
+    let report = DATAGRAM_TIME + MAX_LAG + TICK_PERIOD;
+    reader_delay(limit, link, vms, routes) + report + vm_read + SEND_TIME
+}
+
+/// The same where each VM receives a patch.
+fn delay_by_patch(limit: Millis, link: u64, vms: u64, routes: u64) -> Millis {
+    reader_delay(limit, link, vms, routes) + MAX_SEND_TIME + DATAGRAM_TIME + SEND_TIME
 }
 
 /// Guards against a pause between two reads that leaves no time for a large record.
@@ -47,7 +58,7 @@
     for (limit, link, vms, routes) in deployments {
         let limit = Millis(limit);
 
-        let delay = delay(limit, link, vms, routes);
+        let delay = delay_by_read(limit, link, vms, routes);
 
         assert!(
             delay <= limit,
@@ -56,6 +67,25 @@
     }
 }
 
+/// Guards against patches that come too late in a fleet in which the VMs cannot all read the record in time.
+#[test]
+fn a_patch_of_the_largest_deployment_arrives_within_the_limit() {
+    let deployments = [
+        (2500, FAST_LINK, 18),
+        (4000, SLOW_LINK, 121),
+        (4000, SLOW_LINK, 146),
+        (4000, SLOW_LINK, 295),
+        (4000, SLOW_LINK, 1_146),
+    ];
+    for (limit, link, vms) in deployments {
+        let limit = Millis(limit);
+
+        let delay = delay_by_patch(limit, link, vms, 10_000);
+
+        assert!(delay <= limit, "{vms} VMs: {delay} of {limit}");
+    }
+}
+
 /// Guards against a longer pause for a small record, which the limits allowed before.
 #[test]
 fn a_small_record_is_read_in_batches_as_long_as_the_limit_allows() {
--- a/crates/waxwingrail/src/edge/list.rs
+++ b/crates/waxwingrail/src/edge/list.rs
@@ -7,6 +7,7 @@
 
 use super::apply::{apply_list, apply_restored_list};
 use super::origin::{Origin, ReadSource};
+use super::patch;
 use super::peers;
 use super::restore::{self, AnswerEpoch};
 use super::state::Shared;
@@ -163,9 +164,9 @@
 
 /// Records that an answer of the store is in use: the revision up to which all changes are known, the revision of the last
 /// change in it, and the time up to which the answer holds all changes, `None` if it is of a recent state. The store reader
-/// also reports a new change or a new time to the VMs of the region.
+/// also reports a new change or a new time to the VMs of the region, and sends them the changes of the deployment.
 pub(crate) fn record_and_report(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     family: Family,
     revision: Revision,
     last_change: Option<Revision>,
@@ -178,4 +179,7 @@
     if has_new_change || as_of.is_some() && family != Family::Vms {
         peers::report_state_as_reader(shared);
     }
+    if has_new_change && family == Family::Deployment {
+        patch::send_as_reader(shared);
+    }
 }
--- a/crates/waxwingrail/src/edge/metric.rs
+++ b/crates/waxwingrail/src/edge/metric.rs
@@ -96,6 +96,8 @@
     deployments: Vec<Counter>,
     deployment_bytes: Vec<Counter>,
     rejected_deployments: Counter,
+    /// Patches of the deployment that arrived and could not be used.
+    pub(crate) unused_patches: Counter,
     state_ages: HashMap<Family, Gauge>,
     watch_ages: HashMap<Family, Gauge>,
     latencies: Mutex<HashMap<(SmolStr, RequestOutcome), Histogram>>,
@@ -164,6 +166,7 @@
             deployments: ReadSource::ALL.iter().map(deployment).collect(),
             deployment_bytes: ReadSource::ALL.iter().map(deployment_bytes).collect(),
             rejected_deployments: counter!("waxwing_edge_deployments_rejected_total"),
+            unused_patches: counter!("waxwing_edge_patches_unused_total"),
             state_ages: Family::ALL
                 .into_iter()
                 .map(|family| (family, state_age(family)))
--- a/crates/waxwingrail/src/edge/mod.rs
+++ b/crates/waxwingrail/src/edge/mod.rs
@@ -16,6 +16,7 @@
 mod metric;
 mod notice;
 mod origin;
+mod patch;
 mod peers;
 mod refusal;
 mod registration;
--- a/crates/waxwingrail/src/edge/origin.rs
+++ b/crates/waxwingrail/src/edge/origin.rs
@@ -16,6 +16,8 @@
         Resume,
         /// The first list after a restore of the store.
         Restore,
+        /// A datagram of a store reader with the items that changed.
+        Patch,
     }
 }
 
@@ -27,6 +29,7 @@
         Self::CatchUp,
         Self::Resume,
         Self::Restore,
+        Self::Patch,
     ];
 
     /// The source as logs and metrics show it.
@@ -37,18 +40,19 @@
             Self::CatchUp => "catch_up",
             Self::Resume => "resume",
             Self::Restore => "restore",
+            Self::Patch => "patch",
         }
     }
 }
 
 common_derives! {
     copy
-    /// The call that returned entries.
+    /// The call or datagram that held entries.
     pub(crate) struct Origin {
         pub(crate) source: ReadSource,
-        /// Size of the answer.
+        /// Size of the answer or datagram.
         pub(crate) bytes: u64,
-        /// When the call was sent. A watch waits from then on.
+        /// When the call was sent, or the datagram received. A watch waits from then on.
         pub(crate) sent_at: Millis,
     }
 }
--- a/crates/waxwingrail/src/edge/peers.rs
+++ b/crates/waxwingrail/src/edge/peers.rs
@@ -23,12 +23,13 @@
 use waxwing_types::{Micros, Millis, WorkspaceId};
 
 use super::crash;
+use super::patch;
 use super::state::Shared;
 
 /// Period of heartbeats. Other VMs treat a VM as down after three and a half periods without a heartbeat.
 const HEARTBEAT_PERIOD: Duration = Duration::from_secs(1);
 /// Maximum size of a received datagram.
-const MAX_DATAGRAM_BYTES: usize = 1200;
+pub(super) const MAX_DATAGRAM_BYTES: usize = 10_000;
 /// Maximum number of coordinators in other failure domains that are asked for tokens of a workspace at once.
 const MAX_COORDINATORS_ASKED: usize = 2;
 /// Maximum number of targets in a heartbeat. Each has up to 39 bytes, the rest of the heartbeat about 100.
@@ -98,6 +99,11 @@
         PeerMessage::StateReport(report) => {
             shared.watch_progress().record_report(now, &report);
         }
+        PeerMessage::DeploymentPatch {
+            epoch,
+            revision,
+            patch,
+        } => patch::on_patch(shared, (epoch, revision), &patch, (from, bytes.len())),
         PeerMessage::TargetAlerts { alerts } => shared.targets().apply_alerts(now, &alerts),
         PeerMessage::TargetCrash {
             fingerprint,
@@ -140,8 +146,8 @@
 }
 
 /// Sends a message to each address. A datagram that cannot be sent immediately is dropped, because receivers
-/// must tolerate lost datagrams in any case.
-pub(crate) fn send(shared: &Shared, message: PeerMessage, to: &[SocketAddr]) {
+/// must tolerate lost datagrams in any case. Returns the size of the datagram.
+pub(crate) fn send(shared: &Shared, message: PeerMessage, to: &[SocketAddr]) -> usize {
     let datagram = Datagram {
         process: Some(shared.own_entry.incarnation),
         number: Some(shared.datagram_number.fetch_add(1, Ordering::Relaxed) + 1),
@@ -151,7 +157,7 @@
         Ok(bytes) => bytes,
         Err(error) => {
             log::warn!(error = error.to_string().as_str(); "peer message not serialized");
-            return;
+            return 0;
         }
     };
     for address in to {
@@ -159,6 +165,7 @@
             log::debug!(to = address.to_string().as_str(), error = error.to_string().as_str(); "datagram not sent");
         }
     }
+    bytes.len()
 }
 
 async fn send_heartbeats(shared: Arc<Shared>) {
@@ -168,17 +175,20 @@
     }
 }
 
+/// Peer addresses of the other VMs of the region if this VM is the store reader of its failure domain, none otherwise.
+pub(crate) fn region_peers_of_reader(shared: &Shared) -> Vec<SocketAddr> {
+    let fleet = shared.fleet();
+    if fleet.is_store_reader(shared.now()) {
+        fleet.region_peers()
+    } else {
+        Vec::new()
+    }
+}
+
 /// Reports the state of this VM to the VMs of the region if this VM is the store reader of its failure domain. Otherwise does
 /// nothing.
 pub(crate) fn report_state_as_reader(shared: &Shared) {
-    let region_peers = {
-        let fleet = shared.fleet();
-        if fleet.is_store_reader(shared.now()) {
-            fleet.region_peers()
-        } else {
-            Vec::new()
-        }
-    };
+    let region_peers = region_peers_of_reader(shared);
     if !region_peers.is_empty() {
         let report = shared.watch_progress().report(shared.now());
         send(shared, PeerMessage::StateReport(report), &region_peers);
--- a/crates/waxwingrail/src/edge/peers/tests.rs
+++ b/crates/waxwingrail/src/edge/peers/tests.rs
@@ -8,8 +8,10 @@
 use waxwing_types::{Incarnation, Millis, RegionId, Revision, ServiceId, StoreEpoch};
 
 use super::super::alerts::MAX_ALERTS;
-use super::{MAX_DATAGRAM_BYTES, MAX_OBSERVATIONS};
+use super::MAX_OBSERVATIONS;
 
+/// Most bytes of a datagram that arrives in one packet.
+const MAX_PACKET_BYTES: usize = 1200;
 const NOW: Millis = Millis(10_000);
 /// More requests than an observation counts, half of them answered and half of them failed.
 const REQUESTS: usize = 2200;
@@ -87,7 +89,7 @@
         message: heartbeat,
     };
     let bytes = serde_json::to_vec(&datagram).expect("a datagram");
-    assert!(bytes.len() <= MAX_DATAGRAM_BYTES, "{} bytes", bytes.len());
+    assert!(bytes.len() <= MAX_PACKET_BYTES, "{} bytes", bytes.len());
     let received: Datagram = serde_json::from_slice(&bytes).expect("a heartbeat");
     assert_eq!(received, datagram);
 }
@@ -109,7 +111,7 @@
 
     let bytes = serde_json::to_vec(&datagram).expect("a datagram");
 
-    assert!(bytes.len() <= MAX_DATAGRAM_BYTES, "{} bytes", bytes.len());
+    assert!(bytes.len() <= MAX_PACKET_BYTES, "{} bytes", bytes.len());
     let received: Datagram = serde_json::from_slice(&bytes).expect("alerts");
     assert_eq!(received, datagram);
 }
--- a/crates/waxwingrail/src/edge/state.rs
+++ b/crates/waxwingrail/src/edge/state.rs
@@ -26,6 +26,7 @@
 use super::list::StoreFailure;
 use super::memory::{BodyBudget, MemoryLimits};
 use super::metric::Metrics;
+use super::patch::DeploymentLog;
 use super::restore::RestoreGrace;
 use super::settings::EdgeSettings;
 use super::state_age::AgeLimits;
@@ -122,6 +123,8 @@
     /// Number of the last datagram that this process has sent.
     pub(crate) datagram_number: AtomicU64,
 
+    /// Held while a deployment is put in force, so that none replaces a later one.
+    deployment_log: Mutex<DeploymentLog>,
     /// Routing table of the deployment in use, `None` before the first deployment was read.
     routing_table: RwLock<Option<Arc<RoutingTable>>>,
     store_status: Mutex<StoreStatus>,
@@ -192,6 +195,7 @@
             executor: components.executor,
             metrics: Metrics::new(),
             client: components.client,
+            deployment_log: Mutex::default(),
             routing_table: RwLock::default(),
             store_status: Mutex::default(),
             watch_progress: Mutex::new(WatchProgress::new(started_at, AgeLimits::new(&settings))),
@@ -228,6 +232,10 @@
         self.now().since(self.started_at)
     }
 
+    pub(crate) fn deployment_log(&self) -> MutexGuard<'_, DeploymentLog> {
+        lock(&self.deployment_log)
+    }
+
     /// The routing table of the deployment in use, `None` before the first deployment was read.
     pub(crate) fn routing_table(&self) -> Option<Arc<RoutingTable>> {
         let routing_table = self
--- a/crates/waxwingrail/src/edge/watch_progress/report.rs
+++ b/crates/waxwingrail/src/edge/watch_progress/report.rs
@@ -2,7 +2,7 @@
 
 use waxwing_edge::StateReport;
 use waxwing_store::Family;
-use waxwing_types::{Millis, Revision};
+use waxwing_types::{Millis, Revision, StoreEpoch};
 
 use super::family::FamilyProgress;
 use super::{RESUMPTION_TIME, WatchProgress};
@@ -30,6 +30,26 @@
         }
     }
 
+    /// The epoch, and the revision of the last change of the deployment that this VM has read in it. `None` if the deployment
+    /// was not listed in this epoch.
+    pub(crate) fn listed_deployment(&self) -> Option<(Option<StoreEpoch>, Revision)> {
+        let progress = self.families.get(&Family::Deployment)?;
+        let is_listed = progress.is_listed && progress.epoch == self.epoch;
+        is_listed.then_some((self.epoch, progress.last_change))
+    }
+
+    /// Records that this VM has the deployment as of a change that another VM has read.
+    pub(crate) fn record_patch(&mut self, epoch: Option<StoreEpoch>, revision: Revision) {
+        let is_current = self
+            .listed_deployment()
+            .is_some_and(|(known, _)| known == epoch);
+        if let (true, Some(progress)) = (is_current, self.families.get_mut(&Family::Deployment)) {
+            // Reports of this VM have to name the change too: they confirm the state of VMs that lost the patch.
+            progress.last_change = progress.last_change.max(revision);
+            progress.record_known(revision);
+        }
+    }
+
     /// Records a report of another VM. Revisions of another epoch cannot be compared. A report that does not state from
     /// which revision and as of when its sender knows the changes confirms nothing.
     pub(crate) fn record_report(&mut self, now: Millis, report: &StateReport) {
--- a/crates/waxwingrail/src/edge/watch_progress/tests.rs
+++ b/crates/waxwingrail/src/edge/watch_progress/tests.rs
@@ -3,6 +3,7 @@
 //!
 //! The reader is the VM of a failure domain that watches the latest state and reports changes to other VMs.
 
+mod patches;
 mod reports;
 
 use waxwing_edge::{READER_STARTUP_TIME, StateReport};
--- /dev/null
+++ b/crates/waxwingrail/src/edge/watch_progress/tests/patches.rs
@@ -0,0 +1,88 @@
+//! What a patch of the deployment shows.
+
+use super::*;
+
+const DEPLOYMENT: Family = Family::Deployment;
+
+/// The progress of a VM that has listed the deployment at revision 5 in an epoch, and the time of the list.
+fn listed_progress(epoch: Option<StoreEpoch>) -> (WatchProgress, Millis) {
+    let mut progress = WatchProgress::new(STARTED_AT, limits());
+    let _interruptions = progress.add_family(DEPLOYMENT);
+    progress.record_epoch(STARTED_AT, epoch);
+    progress.record_answer(DEPLOYMENT, Revision(5), None, Some(STARTED_AT));
+    progress.record_tick(STARTED_AT);
+    (progress, STARTED_AT)
+}
+
+/// The report of a VM that has read a change of the deployment.
+fn deployment_report(revision: u64) -> StateReport {
+    let revision_of = |family| if family == DEPLOYMENT { revision } else { 0 };
+    let revisions = Family::ALL.into_iter().map(revision_of).map(Revision);
+    StateReport {
+        revisions: revisions.collect(),
+        ..report(0)
+    }
+}
+
+/// Guards against a read of the whole record by a VM that has the change by a patch.
+#[test]
+fn a_patched_vm_does_not_lack_the_reported_change() {
+    let (mut progress, now) = listed_progress(None);
+    progress.record_report(now, &deployment_report(8));
+    let read_at = now + MAX_LAG;
+    assert_eq!(
+        progress.next_mode(read_at, DEPLOYMENT, false),
+        WatchMode::CatchUp
+    );
+
+    progress.record_patch(None, Revision(8));
+
+    assert_ne!(
+        progress.next_mode(read_at, DEPLOYMENT, false),
+        WatchMode::CatchUp
+    );
+    assert_eq!(progress.known_revision(DEPLOYMENT), Revision(8));
+    assert_eq!(progress.state_age(now, DEPLOYMENT), Millis::ZERO);
+}
+
+/// Guards against reports that confirm the state of VMs which lost the patch: their sender has to name the change.
+#[test]
+fn a_patched_vm_reports_the_change() {
+    let (mut progress, now) = listed_progress(None);
+
+    progress.record_patch(None, Revision(8));
+
+    let mut receiver = listed_progress(None).0;
+    receiver.record_report(now, &progress.report(now));
+    let mode = receiver.next_mode(now + MAX_LAG, DEPLOYMENT, false);
+    assert_eq!(mode, WatchMode::CatchUp);
+}
+
+/// Guards against a patch of another epoch, whose revisions mean something else.
+#[test]
+fn a_patch_of_another_epoch_shows_nothing() {
+    for (known, stated) in [
+        (None, Some(StoreEpoch(1))),
+        (Some(StoreEpoch(2)), Some(StoreEpoch(1))),
+        (Some(StoreEpoch(1)), None),
+    ] {
+        let (mut progress, _) = listed_progress(known);
+
+        progress.record_patch(stated, Revision(8));
+
+        assert_eq!(progress.known_revision(DEPLOYMENT), Revision(5));
+    }
+}
+
+/// Guards against a VM that skips the list after a restore of the store because it has received a patch.
+#[test]
+fn a_patch_does_not_replace_the_list_after_a_restore() {
+    let (mut progress, now) = listed_progress(Some(StoreEpoch(1)));
+    progress.record_epoch(now, Some(StoreEpoch(2)));
+
+    progress.record_patch(Some(StoreEpoch(2)), Revision(8));
+
+    assert!(progress.must_list(DEPLOYMENT));
+    assert_eq!(progress.listed_deployment(), None);
+    assert_eq!(progress.known_revision(DEPLOYMENT), Revision::default());
+}
--- a/crates/waxwingrail/tests/edge_datagrams.rs
+++ b/crates/waxwingrail/tests/edge_datagrams.rs
@@ -6,7 +6,9 @@
 use std::net::{SocketAddr, UdpSocket};
 
 use fixture::{Fixture, TargetBehavior, deployment, run_test, wait_until};
-use waxwing_records::Deployment;
+use waxwing_edge::PeerMessage;
+use waxwing_records::{ChangeLog, Deployment};
+use waxwing_types::Revision;
 use waxwingrail::edge::EdgeDaemon;
 
 /// Greatest number of requests that a test sends to use up the tokens of a VM.
@@ -80,3 +82,27 @@
     let late = [first.clone(), second.clone(), first, second];
     assert_eq!(admitted_after(&late), 6);
 }
+
+/// Guards against a deployment that anyone who can send a datagram puts in force.
+#[test]
+fn a_patch_of_an_unknown_sender_is_not_used() {
+    run_test(async |fixture| {
+        let (daemon, _target) = fixture.daemon_with_target().await;
+        let peer = fixture.peer_address("v1").await;
+        let mut changed = deployment(2);
+        changed.routes.clear();
+        let mut log = ChangeLog::default();
+        log.record(&deployment(1), &changed);
+        let patch = PeerMessage::DeploymentPatch {
+            epoch: None,
+            revision: Revision(100),
+            patch: log.patch(&changed, (5000, 5000)).expect("a patch"),
+        };
+        let datagram = serde_json::to_string(&patch).expect("a datagram");
+        let socket = UdpSocket::bind("127.0.0.1:0").expect("a socket");
+
+        send_and_wait(&socket, peer, &[datagram]).await;
+
+        assert_eq!(fixture.call(&daemon, "safe").await.status, 200);
+    });
+}
--- a/crates/waxwingrail/tests/edge_readers.rs
+++ b/crates/waxwingrail/tests/edge_readers.rs
@@ -171,3 +171,28 @@
         .await;
     });
 }
+
+/// Guards against a change of the deployment that each VM has to read from the store, which costs the size of the record each time.
+#[test]
+fn a_changed_deployment_reaches_a_vm_that_the_store_refuses() {
+    run_test(async |fixture| {
+        fixture.deploy(public_deployment(1));
+        fixture.start_target("t1", TargetBehavior::Answer).await;
+        let pair = Pair::start(&fixture).await;
+        pair.other.set_refused(true);
+        let mut changed = public_deployment(2);
+        changed.routes.remove(1);
+        fixture.deploy(changed);
+        let changed_at = Instant::now();
+
+        wait_until("the deployment is in use", async || {
+            fixture.call(&pair.other.daemon, "unsafe").await.status == 404
+        })
+        .await;
+
+        let apply_time = changed_at.elapsed();
+        let limit = settings("v1", &[]).max_apply_delay.duration();
+        assert!(apply_time < limit, "{apply_time:?}");
+        assert_eq!(fixture.call(&pair.other.daemon, "safe").await.status, 200);
+    });
+}
