Read and write objects of the store on connections of their own

Callers saw: not seen by callers.

Cause: answers of the store name no call, and all calls shared the kept connections.

Ruled out: a client that keeps no connections at all: watches, which follow each other without pause, would open one for each.

Change: a read or write of an object closes its connection. Watches and the list of VMs keep theirs, apart for each prefix, where revisions show that a copy is old.

Each call for an object costs the time to open a connection.

--- a/crates/waxwing_store/src/http.rs
+++ b/crates/waxwing_store/src/http.rs
@@ -1,11 +1,12 @@
 //! The store over HTTP.
 
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 
-use hyper::header::{ETAG, IF_MATCH, IF_NONE_MATCH};
-use hyper::{Method, Request, StatusCode};
+use hyper::header::{CONNECTION, ETAG, IF_MATCH, IF_NONE_MATCH};
+use hyper::{Method, Request, StatusCode, Uri};
 use smol_str::SmolStr;
-use waxwing_http::{Body, Client, ExchangeError, empty, exchange, full};
+use waxwing_http::{Body, Client, Endpoint, ExchangeError, empty, exchange, full};
 use waxwing_types::{Millis, Revision};
 
 use crate::wire::{ChangesBody, VmsBody, etag, parse_etag};
@@ -17,6 +18,10 @@
 const MAX_BODY_BYTES: usize = 32_000_000;
 
 /// The store at an address. Clones share the client's connections.
+///
+/// Answers do not name their call, so that an extra copy of one on a kept connection would be taken for the answer to the next
+/// call. Reads and writes of objects therefore have a connection each. Lists and watches are kept apart by what they read:
+/// revisions show that a copy is old.
 #[derive(Clone, Debug)]
 pub struct HttpStore {
     client: Client,
@@ -42,8 +47,11 @@
         timeout: Millis,
     ) -> Result<Answer, ExchangeError> {
         let request = request.map_err(|e| ExchangeError::Unsent(e.to_string()))?;
-        let response =
-            exchange(&self.client, self.address, request, timeout, MAX_BODY_BYTES).await?;
+        let endpoint = Endpoint {
+            address: self.address,
+            group: group(request.uri()),
+        };
+        let response = exchange(&self.client, endpoint, request, timeout, MAX_BODY_BYTES).await?;
         let tag = response.headers().get(ETAG);
         Ok(Answer {
             status: response.status(),
@@ -80,7 +88,8 @@
 impl Store for HttpStore {
     fn get<'a>(&'a self, path: &'a str, timeout: Millis) -> Pending<'a, ReadOutcome> {
         Box::pin(async move {
-            let request = Request::get(object_uri(path)).body(empty());
+            let request = Request::get(object_uri(path)).header(CONNECTION, "close");
+            let request = request.body(empty());
             match self.call(request, timeout).await {
                 Ok(answer) => read_outcome(path, answer),
                 Err(failure) => ReadOutcome::Unreachable(failure.reason()),
@@ -96,7 +105,7 @@
         timeout: Millis,
     ) -> Pending<'a, WriteOutcome> {
         Box::pin(async move {
-            let request = Request::put(object_uri(path));
+            let request = Request::put(object_uri(path)).header(CONNECTION, "close");
             let request = match condition {
                 Condition::Absent => request.header(IF_NONE_MATCH, "*"),
                 Condition::Version(version) => request.header(IF_MATCH, etag(version)),
@@ -116,6 +125,7 @@
                 .method(Method::DELETE)
                 .uri(object_uri(path))
                 .header(IF_MATCH, etag(version))
+                .header(CONNECTION, "close")
                 .body(empty());
             self.write(request, timeout).await
         })
@@ -156,6 +166,14 @@
     }
 }
 
+/// The group of the kept connections of a list or watch: what it reads, without the revision from which on.
+fn group(uri: &Uri) -> u64 {
+    let prefix = uri.query().and_then(|query| query.split('&').next());
+    let mut hasher = DefaultHasher::new();
+    (uri.path(), prefix).hash(&mut hasher);
+    hasher.finish()
+}
+
 fn object_uri(path: &str) -> String {
     format!("/v1/objects/{path}")
 }
--- a/crates/waxwing_testkit/tests/repeated_store_answers.rs
+++ b/crates/waxwing_testkit/tests/repeated_store_answers.rs
@@ -71,6 +71,21 @@
     });
 }
 
+/// Guards against a claim that counts as renewed because the store wrote the answer to the earlier write of it once more.
+#[test]
+fn a_repeated_success_is_not_the_answer_to_the_next_write_of_the_object() {
+    let answers = [answer("200 OK", 7, ""), answer("412 Failed", 9, "")];
+    with_store(answers, async |store| {
+        let put = |version| {
+            let condition = Condition::Version(Revision(version));
+            store.put("claims/a", b"x".to_vec(), condition, TIMEOUT)
+        };
+        assert_eq!(put(6).await, WriteOutcome::Updated(Revision(7)));
+        let second = put(7).await;
+        assert_matches!(second, WriteOutcome::Conflict(_) | WriteOutcome::Unknown(_));
+    });
+}
+
 /// Guards against an object that is taken for another one: the table of shard owners of one failure domain for that of the
 /// next.
 #[test]
