Name the log of versions after what it holds

Callers saw: nothing.

Cause: a local variable named `log` stood beside the macros of the crate `log`.

Change: it is called `versions`.

Conclusion: no measurement, as nothing that runs has changed.

--- a/crates/waxwingrail/src/edge/apply.rs
+++ b/crates/waxwingrail/src/edge/apply.rs
@@ -236,7 +236,7 @@
         return;
     }
     let version = record.version;
-    let mut log = shared.deployment_log();
+    let mut versions = shared.deployment_log();
     // The limits of an older deployment must not replace those in use either.
     let replaced = shared.routing_table();
     let in_force = replaced.as_ref().map_or(0, |table| table.version());
@@ -248,7 +248,7 @@
     }
     let routes = record.routes.len();
     if let Some(replaced) = replaced {
-        log.changes.record(replaced.deployment(), &record);
+        versions.changes.record(replaced.deployment(), &record);
     }
     let routing_table = RoutingTable::new(record);
     {
--- a/crates/waxwingrail/src/edge/patch.rs
+++ b/crates/waxwingrail/src/edge/patch.rs
@@ -49,16 +49,16 @@
         return;
     };
     let patch = {
-        let mut log = shared.deployment_log();
+        let mut versions = shared.deployment_log();
         let Some(table) = shared.routing_table() else {
             return;
         };
-        if table.version() <= log.sent_version {
+        if table.version() <= versions.sent_version {
             return;
         }
-        log.sent_version = table.version();
+        versions.sent_version = table.version();
         let limits = change_limits(recipients.len() as u64);
-        log.changes.patch(table.deployment(), limits)
+        versions.changes.patch(table.deployment(), limits)
     };
     let Some(patch) = patch else {
         return;
@@ -113,8 +113,8 @@
         return;
     };
     {
-        let mut log = shared.deployment_log();
-        log.sent_version = log.sent_version.max(patch.version);
+        let mut versions = shared.deployment_log();
+        versions.sent_version = versions.sent_version.max(patch.version);
     }
     if table.version() >= patch.version {
         return;
