Look for a change of a small deployment in a recent state first

Callers saw: nothing.

Cause: a VM that lacked a reported change read the latest state, which costs ten times what a recent state does, and a starting VM read it once more after the first change that it saw.

Ruled out: the cost of the reads that the postmortem names alone; the reads at the start cost nearly as much.

Change: 0.15 s after a report that no patch followed, a VM watches a recent state until the time at which it reads the latest one, if all VMs together could read the record in vain within 50 ms of the store's link. A starting VM goes on with the recent state under the same condition. The times of the sums stay as they are.

--- a/crates/waxwingrail/src/edge/watch.rs
+++ b/crates/waxwingrail/src/edge/watch.rs
@@ -127,6 +127,9 @@
                 ..
             } = listed;
             shared.record_store_success(family);
+            if family == Family::Deployment {
+                shared.watch_progress().record_deployment_size(origin.bytes);
+            }
             apply_list(shared, family, freshness, origin, entries);
             // If the first list counted as a change, a store reader would report its revision, and all VMs of the
             // region would read the latest state again.
@@ -222,16 +225,17 @@
     loop {
         let now = shared.now();
         let is_store_reader = shared.fleet().is_store_reader(now);
-        let (mode, reported, confirm_wait) = {
+        let (mode, may_watch, reported, confirm_wait) = {
             let mut progress = shared.watch_progress();
             let mut mode = progress.next_mode(now, family, is_store_reader);
-            if std::mem::take(&mut has_changed) && mode != WatchMode::Reported {
+            let may_watch = mode.freshness() == Freshness::Recent && progress.allows_recent_read();
+            if std::mem::take(&mut has_changed) && !may_watch && mode != WatchMode::Reported {
                 mode = WatchMode::CatchUp;
             }
             revision = revision.max(progress.known_revision(family));
             let reported = progress.watch_started(now, family, mode);
             let confirm_wait = progress.next_read(family, true).since(now);
-            (mode, reported, confirm_wait)
+            (mode, may_watch, reported, confirm_wait)
         };
         let (wait, timeout) = watch_times(&shared.settings, mode, confirm_wait);
         // Discards interruptions that arrived after the end of the previous watch.
@@ -278,6 +282,10 @@
                 let as_of = answered_as_of(now, wait, answered_at, !changes.is_empty());
                 let as_of = (mode.freshness() == Freshness::Latest).then_some(as_of);
                 let last_change = last_change_revision(&changes, revision, watched_revision);
+                if family == Family::Deployment && !changes.is_empty() {
+                    let bytes = origin.bytes / changes.len() as u64;
+                    shared.watch_progress().record_deployment_size(bytes);
+                }
                 apply_changes(shared, family, origin, changes);
                 revision = watched_revision.max(revision);
                 if mode == WatchMode::CatchUp {
@@ -286,7 +294,9 @@
                 record_and_report(shared, family, revision, last_change, as_of);
                 if last_change.is_some() {
                     has_changed = family == Family::Deployment;
-                    pause_for_batch(shared, family).await;
+                    if !has_changed || !may_watch {
+                        pause_for_batch(shared, family).await;
+                    }
                 }
             }
             WatchOutcome::HistoryGone => {
@@ -329,9 +339,11 @@
 /// returned a reported change, that this VM has become the store reader, or that nothing has confirmed the state for too long.
 pub(crate) fn interrupt_outdated_watches(shared: &Shared, now: Millis) {
     let is_store_reader = shared.fleet().is_store_reader(now);
+    let vms = shared.fleet().vm_count() as u64;
     let interrupted_families = {
         let mut progress = shared.watch_progress();
         progress.record_tick(now);
+        progress.record_vms(vms);
         progress.interrupt_outdated(now, is_store_reader)
     };
     for family in interrupted_families {
--- a/crates/waxwingrail/src/edge/watch_progress.rs
+++ b/crates/waxwingrail/src/edge/watch_progress.rs
@@ -6,6 +6,7 @@
 //! seconds and costs the store a tenth. They read the latest state when the recent state lacks a reported revision, or when
 //! nothing has confirmed for too long that they have all changes.
 
+mod deployment;
 mod family;
 mod mode;
 mod report;
@@ -64,6 +65,8 @@
     families: BTreeMap<Family, FamilyProgress>,
     /// What the last read of the deployment as a whole cost.
     deployment_read: ReadCost,
+    /// Number of registered VMs.
+    vms: u64,
 }
 
 impl WatchProgress {
@@ -78,6 +81,7 @@
             restored_at: None,
             families: BTreeMap::new(),
             deployment_read: ReadCost::default(),
+            vms: 0,
         }
     }
 
@@ -117,22 +121,6 @@
         }
     }
 
-    /// The mode of a VM that is no store reader, for the deployment. Each change of it returns the record as a whole, so that a
-    /// watch at every VM would take its size for each change and each VM from the store.
-    fn deployment_mode(&self, now: Millis) -> WatchMode {
-        let family = Family::Deployment;
-        let max_age = self.limits.of(family).max;
-        let progress = self.families.get(&family);
-        let reported_as_of = progress.and_then(FamilyProgress::reported_as_of);
-        if reported_as_of.is_none_or(|as_of| now >= as_of + max_age) {
-            WatchMode::Latest
-        } else if self.must_probe(now, family) {
-            WatchMode::Probe
-        } else {
-            WatchMode::Reported
-        }
-    }
-
     /// Whether this VM must watch the latest state as the store reader. Not in the startup: a watch of a recent state that
     /// still waits at its end is interrupted then.
     fn must_watch_latest(&self, now: Millis, is_store_reader: bool) -> bool {
@@ -250,16 +238,6 @@
         }
     }
 
-    /// Records what a read of the deployment as a whole cost.
-    pub(crate) fn record_deployment_read(&mut self, read: ReadCost) {
-        self.deployment_read = read;
-    }
-
-    /// What the last read of the deployment as a whole cost, nothing before the first one.
-    pub(crate) fn deployment_read(&self) -> ReadCost {
-        self.deployment_read
-    }
-
     /// The revision up to which this VM knows all changes of a family.
     pub(crate) fn known_revision(&self, family: Family) -> Revision {
         let progress = self.families.get(&family);
@@ -368,8 +346,12 @@
             if !mode.waits() {
                 continue;
             }
-            let lag_exceeded =
-                now.since(watch_started_at.max(progress.reported.1)) >= max_lag(*family);
+            // A recent state of the deployment is read within the time that a report may lack.
+            let missing_since = match family {
+                Family::Deployment => progress.reported.1,
+                _ => watch_started_at.max(progress.reported.1),
+            };
+            let lag_exceeded = now.since(missing_since) >= max_lag(*family);
             let is_long = matches!(
                 mode,
                 WatchMode::Recent | WatchMode::Restored | WatchMode::Reported
@@ -380,7 +362,7 @@
                 WatchMode::Recent => {
                     self.must_probe(now, *family) || self.is_recent_state_void(now)
                 }
-                WatchMode::Reported => self.must_probe(now, *family),
+                WatchMode::Reported => self.must_probe(now, *family) || self.must_read_recent(now),
                 _ => false,
             };
             let must_switch = is_long && must_read_latest || must_replace_recent;
--- a/crates/waxwingrail/src/edge/watch_progress/tests/patches.rs
+++ b/crates/waxwingrail/src/edge/watch_progress/tests/patches.rs
@@ -86,3 +86,62 @@
     assert_eq!(progress.listed_deployment(), None);
     assert_eq!(progress.known_revision(DEPLOYMENT), Revision::default());
 }
+
+/// The progress of a VM whose state of the deployment reports confirm, while a change is reported that it lacks, and the time of
+/// that report.
+fn progress_behind(record_bytes: u64, vms: u64) -> (WatchProgress, Millis) {
+    let (mut progress, started_at) = listed_progress(None);
+    progress.record_deployment_size(record_bytes);
+    progress.record_vms(vms);
+    let resumed_at = started_at + limits().startup;
+    let now = resumed_at + RESUMPTION_TIME;
+    progress.record_tick(resumed_at);
+    progress.record_tick(now);
+    progress.record_report(now, &deployment_report(5));
+    progress.record_report(now, &deployment_report(8));
+    (progress, now)
+}
+
+/// Guards against a read of the latest state, which costs ten times as much, by each VM whose patch is lost or too large to be sent.
+#[test]
+fn a_small_deployment_is_looked_for_in_a_recent_state_first() {
+    let (progress, reported_at) = progress_behind(16_000, 295);
+
+    let mode_after = |time| progress.next_mode(reported_at + time, DEPLOYMENT, false);
+
+    assert_eq!(mode_after(Millis::ZERO), WatchMode::Reported);
+    assert_eq!(mode_after(MAX_LAG - Millis(1)), WatchMode::Recent);
+    assert_eq!(mode_after(MAX_LAG), WatchMode::CatchUp);
+}
+
+/// Guards against a large record that all VMs read twice, over the same link of the store.
+#[test]
+fn a_large_deployment_is_not_looked_for_in_a_recent_state() {
+    let (progress, reported_at) = progress_behind(132_000, 121);
+
+    let mode_after = |time| progress.next_mode(reported_at + time, DEPLOYMENT, false);
+
+    assert_eq!(mode_after(MAX_LAG - Millis(1)), WatchMode::Reported);
+    assert_eq!(mode_after(MAX_LAG), WatchMode::CatchUp);
+}
+
+/// Guards against a wait for the recent state beyond the time that a report may lack.
+#[test]
+fn a_watch_of_a_recent_deployment_ends_in_time() {
+    let (mut progress, reported_at) = progress_behind(16_000, 295);
+    let interruptions = progress.add_family(DEPLOYMENT);
+    progress.record_answer(DEPLOYMENT, Revision(5), None, Some(reported_at));
+    progress.record_report(reported_at, &deployment_report(8));
+    let read_at = reported_at + MAX_LAG - Millis(1);
+
+    progress.watch_started(reported_at, DEPLOYMENT, WatchMode::Reported);
+    assert_eq!(progress.interrupt_outdated(read_at, false), [DEPLOYMENT]);
+    interruptions.try_recv().expect("an interruption");
+    progress.watch_started(read_at, DEPLOYMENT, WatchMode::Recent);
+
+    assert_eq!(progress.interrupt_outdated(read_at, false), []);
+    assert_eq!(
+        progress.interrupt_outdated(reported_at + MAX_LAG, false),
+        [DEPLOYMENT]
+    );
+}
