Watch a recent state of the deployment over slow links only if it is small

A starting VM went on with watches of a recent state, since 9 VMs with a record of 325 KB take 23 ms of a link with 1,000 Mbit/s. The link of a VM has 10 Mbit/s: the watches returned 1, 2, 3 and more versions, each as a whole, 0.4, 0.8 and 1.3 s long; the next one had not ended after 2.6 s.

Ruled out: faults of datagrams, which begin 0.3 s after the first late version; a read that was given up, as both VMs were in the middle of an answer when their connections were reset.

Change: the record has to be read within 50 ms by one VM with 10 Mbit/s as well, which is 62 KB. Above that, a VM that has read a change reads one version, as before.

Measured: `a_large_deployment_is_not_looked_for_in_a_recent_state` holds 325 KB with 9 VMs, and 60 KB with 146.

Conclusion: bounded by the link of the VM and by that of the store.

--- a/crates/waxwingrail/src/edge/deployment.rs
+++ b/crates/waxwingrail/src/edge/deployment.rs
@@ -26,7 +26,8 @@
 /// Bandwidth of a store with 1,000 Mbit/s, and of a VM with 10 Mbit/s.
 const STORE_BYTES_PER_MS: u64 = 125_000;
 const SLOW_LINK_BYTES_PER_MS: u64 = 1_250;
-/// Time on the link of the store up to which all VMs together may read a recent state of the record before its latest state.
+/// Time on the link of the store, for all VMs together, and on a slow link, for one, in which a record must be read so that VMs read a
+/// recent state of it before its latest state.
 const MAX_RECENT_TRANSFER: Millis = Millis(50);
 /// Maximum batch time. It delays new routes.
 const MAX_BATCH_TIME: Millis = Millis(2000);
@@ -42,10 +43,15 @@
 }
 
 impl ReadCost {
-    /// Whether `vms` VMs may read a recent state of the record, which costs the store a tenth of the latest state and may lack
-    /// the change, so that it is read in vain.
-    pub(super) const fn allows_recent_read(self, vms: u64) -> bool {
-        self.shared_transfer(vms).0 <= MAX_RECENT_TRANSFER.0
+    /// Whether `vms` VMs may read a recent state of the record, which costs the store a tenth of the latest state. It may lack
+    /// the change, so that it is read in vain, and a watch of it returns each version since the known one as a whole.
+    pub(super) fn allows_recent_read(self, vms: u64) -> bool {
+        self.shared_transfer(vms).max(self.slow_transfer()) <= MAX_RECENT_TRANSFER
+    }
+
+    /// Time on a slow link for one read.
+    const fn slow_transfer(self) -> Millis {
+        Millis(self.bytes / SLOW_LINK_BYTES_PER_MS)
     }
 
     /// Time on the link of the store for a read by `vms` VMs.
@@ -142,9 +148,8 @@
 /// and the read of a VM that gets it by a report. That VM may have a slow link, and all `vms` read at that moment.
 pub(crate) fn batch_time(settings: &EdgeSettings, read: ReadCost, vms: u64) -> Millis {
     let transfer_time = read.time - CALL_TIME;
-    let slow_transfer = Millis(read.bytes / SLOW_LINK_BYTES_PER_MS);
     let own_read = CALL_TIME + transfer_time;
-    let vm_read = CALL_TIME + read.shared_transfer(vms).max(slow_transfer);
+    let vm_read = CALL_TIME + read.shared_transfer(vms).max(read.slow_transfer());
     let steps = own_read + own_read + vm_read + DATAGRAM_TIME + MAX_LAG + TICK_PERIOD + SEND_TIME;
     let longest = (settings.max_apply_delay - APPLY_MARGIN).min(MAX_BATCH_TIME);
     longest.min(settings.max_apply_delay - steps)
--- a/crates/waxwingrail/src/edge/watch_progress/deployment.rs
+++ b/crates/waxwingrail/src/edge/watch_progress/deployment.rs
@@ -38,7 +38,7 @@
         is_not_sent && self.allows_recent_read() && !self.is_recent_state_void(now)
     }
 
-    /// Whether the record of the deployment is so small that all VMs may read a recent state of it in vain.
+    /// Whether the record of the deployment is so small that VMs may read a recent state of it in vain.
     pub(crate) fn allows_recent_read(&self) -> bool {
         self.deployment_read.allows_recent_read(self.vms)
     }
--- a/crates/waxwingrail/src/edge/watch_progress/tests/patches.rs
+++ b/crates/waxwingrail/src/edge/watch_progress/tests/patches.rs
@@ -114,15 +114,18 @@
     assert_eq!(mode_after(MAX_LAG), WatchMode::CatchUp);
 }
 
-/// Guards against a large record that all VMs read twice, over the same link of the store.
+/// Guards against a large record that all VMs read twice over the link of the store, or of which a watch returns many versions over
+/// a slow link.
 #[test]
 fn a_large_deployment_is_not_looked_for_in_a_recent_state() {
-    let (progress, reported_at) = progress_behind(132_000, 121);
+    for (record_bytes, vms) in [(132_000, 121), (325_000, 9), (60_000, 146)] {
+        let (progress, reported_at) = progress_behind(record_bytes, vms);
 
-    let mode_after = |time| progress.next_mode(reported_at + time, DEPLOYMENT, false);
+        let mode_after = |time| progress.next_mode(reported_at + time, DEPLOYMENT, false);
 
-    assert_eq!(mode_after(MAX_LAG - Millis(1)), WatchMode::Reported);
-    assert_eq!(mode_after(MAX_LAG), WatchMode::CatchUp);
+        assert_eq!(mode_after(MAX_LAG - Millis(1)), WatchMode::Reported);
+        assert_eq!(mode_after(MAX_LAG), WatchMode::CatchUp);
+    }
 }
 
 /// Guards against a wait for the recent state beyond the time that a report may lack.
