--- a/crates/waxwingrail/src/edge/watch.rs
+++ b/crates/waxwingrail/src/edge/watch.rs
@@ -225,17 +225,19 @@
     loop {
         let now = shared.now();
         let is_store_reader = shared.fleet().is_store_reader(now);
-        let (mode, may_watch, reported, confirm_wait) = {
+        let (mode, keeps_watching, reported, confirm_wait) = {
             let mut progress = shared.watch_progress();
             let mut mode = progress.next_mode(now, family, is_store_reader);
-            let may_watch = mode.freshness() == Freshness::Recent && progress.allows_recent_read();
-            if std::mem::take(&mut has_changed) && !may_watch && mode != WatchMode::Reported {
+            // Of a small record, the watch of a recent state goes on after a change: its versions cost less than a read.
+            let keeps_watching =
+                mode.freshness() == Freshness::Recent && progress.allows_recent_read();
+            if std::mem::take(&mut has_changed) && !keeps_watching && mode != WatchMode::Reported {
                 mode = WatchMode::CatchUp;
             }
             revision = revision.max(progress.known_revision(family));
             let reported = progress.watch_started(now, family, mode);
             let confirm_wait = progress.next_read(family, true).since(now);
-            (mode, may_watch, reported, confirm_wait)
+            (mode, keeps_watching, reported, confirm_wait)
         };
         let (wait, timeout) = watch_times(&shared.settings, mode, confirm_wait);
         // Discards interruptions that arrived after the end of the previous watch.
@@ -294,7 +296,7 @@
                 record_and_report(shared, family, revision, last_change, as_of);
                 if last_change.is_some() {
                     has_changed = family == Family::Deployment;
-                    if !has_changed || !may_watch {
+                    if !has_changed || !keeps_watching {
                         pause_for_batch(shared, family).await;
                     }
                 }
