--- a/review/standin-2/src/vm.rs
+++ b/review/standin-2/src/vm.rs
@@ -139,8 +139,11 @@
         }
     }
 
-    /// Sends a signal by its name.
-    pub fn signal(&self, name: &str) {
+    /// Sends a signal by its name, if the process runs.
+    pub fn signal(&mut self, name: &str) {
+        if self.has_ended() {
+            return;
+        }
         if let Some(child) = &self.child {
             let command = format!("kill -{name} {}", child.id());
             let _ = Command::new("sh").arg("-c").arg(command).status();
