--- a/review/standin-2/src/cases/poison.rs
+++ b/review/standin-2/src/cases/poison.rs
@@ -89,6 +89,7 @@
     if with_trouble {
         record.line("the fatal upload comes to each machine once a second or less");
         for vm in &vms {
+            thread::sleep(Duration::from_millis(650));
             fatal_clients.push(Clients::start(
                 1,
                 &plan(vm, "/photos/new", 1000, (UPLOAD, true)),
