Name a request by all of its body and its query, and excuse what ran beside a crash

Requests of one path without a body were refused with 503 for 60 s because they ran when two targets crashed.

Cause: the quarantine knew a request by its path without the query, its workspace and the first 4,096 bytes of its body. Requests that differ elsewhere shared the hash, and each answer to one of them deleted the crashes of the fatal one; or the two crashes refused them all.

Change: a name covers method, host, path with query, workspace and all of the body. A body that is passed on while it arrives is named at its end, and the end of a quarantined one is withheld, so that no target gets it whole. Once a body has crashed a target, those that begin alike are buffered whole if there is room, so that their names are known before any of them is sent. A crash is recorded for all requests that ran; a request is quarantined after two of which another one with as many records cannot be the cause of all. An answer excuses the crashes that are known by then, also against late and repeated reports; the other VMs are told if they may have quarantined the request. Full tables drop what quarantines nothing first. A response that is passed on while it arrives proves nothing before its end. The counter waxwing_edge_request_crashes_total shows recorded crashes.

Conclusion: a fatal request is told from those that resemble it, and they are not refused for it.

--- a/crates/waxwing_edge/src/lib.rs
+++ b/crates/waxwing_edge/src/lib.rs
@@ -9,6 +9,7 @@
 mod quota;
 mod rank_admission;
 mod region_split;
+mod request_name;
 mod retry_after;
 mod retry_budget;
 mod routing_table;
@@ -18,11 +19,12 @@
 pub use fleet::{Fleet, READER_STARTUP_TIME};
 pub use hash::{hash_bytes, mix64};
 pub use peer_message::{PeerMessage, StateReport};
-pub use quarantine::{Quarantine, TargetProcess};
+pub use quarantine::{Crash, Quarantine, TargetProcess};
 pub use quota::{
     Admission, NoTokenAction, QuotaCoordinator, TokenExchange, WorkspaceQuotas, WorkspaceTokens,
 };
 pub use rank_admission::Priority;
+pub use request_name::{NameHasher, RequestName};
 pub use retry_after::{pause_retry_after, spread_retry_after, startup_retry_after};
 pub use retry_budget::{RetryBudgetConfig, RetryBudgets};
 pub use routing_table::{RouteMatch, RoutingTable};
--- a/crates/waxwing_edge/src/peer_message.rs
+++ b/crates/waxwing_edge/src/peer_message.rs
@@ -4,7 +4,7 @@
 use waxwing_records::DeploymentPatch;
 use waxwing_types::{Incarnation, Millis, Revision, StoreEpoch, VmId, common_derives};
 
-use crate::{TargetAlert, TargetObservation, TargetProcess, WorkspaceTokens};
+use crate::{RequestName, TargetAlert, TargetObservation, TargetProcess, WorkspaceTokens};
 
 common_derives! {
     /// A message between VMs, encoded as JSON. The serde names are part of the wire format.
@@ -61,12 +61,25 @@
         /// Reports a request that was running when its target crashed.
         #[serde(rename = "crash")]
         TargetCrash {
-            /// Hash that identifies the request.
+            /// The request.
             #[serde(rename = "print")]
-            fingerprint: u64,
+            name: RequestName,
             /// The process that crashed. Several VMs may report the same one.
             #[serde(default)]
             process: TargetProcess,
+            /// Time since the crash was found.
+            #[serde(default)]
+            age: Millis,
+        },
+        /// Reports that a target has answered a request, so that the request did not cause these crashes.
+        #[serde(rename = "excuse")]
+        CrashesExcused {
+            /// The request.
+            #[serde(rename = "print")]
+            name: RequestName,
+            /// The processes that crashed while they were running the request.
+            #[serde(rename = "of")]
+            processes: Vec<TargetProcess>,
         },
     }
 }
--- a/crates/waxwingrail/src/edge/attempts.rs
+++ b/crates/waxwingrail/src/edge/attempts.rs
@@ -40,6 +40,15 @@
         Refusal::after_pause(reason, pause)
     }
 
+    /// The refusal of a request that is quarantined.
+    pub(super) fn quarantined_refusal(&self) -> Refusal {
+        Refusal::new(if self.may_have_run() {
+            RefusalReason::TargetFailed
+        } else {
+            RefusalReason::Quarantined
+        })
+    }
+
     /// The refusal to return when no further attempt is made. The reason is that of the last failed send, or
     /// `fallback_reason` if the request was sent to no target. `retry_after` is ignored if a target may have
     /// run the request.
--- a/crates/waxwingrail/src/edge/body.rs
+++ b/crates/waxwingrail/src/edge/body.rs
@@ -102,6 +102,21 @@
     })
 }
 
+impl<B> BufferedBody<B>
+where
+    B: HttpBody<Data = Bytes> + Send + 'static,
+    B::Error: Into<BodyError>,
+{
+    /// Erases the type of the unread remainder.
+    pub(crate) fn erased(self) -> BufferedBody<Body> {
+        BufferedBody {
+            prefix: self.prefix,
+            rest: self.rest.map(streamed),
+            reservation: self.reservation,
+        }
+    }
+}
+
 impl<B> BufferedBody<B>
 where
     B: HttpBody<Data = Bytes> + Unpin + Send + 'static,
@@ -173,6 +188,12 @@
     }
 }
 
+/// What is told how a body ended. Nothing is told if the body is dropped before, or fails because its time is over.
+pub(crate) trait BodyGuard {
+    /// The body has ended, or has failed.
+    fn on_end(&mut self, is_whole: bool);
+}
+
 /// A body that fails if it has not ended when a timer ends.
 ///
 /// Bounds the time of a response that is passed on while it arrives. A faulty target may send bytes without end; the
@@ -193,7 +214,7 @@
     }
 }
 
-impl<G: Unpin> HttpBody for TimedBody<G> {
+impl<G: BodyGuard + Unpin> HttpBody for TimedBody<G> {
     type Data = Bytes;
     type Error = BodyError;
 
@@ -202,7 +223,7 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         let this = &mut *self;
-        let Some((body, _)) = &mut this.inner else {
+        let Some((body, guard)) = &mut this.inner else {
             return Poll::Ready(None);
         };
         let frame = if Pin::new(&mut this.timer).poll(cx).is_ready() {
@@ -210,7 +231,14 @@
             let error = io::Error::new(io::ErrorKind::TimedOut, message);
             Some(Err(error.into()))
         } else {
-            ready!(Pin::new(body).poll_frame(cx))
+            let frame = ready!(Pin::new(&mut *body).poll_frame(cx));
+            match &frame {
+                Some(Err(_)) => guard.on_end(false),
+                // The end may not be asked for once the length is reached.
+                Some(Ok(_)) if !body.is_end_stream() => {}
+                Some(Ok(_)) | None => guard.on_end(true),
+            }
+            frame
         };
         if !matches!(frame, Some(Ok(_))) {
             this.inner = None;
--- a/crates/waxwingrail/src/edge/crash.rs
+++ b/crates/waxwingrail/src/edge/crash.rs
@@ -4,15 +4,17 @@
 //! connections, or if a later process registers under its id, although it had not said that it leaves.
 
 use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use async_io::Timer;
-use waxwing_edge::{SelectedTarget, TargetProcess};
+use waxwing_edge::{Crash, RequestName, SelectedTarget, TargetProcess};
 use waxwing_records::Registration;
 use waxwing_types::{Incarnation, Millis, TargetId};
 
 use super::forward::endpoint;
 use super::peers;
+use super::request_names::RequestNames;
 use super::state::Shared;
 
 /// Times from one try to connect to the next one. The first leaves the system time to close the port of the process.
@@ -22,7 +24,7 @@
 pub(crate) fn on_connection_broken(
     shared: &Arc<Shared>,
     target: &SelectedTarget,
-    fingerprint: u64,
+    names: &RequestNames,
 ) {
     if !is_in_service(shared, target) {
         return;
@@ -31,7 +33,7 @@
     let now = shared.now();
     let must_probe = shared
         .quarantine()
-        .on_connection_broken(now, fingerprint, process);
+        .on_connection_broken(now, &names.at_crash(), process);
     if must_probe {
         let task = probe(Arc::clone(shared), target.clone());
         shared.executor.spawn(task).detach();
@@ -82,12 +84,40 @@
 }
 
 /// Handles the report of another VM that a process crashed while it was running a request.
-pub(crate) fn on_report(shared: &Shared, fingerprint: u64, process: TargetProcess) {
+pub(crate) fn on_report(shared: &Shared, name: RequestName, crash: Crash, from: SocketAddr) {
     let now = shared.now();
-    shared
-        .quarantine()
-        .on_crash_report(now, fingerprint, process);
-    report_running_requests(shared, process);
+    let excused = shared.quarantine().on_crash_report(now, name, crash);
+    peers::report_excused(shared, name, excused, &[from]);
+    report_running_requests(shared, crash.process);
+}
+
+/// Records that a target has answered a request in whole.
+pub(crate) fn on_answer(shared: &Shared, names: &RequestNames) {
+    // A target may answer before the end of the body, by which alone the request is known.
+    let Some(name) = names.whole() else {
+        return;
+    };
+    let excused = shared.quarantine().on_answer(name);
+    if !excused.is_empty() {
+        let recipients = shared.fleet().all_peers();
+        peers::report_excused(shared, name, excused, &recipients);
+    }
+}
+
+/// Whether a request is quarantined. The other VMs are told again of the crashes of one that is.
+pub(crate) fn must_refuse(shared: &Shared, names: &RequestNames) -> bool {
+    let Some(name) = names.whole() else {
+        return false;
+    };
+    let now = shared.now();
+    if !shared.quarantine().contains(now, name) {
+        return false;
+    }
+    for name in names.at_crash() {
+        let crashes = shared.quarantine().on_copy_refused(now, name);
+        peers::report_crashes(shared, name, &crashes);
+    }
+    true
 }
 
 /// Records that a target has crashed.
@@ -101,9 +131,11 @@
 
 /// Tells the other VMs which requests of this VM a process was running when it crashed, and returns their number.
 fn report_running_requests(shared: &Shared, process: TargetProcess) -> usize {
-    let fingerprints = shared.quarantine().on_process_crash(shared.now(), process);
-    if !fingerprints.is_empty() {
-        peers::report_crashes(shared, process, &fingerprints);
+    let now = shared.now();
+    let names = shared.quarantine().on_process_crash(now, process);
+    shared.metrics.request_crashes.increment(names.len() as u64);
+    for name in names.iter().copied() {
+        peers::report_crashes(shared, name, &[Crash { process, at: now }]);
     }
-    fingerprints.len()
+    names.len()
 }
--- a/crates/waxwingrail/src/edge/forward.rs
+++ b/crates/waxwingrail/src/edge/forward.rs
@@ -16,13 +16,14 @@
 use waxwing_types::{Millis, ServiceId, WorkspaceId};
 
 use super::alerts;
-use super::body::{TimedBody, buffer_body};
+use super::body::{BodyGuard, TimedBody, buffer_body};
 use super::connection::TargetConnections;
 use super::crash;
 use super::handlers::RunningRequestGuard;
 use super::memory::SMALL_BODY_BYTES;
 use super::metric::HealthCheck;
 use super::notice::apply_notice;
+use super::request_names::RequestNames;
 use super::state::Shared;
 
 /// Number of buffered bytes of a response above which buffering ends and the response is passed on. If the connection
@@ -46,8 +47,8 @@
     pub(crate) deadline: Millis,
     /// Whether the request may run more than once.
     pub(crate) kind: RunKind,
-    /// Hash of the request, by which requests that crash targets are recognized.
-    pub(crate) fingerprint: u64,
+    /// By which requests that crash targets are recognized.
+    pub(crate) names: &'a RequestNames,
 }
 
 /// The result of an attempt.
@@ -69,6 +70,8 @@
     NoUsableResponse,
     /// The connection broke. The request may have run.
     ConnectionBroken,
+    /// The end of the body was not passed on, because the request turned out to be quarantined. The request may have run.
+    Withheld,
     /// No response arrived before the deadline.
     TimedOut,
 }
@@ -122,6 +125,27 @@
     }
 }
 
+/// A response that is passed on while it arrives.
+struct StreamedAnswer {
+    slot: TargetSlot,
+    target: SelectedTarget,
+    names: RequestNames,
+    /// Whether the response shows that the request ran.
+    ran: bool,
+}
+
+impl BodyGuard for StreamedAnswer {
+    fn on_end(&mut self, is_whole: bool) {
+        let shared = &self.slot.shared;
+        if !is_whole {
+            self.slot.drop_outcome = TargetOutcome::ConnectionBroken;
+            crash::on_connection_broken(shared, &self.target, &self.names);
+        } else if self.ran {
+            crash::on_answer(shared, &self.names);
+        }
+    }
+}
+
 /// Sends the request to the target and waits for the response until `timer` ends, at the deadline of the
 /// request.
 pub(crate) async fn forward(
@@ -152,16 +176,13 @@
         AttemptOutcome::NoUsableResponse => slot.release(TargetOutcome::NoUsableResponse),
         AttemptOutcome::ConnectionBroken => {
             slot.release(TargetOutcome::ConnectionBroken);
-            crash::on_connection_broken(shared, &attempt.target, attempt.fingerprint);
+            crash::on_connection_broken(shared, &attempt.target, attempt.names);
         }
-        AttemptOutcome::Withdrawn => slot.release(TargetOutcome::Cancelled),
-        AttemptOutcome::NotSent => slot.release(TargetOutcome::ConnectFailed),
-        AttemptOutcome::Answered(response) => {
-            if response.status().is_success() {
-                shared.quarantine().on_success(attempt.fingerprint);
-            }
+        AttemptOutcome::Withdrawn | AttemptOutcome::Withheld => {
+            slot.release(TargetOutcome::Cancelled);
         }
-        AttemptOutcome::Failed(_) | AttemptOutcome::NotRun => {}
+        AttemptOutcome::NotSent => slot.release(TargetOutcome::ConnectFailed),
+        AttemptOutcome::Answered(_) | AttemptOutcome::Failed(_) | AttemptOutcome::NotRun => {}
     }
     outcome
 }
@@ -198,6 +219,10 @@
                 target_id = attempt.target.id.as_str(), error = error.to_string().as_str();
                 "request to target failed"
             );
+            if attempt.names.is_withheld() {
+                log::info!(target_id = attempt.target.id.as_str(); "the end of a quarantined request was not passed on");
+                return AttemptOutcome::Withheld;
+            }
             return match error {
                 SendError::Withdrawn => {
                     if let Some(outcome) = connections.refusal() {
@@ -242,6 +267,16 @@
     if response.headers().contains_key(CONTENT_ENCODING) {
         return AttemptOutcome::NoUsableResponse;
     }
+    buffer_response(shared, attempt, response, slot).await
+}
+
+/// Buffers the start of a response or all of it, and takes over the slot for one that is passed on while it arrives.
+async fn buffer_response(
+    shared: &Arc<Shared>,
+    attempt: &Attempt<'_>,
+    response: Response<Body>,
+    slot: &mut TargetSlot,
+) -> AttemptOutcome {
     let success = !response.status().is_server_error();
     let latency = slot.latency();
     if promises_not_run(response.status()) && !attempt.kind.is_idempotent() {
@@ -257,12 +292,22 @@
     let outcome = TargetOutcome::Answered { latency, success };
     let is_whole = buffered.rest.is_none();
     let body = buffered.take_body();
+    let ran = success && !promises_not_run(head.status);
     let body = if is_whole {
         slot.release(outcome);
+        if ran {
+            crash::on_answer(shared, attempt.names);
+        }
         body
     } else {
         let timer = shared.deadline_timer(attempt.deadline);
-        streamed(TimedBody::new(body, timer, slot.move_to_body(outcome)))
+        let guard = StreamedAnswer {
+            slot: slot.move_to_body(outcome),
+            target: attempt.target.clone(),
+            names: attempt.names.clone(),
+            ran,
+        };
+        streamed(TimedBody::new(body, timer, guard))
     };
     let response = Response::from_parts(head, body);
     if success || !attempt.kind.is_idempotent() {
--- a/crates/waxwingrail/src/edge/metric.rs
+++ b/crates/waxwingrail/src/edge/metric.rs
@@ -117,6 +117,8 @@
     pub(crate) leaving_targets: Gauge,
     /// Number of known targets in a pause for which they asked.
     pub(crate) paused_targets: Gauge,
+    /// Requests of this VM that were running at targets when these crashed.
+    pub(crate) request_crashes: Counter,
     /// Number of requests that are refused because they crashed targets.
     pub(crate) quarantined_requests: Gauge,
     /// 1 if callers may send requests to this VM, else 0.
@@ -184,6 +186,7 @@
             registered_vms: gauge!("waxwing_edge_vms"),
             leaving_targets: gauge!("waxwing_edge_targets_leaving"),
             paused_targets: gauge!("waxwing_edge_targets_paused"),
+            request_crashes: counter!("waxwing_edge_request_crashes_total"),
             quarantined_requests: gauge!("waxwing_edge_quarantined_requests"),
             ready: gauge!("waxwing_edge_ready"),
             recorder: Arc::clone(&recorder),
--- a/crates/waxwingrail/src/edge/mod.rs
+++ b/crates/waxwingrail/src/edge/mod.rs
@@ -22,6 +22,7 @@
 mod registration;
 mod request;
 mod request_head;
+mod request_names;
 mod restore;
 mod settings;
 mod state;
--- a/crates/waxwingrail/src/edge/peers.rs
+++ b/crates/waxwingrail/src/edge/peers.rs
@@ -1,5 +1,5 @@
-//! Datagrams between VMs: heartbeats, revisions of changes in the registry, quota tokens, and fingerprints of
-//! requests that crashed targets.
+//! Datagrams between VMs: heartbeats, revisions of changes in the registry, quota tokens, and names of requests that
+//! crashed targets.
 //!
 //! Each admitted request takes one quota token of its workspace. In each failure domain, one VM is the
 //! coordinator of a workspace: it distributes the tokens of the workspace to the VMs. Another role is that of the
@@ -18,7 +18,8 @@
 use async_executor::Task;
 use async_io::Timer;
 use waxwing_edge::{
-    Datagram, NoTokenAction, PeerMessage, QuotaCoordinator, TargetProcess, WorkspaceTokens,
+    Crash, Datagram, NoTokenAction, PeerMessage, QuotaCoordinator, RequestName, TargetProcess,
+    WorkspaceTokens,
 };
 use waxwing_types::{Micros, Millis, WorkspaceId};
 
@@ -105,10 +106,13 @@
             patch,
         } => patch::on_patch(shared, (epoch, revision), &patch, (from, bytes.len())),
         PeerMessage::TargetAlerts { alerts } => shared.targets().apply_alerts(now, &alerts),
-        PeerMessage::TargetCrash {
-            fingerprint,
-            process,
-        } => crash::on_report(shared, fingerprint, process),
+        PeerMessage::TargetCrash { name, process, age } => {
+            let at = Millis(now.0.saturating_sub(age.0));
+            crash::on_report(shared, name, Crash { process, at }, from);
+        }
+        PeerMessage::CrashesExcused { name, processes } => {
+            shared.quarantine().on_excuse_report(now, name, &processes);
+        }
     }
 }
 
@@ -340,14 +344,28 @@
     send(shared, message, coordinators);
 }
 
-/// Sends all VMs the fingerprints of requests that a process was running when it crashed. A fingerprint is a hash of a request.
-pub(crate) fn report_crashes(shared: &Shared, process: TargetProcess, fingerprints: &[u64]) {
+/// Tells all VMs that processes crashed while they were running a request.
+pub(crate) fn report_crashes(shared: &Shared, name: RequestName, crashes: &[Crash]) {
     let recipients = shared.fleet().all_peers();
-    for fingerprint in fingerprints.iter().copied() {
+    for crash in crashes {
         let message = PeerMessage::TargetCrash {
-            fingerprint,
-            process,
+            name,
+            process: crash.process,
+            age: shared.now().since(crash.at),
         };
         send(shared, message, &recipients);
     }
 }
+
+/// Tells VMs that a request did not cause the crashes of processes.
+pub(crate) fn report_excused(
+    shared: &Shared,
+    name: RequestName,
+    processes: Vec<TargetProcess>,
+    recipients: &[SocketAddr],
+) {
+    if !processes.is_empty() {
+        let message = PeerMessage::CrashesExcused { name, processes };
+        send(shared, message, recipients);
+    }
+}
--- a/crates/waxwingrail/src/edge/request.rs
+++ b/crates/waxwingrail/src/edge/request.rs
@@ -10,18 +10,20 @@
 use hyper::http::request::Parts;
 use smol_str::SmolStr;
 use waxwing_edge::{
-    RouteMatch, RoutingTable, Selection, TargetCriteria, TargetKey, hash_bytes, mix64,
+    NameHasher, RouteMatch, RoutingTable, Selection, TargetCriteria, TargetKey, hash_bytes,
 };
-use waxwing_http::{Body, HeaderNames, announce_close};
+use waxwing_http::{Body, BodyError, HeaderNames, announce_close};
 use waxwing_types::{Millis, RefusalReason, RegionId, RetryReason, ServiceId};
 
 use super::admission;
 use super::attempts::Attempts;
 use super::body::{BufferedBody, buffer_body};
+use super::crash;
 use super::forward::{Attempt, AttemptOutcome, forward};
 use super::metric::RequestOutcome;
 use super::refusal::Refusal;
 use super::request_head::{affinity_key, request_id, requested_time, strip_headers};
+use super::request_names::RequestNames;
 use super::state::Shared;
 use super::stop;
 
@@ -30,8 +32,6 @@
 pub(super) const REQUEST_BUFFER_BYTES: usize = 1 << 20;
 /// Number of buffered bytes of a body above which targets in the failure domain of this VM are preferred.
 const LARGE_BODY_BYTES: usize = 16 * 1024;
-/// Bytes at the start of a body that are hashed into the fingerprint of the request.
-const FINGERPRINT_BYTES: usize = 4096;
 /// Expected wait until a request that found no usable target may find one.
 const NO_TARGET_WAIT: Millis = Millis(50);
 /// Maximum number of targets that are tried for a request, including unreachable targets.
@@ -63,8 +63,7 @@
     affinity_hash: Option<u64>,
     large_body: bool,
     deadline: Millis,
-    /// Hash of path, workspace, affinity key and start of the body, for the quarantine.
-    fingerprint: u64,
+    names: RequestNames,
 }
 
 impl<'a> CallerRequest<'a> {
@@ -159,29 +158,42 @@
         route_match: RouteMatch<'_>,
         deadline: Millis,
     ) -> Result<Response<Body>, Refusal> {
-        let shared = self.shared;
-        let mut body = self.read_body(body, routing_table, deadline).await?;
+        let hasher = self.name_hasher(&route_match);
+        let (mut body, names) = self
+            .read_body(body, &hasher, routing_table, deadline)
+            .await?;
         // A longer body is passed on while it arrives, and the target may answer before its end.
         self.is_body_read = body.rest.is_none();
-        let routed = self.route_and_strip_request(route_match, deadline, &body)?;
-        if shared
-            .quarantine()
-            .contains(shared.now(), routed.fingerprint)
-        {
-            return Err(Refusal::new(RefusalReason::Quarantined));
-        }
-        self.send_with_retries(&routed, &mut body).await
+        let routed = self.route_and_strip_request(route_match, deadline, &body, names)?;
+        self.send_with_retries(&routed, &mut body, hasher).await
     }
 
-    fn match_route<'t>(&self, routing_table: &'t RoutingTable) -> Result<RouteMatch<'t>, Refusal> {
+    /// Starts the names of the request with all that precedes its body.
+    fn name_hasher(&self, route_match: &RouteMatch<'_>) -> NameHasher {
+        let uri = &self.head.uri;
+        let target = uri.path_and_query().map_or(uri.path(), |p| p.as_str());
+        let workspace = route_match.workspace.map_or("", |w| w.id.as_str());
+        NameHasher::new(&[
+            self.head.method.as_str().as_bytes(),
+            self.host().to_ascii_lowercase().as_bytes(),
+            target.as_bytes(),
+            workspace.as_bytes(),
+        ])
+    }
+
+    /// The host that the request names, empty if there is none.
+    fn host(&self) -> &str {
         let host = self.head.headers.get(HOST).and_then(|v| v.to_str().ok());
-        let host = host.or_else(|| self.head.uri.host()).unwrap_or_default();
+        host.or_else(|| self.head.uri.host()).unwrap_or_default()
+    }
+
+    fn match_route<'t>(&self, routing_table: &'t RoutingTable) -> Result<RouteMatch<'t>, Refusal> {
         let key = self.head.headers.get(AUTHORIZATION);
         let key = key.and_then(|v| v.to_str().ok());
         let key = key.and_then(|v| v.strip_prefix(self.shared.dialect.headers().scheme));
         let key = key.and_then(|v| v.strip_prefix(' ')).map(str::trim);
         routing_table
-            .match_route(host, self.head.uri.path(), key)
+            .match_route(self.host(), self.head.uri.path(), key)
             .map_err(|reason| Refusal::by_deployment(reason, routing_table.version()))
     }
 
@@ -198,9 +210,10 @@
     async fn read_body(
         &self,
         body: Incoming,
+        hasher: &NameHasher,
         routing_table: &RoutingTable,
         deadline: Millis,
-    ) -> Result<BufferedBody<Incoming>, Refusal> {
+    ) -> Result<(BufferedBody<Body>, RequestNames), Refusal> {
         let max_bytes = routing_table.deployment().limits.body_bytes;
         let content_length = self.head.headers.get(hyper::header::CONTENT_LENGTH);
         let content_length = content_length.and_then(|v| v.to_str().ok()?.parse::<u64>().ok());
@@ -208,8 +221,8 @@
             return Err(Refusal::new(RefusalReason::TooLarge));
         }
         let reading = async {
-            let budget = &self.shared.body_budget;
-            let buffered = buffer_body(body, REQUEST_BUFFER_BYTES, budget).await;
+            let max_bytes = usize::try_from(max_bytes).unwrap_or(usize::MAX);
+            let buffered = self.buffer_and_name(body, hasher, max_bytes).await;
             buffered.map_err(|_| Refusal::new(RefusalReason::BadRequest))
         };
         let timer = self.shared.deadline_timer(deadline);
@@ -225,48 +238,76 @@
         futures_lite::future::or(reading, ended).await
     }
 
+    /// Buffers a body and names the request. A longer body is buffered only if another one that begins alike has crashed a
+    /// target, and if there is room for it: the name of the request is then known before a target gets any of it.
+    async fn buffer_and_name(
+        &self,
+        body: Incoming,
+        hasher: &NameHasher,
+        max_bytes: usize,
+    ) -> Result<(BufferedBody<Body>, RequestNames), BodyError> {
+        let budget = &self.shared.body_budget;
+        let buffered = buffer_body(body, REQUEST_BUFFER_BYTES, budget).await?;
+        let mut buffered = buffered.erased();
+        let is_long = buffered.rest.is_some();
+        if is_long {
+            let names = RequestNames::of_start(hasher.clone(), &buffered.prefix);
+            let has_crashed = |name| self.shared.quarantine().has_crashed(name);
+            if !names.partial().is_some_and(has_crashed) {
+                return Ok((buffered, names));
+            }
+            let whole = buffer_body(buffered.take_body(), max_bytes, budget).await?;
+            buffered = whole.erased();
+            if buffered.rest.is_some() {
+                return Ok((buffered, names));
+            }
+        }
+        let names = RequestNames::of_whole(hasher.clone(), &buffered.prefix, is_long);
+        Ok((buffered, names))
+    }
+
     fn route_and_strip_request<'t>(
         &mut self,
         route_match: RouteMatch<'t>,
         deadline: Millis,
-        body: &BufferedBody<Incoming>,
+        body: &BufferedBody<Body>,
+        names: RequestNames,
     ) -> Result<RoutedRequest<'t>, Refusal> {
         let service = route_match.select_service(fastrand::f64());
         let service = service.ok_or(Refusal::new(RefusalReason::RouteUnknown))?;
         let affinity_hash =
             affinity_key(&self.head.headers, self.names()).map(|key| hash_bytes(key.as_bytes()));
         let affinity_hash = affinity_hash.filter(|_| route_match.route.affinity);
-        let path_hash = hash_bytes(self.head.uri.path().as_bytes());
-        let workspace = route_match.workspace.map_or("", |w| w.id.as_str());
-        let prefix = &body.prefix[..body.prefix.len().min(FINGERPRINT_BYTES)];
-        let content = mix64(hash_bytes(prefix), affinity_hash.unwrap_or_default());
-        let fingerprint = mix64(mix64(path_hash, hash_bytes(workspace.as_bytes())), content);
-        let names = self.shared.dialect.headers();
-        strip_headers(&mut self.head.headers, names);
+        strip_headers(&mut self.head.headers, self.shared.dialect.headers());
         Ok(RoutedRequest {
             service: service.clone(),
             route_match,
             affinity_hash,
             large_body: body.prefix.len() > LARGE_BODY_BYTES,
             deadline,
-            fingerprint,
+            names,
         })
     }
 
     async fn send_with_retries(
         &mut self,
         routed: &RoutedRequest<'_>,
-        body: &mut BufferedBody<Incoming>,
+        body: &mut BufferedBody<Body>,
+        hasher: NameHasher,
     ) -> Result<Response<Body>, Refusal> {
         let shared = self.shared;
         let mut attempts = Attempts::default();
+        let is_buffered = body.rest.is_none();
         shared
             .budgets()
             .record_request(shared.now(), &routed.service);
         loop {
-            if !self.has_time(routed, body.rest.is_none()) {
+            if !self.has_time(routed, is_buffered) {
                 return Err(attempts.refusal(RefusalReason::Stopping, Millis::ZERO));
             }
+            if crash::must_refuse(shared, &routed.names) {
+                return Err(attempts.quarantined_refusal());
+            }
             let (key, selected) = match self.select_target(routed, &attempts.tried) {
                 Selection::Selected(key, selected) => (key, selected),
                 Selection::Overloaded { retry_after } => {
@@ -293,15 +334,25 @@
                 workspace: routed.route_match.workspace.map(|w| &w.id),
                 deadline: routed.deadline,
                 kind: routed.route_match.route.kind,
-                fingerprint: routed.fingerprint,
+                names: &routed.names,
             };
             let timer = shared.deadline_timer(routed.deadline);
-            let replayable = body.rest.is_none();
-            let outcome = forward(shared, &attempt, body.take_body(), timer).await;
+            let outgoing = if is_buffered {
+                body.take_body()
+            } else {
+                let names = &routed.names;
+                names.name_body(shared, hasher.clone(), body.take_body())
+            };
+            let outcome = forward(shared, &attempt, outgoing, timer).await;
             attempts.tried.push(key);
+            let replayable = is_buffered;
             let retry_reason = match outcome {
                 AttemptOutcome::Answered(response) => return Ok(response),
                 AttemptOutcome::TimedOut => return Err(Refusal::new(RefusalReason::TargetTimeout)),
+                AttemptOutcome::Withheld => {
+                    // The target has a part of the request and may have begun to run it.
+                    return Err(Refusal::new(RefusalReason::TargetFailed));
+                }
                 AttemptOutcome::Failed(response) => {
                     attempts.record_failed_send(RefusalReason::TargetFailed);
                     if !replayable || !self.may_retry(routed, &attempts) {
--- a/crates/waxwingrail/src/edge/state.rs
+++ b/crates/waxwingrail/src/edge/state.rs
@@ -135,7 +135,7 @@
     quota: Mutex<WorkspaceQuotas>,
     /// Retry budgets of all services.
     budgets: Mutex<RetryBudgets>,
-    /// Fingerprints of requests that crashed targets. A fingerprint is a hash of the contents of a request.
+    /// Requests that crashed targets.
     quarantine: Mutex<Quarantine>,
     datagram_filter: Mutex<DatagramFilter>,
 
--- a/crates/waxwingrail/src/edge/ticks.rs
+++ b/crates/waxwingrail/src/edge/ticks.rs
@@ -23,6 +23,7 @@
         if ticks.is_multiple_of(UPKEEP_TICKS) {
             shared.metrics.run_upkeep();
             shared.client.prune();
+            shared.quarantine().drop_expired(shared.now());
         }
         let now = shared.now();
         shared.targets().tick(now);
