Try another target for a long upload of which no byte was sent

Cause: a body that is passed on while it arrives was handed to the first attempt. If no connection to the target could be opened, the body was dropped unread, and the request was refused as one that no target takes. Ruled out: the quarantine; the refusal counter named no_target, with connections refused by a target that had crashed.

Change: the attempt that reads first takes the body. Until then another target may be tried.

Conclusion: a crashed target costs long uploads no more than short ones until their first byte is sent.

--- a/crates/waxwingrail/src/edge/request.rs
+++ b/crates/waxwingrail/src/edge/request.rs
@@ -17,7 +17,7 @@
 
 use super::admission;
 use super::attempts::Attempts;
-use super::body::{BufferedBody, buffer_body};
+use super::body::{BufferedBody, UnreadBody, buffer_body};
 use super::crash;
 use super::forward::{Attempt, AttemptOutcome, forward};
 use super::metric::RequestOutcome;
@@ -298,6 +298,7 @@
         let shared = self.shared;
         let mut attempts = Attempts::default();
         let is_buffered = body.rest.is_none();
+        let unread = (!is_buffered).then(|| UnreadBody::new(body.take_body()));
         shared
             .budgets()
             .record_request(shared.now(), &routed.service);
@@ -337,15 +338,16 @@
                 names: &routed.names,
             };
             let timer = shared.deadline_timer(routed.deadline);
-            let outgoing = if is_buffered {
-                body.take_body()
-            } else {
-                let names = &routed.names;
-                names.name_body(shared, hasher.clone(), body.take_body())
+            let outgoing = match &unread {
+                None => body.take_body(),
+                Some(unread) => {
+                    let body = unread.attempt_body();
+                    routed.names.name_body(shared, hasher.clone(), body)
+                }
             };
             let outcome = forward(shared, &attempt, outgoing, timer).await;
             attempts.tried.push(key);
-            let replayable = is_buffered;
+            let replayable = unread.as_ref().is_none_or(UnreadBody::is_unread);
             let retry_reason = match outcome {
                 AttemptOutcome::Answered(response) => return Ok(response),
                 AttemptOutcome::TimedOut => return Err(Refusal::new(RefusalReason::TargetTimeout)),
--- a/crates/waxwingrail/src/edge/state.rs
+++ b/crates/waxwingrail/src/edge/state.rs
@@ -388,6 +388,6 @@
     }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/waxwingrail/tests/edge_poison.rs
+++ b/crates/waxwingrail/tests/edge_poison.rs
@@ -129,6 +129,28 @@
     run_test(async |fixture| play_uploads(fixture, 2_000_000, Framing::Chunks).await);
 }
 
+/// Guards against a long fatal upload that reaches targets whole because the VM has no room to buffer it: the target gets all
+/// but the end of it.
+#[test]
+fn a_long_fatal_upload_is_not_completed_without_room_to_buffer_it() {
+    for framing in [Framing::Length, Framing::Chunks] {
+        run_test(async |fixture| {
+            fixture.deploy(upload_deployment());
+            let targets = start_targets(&fixture, 8);
+            // A fifth of it is for the bodies of all requests.
+            let settings = fixture::settings("v1", &["--memory-mb=16"]);
+            let daemon = fixture.start_daemon_with(settings, 1).await;
+            fixture.wait_until_ready(&daemon).await;
+            let address = daemon.caller_address();
+            let send = |end: &str| {
+                let body = upload_body(3_000_000, end);
+                upload(address, "POST", "/unsafe/new", &body, framing)
+            };
+            play_among_sound_ones(&fixture, &daemon, &targets, send).await;
+        });
+    }
+}
+
 /// Guards against a fatal request that shares its name with others which differ in the query alone.
 #[test]
 fn a_fatal_query_is_told_from_others_of_its_path() {
