Name a request of the daemon of shard leases by all of its body

What callers saw: 422 for sound uploads that begin like one that crashed two targets; a request that crashed targets came through as often as its caller chose another idempotency key.

Cause: the fingerprint was made of the first 4,096 bytes of the body, or of the idempotency key in its place. An answer to a request did not excuse the broken connections that were counted for it.

Change: the fingerprint covers workspace, service, method, path with query and the whole body. A body of which the first 4,096 bytes do not reach the end is hashed while it is sent; the end of a quarantined one is withheld. An answer removes the crashes of its request. The target double of the tests finds poison at the end of a body too.

Open: a target that crashes before the end of the body has arrived leaves this daemon without a name for the request, so that the crash is not counted.

--- a/crates/waxwing_bench/src/fleet/caller.rs
+++ b/crates/waxwing_bench/src/fleet/caller.rs
@@ -277,7 +277,7 @@
             requested_timeout: None,
             body_length: Some(1000),
             client_ip: [127, 0, 0, 1].into(),
-            body_prefix_hash: 0,
+            body_hash: Some(0),
             forwarded: None,
         }
     }
--- a/crates/waxwing_core/src/flow/admission.rs
+++ b/crates/waxwing_core/src/flow/admission.rs
@@ -5,7 +5,7 @@
 
 use super::{Flow, FlowAction, Phase, Refusal, StepContext, access};
 use crate::queue::meets_deadline;
-use crate::{Claim, Fingerprint, LimitKey};
+use crate::{Claim, Fingerprint, FingerprintHasher, LimitKey};
 
 /// Longest time for which a request waits for rate limit tokens that this VM is borrowing from
 /// other VMs. The VM asks lenders in other regions one by one, every 200 ms.
@@ -204,15 +204,29 @@
 }
 
 impl Flow {
-    /// Hash by which the quarantine recognizes copies of the request.
-    pub(super) fn fingerprint(&self) -> Fingerprint {
-        Fingerprint::of(self.queue_workspace().as_str(), &self.request)
+    /// Computes the fingerprint by which the quarantine recognizes copies of the request, for a body that has not arrived yet.
+    pub fn fingerprint_hasher(&self) -> FingerprintHasher {
+        FingerprintHasher::new(self.queue_workspace().as_str(), &self.request)
     }
 
-    /// Whether the request is quarantined because copies of it crashed targets.
+    /// Sets the hash of the body, once the body has arrived.
+    pub fn set_body_hash(&mut self, hash: u64) {
+        self.request.body_hash = Some(hash);
+    }
+
+    /// The fingerprint of the request, `None` until its body has arrived.
+    pub(super) fn fingerprint(&self) -> Option<Fingerprint> {
+        let body_hash = self.request.body_hash?;
+        Some(self.fingerprint_hasher().finish(body_hash))
+    }
+
+    /// Whether the request is quarantined because copies of it crashed targets. Not known until its body has arrived.
     pub(super) fn is_quarantined(&self, ctx: &StepContext<'_, '_>) -> bool {
         let quarantine = &ctx.state.quarantine;
-        !quarantine.is_empty() && quarantine.is_quarantined(ctx.now, self.fingerprint())
+        !quarantine.is_empty()
+            && self
+                .fingerprint()
+                .is_some_and(|fingerprint| quarantine.is_quarantined(ctx.now, fingerprint))
     }
 
     /// Bytes charged to the link before the request is forwarded.
--- a/crates/waxwing_core/src/flow/request.rs
+++ b/crates/waxwing_core/src/flow/request.rs
@@ -53,8 +53,8 @@
         pub body_length: Option<u64>,
         /// IP address of the client.
         pub client_ip: IpAddr,
-        /// Hash of the first 4 KiB of the body, or 0 if there is no body.
-        pub body_prefix_hash: u64,
+        /// Hash of the whole body. `None` until its end has arrived.
+        pub body_hash: Option<u64>,
         /// Set if an entry VM of another region forwarded the request.
         pub forwarded: Option<Forwarded>,
     }
--- a/crates/waxwing_core/src/flow/sending.rs
+++ b/crates/waxwing_core/src/flow/sending.rs
@@ -97,8 +97,10 @@
         };
         self.maybe_ran = true;
         self.broken_connections += 1;
-        if let Destination::Target(slot) = &attempt.destination {
-            let (fingerprint, sent_at) = (self.fingerprint(), attempt.started_at);
+        if let Destination::Target(slot) = &attempt.destination
+            && let Some(fingerprint) = self.fingerprint()
+        {
+            let sent_at = attempt.started_at;
             ctx.state
                 .quarantine
                 .record_crash(ctx.now, fingerprint, &slot.target, sent_at);
@@ -133,6 +135,11 @@
             ctx.state
                 .queue
                 .record_slot_time(&self.request.service, cost, slot_time);
+            if status < 500
+                && let Some(fingerprint) = self.fingerprint()
+            {
+                ctx.state.quarantine.record_answer(fingerprint);
+            }
         }
         self.finalize_claim(ctx, ClaimState::Answered(status), None);
     }
--- a/crates/waxwing_core/src/lib.rs
+++ b/crates/waxwing_core/src/lib.rs
@@ -41,7 +41,7 @@
     CallTimes, DEFAULT_PAGE_BYTES, PullAction, PullSettings, Puller, STALE_CONFIG_AGE,
     STORE_POLL_WAIT,
 };
-pub use quarantine::Quarantine;
+pub use quarantine::{FingerprintHasher, Quarantine};
 pub use queue::{FairQueue, QueuedRequest};
 pub use retry::RetryBudget;
 pub use steer::{LOOKUP_LIFETIME, LookupAnswer, Steering};
--- a/crates/waxwing_core/src/quarantine.rs
+++ b/crates/waxwing_core/src/quarantine.rs
@@ -74,6 +74,11 @@
         entry.crashes >= CRASH_THRESHOLD
     }
 
+    /// Records that a target has answered a request, which therefore does not crash targets.
+    pub fn record_answer(&mut self, fingerprint: Fingerprint) {
+        self.entries.remove(&fingerprint);
+    }
+
     /// Adds fingerprints that a peer has quarantined. A fingerprint that is already quarantined
     /// keeps its start time. Otherwise two VMs could prolong the quarantine for each other.
     pub fn merge_peer(&mut self, now: Millis, fingerprints: &[Fingerprint]) {
@@ -123,7 +128,7 @@
             .is_some_and(|e| e.is_active(now))
     }
 
-    /// Whether there are no entries, so that callers need not compute a fingerprint.
+    /// Whether there are no entries, so that there is no need for a fingerprint.
     pub fn is_empty(&self) -> bool {
         self.entries.is_empty()
     }
@@ -154,30 +159,33 @@
     }
 }
 
-impl Fingerprint {
-    /// Computes the fingerprint of a request from its workspace, service, method, path, and either
-    /// its idempotency key or, without one, the hash of the start of its body.
-    pub fn of(workspace: &str, request: &IncomingRequest) -> Self {
-        let body_hash = request.body_prefix_hash.to_be_bytes();
-        // The tag keeps an idempotency key from having the fingerprint of an equal body hash.
-        let (tag, key_or_body) = match &request.idempotency_key {
-            Some(key) => (1, key.as_bytes()),
-            None => (0, body_hash.as_slice()),
-        };
-        let mut hash = Sha256::new_with_prefix([tag]);
+/// Computes the fingerprint of a request whose body may not have arrived yet.
+#[derive(Clone, Debug)]
+pub struct FingerprintHasher(Sha256);
+
+impl FingerprintHasher {
+    /// Starts with workspace, service, method, and path with query of a request. The idempotency key is no part of it: callers
+    /// may choose another one for each copy.
+    pub fn new(workspace: &str, request: &IncomingRequest) -> Self {
+        let mut hash = Sha256::new();
         for part in [
             workspace.as_bytes(),
             request.service.as_str().as_bytes(),
             request.method.as_bytes(),
             request.path.as_bytes(),
-            key_or_body,
         ] {
             hash.update((part.len() as u64).to_be_bytes());
             hash.update(part);
         }
-        let digest: [u8; 32] = hash.finalize().into();
+        Self(hash)
+    }
+
+    /// The fingerprint of the request with a body that has this hash.
+    pub fn finish(mut self, body_hash: u64) -> Fingerprint {
+        self.0.update(body_hash.to_be_bytes());
+        let digest: [u8; 32] = self.0.finalize().into();
         let mut prefix = [0; 8];
         prefix.copy_from_slice(&digest[..8]);
-        Self(u64::from_be_bytes(prefix))
+        Fingerprint(u64::from_be_bytes(prefix))
     }
 }
--- a/crates/waxwing_core/tests/flow_fuzz/records.rs
+++ b/crates/waxwing_core/tests/flow_fuzz/records.rs
@@ -154,7 +154,7 @@
         requested_timeout: None,
         body_length: Some(100),
         client_ip: [127, 0, 0, 1].into(),
-        body_prefix_hash: request.number + u64::from(request.poison) * 1000,
+        body_hash: Some(request.number + u64::from(request.poison) * 1000),
         forwarded: None,
     }
 }
--- a/crates/waxwing_testkit/src/target/server.rs
+++ b/crates/waxwing_testkit/src/target/server.rs
@@ -22,7 +22,7 @@
 use super::{Load, RunEnd, Runs, TargetControl, TargetSettings};
 use crate::http::{broken, query, text, to_json};
 
-/// Bytes of a body that are searched for poison.
+/// Bytes at the start and at the end of a body that are searched for poison.
 const POISON_BYTES: usize = 4096;
 /// Id of a request, which the target returns.
 const REQUEST_ID: &str = "x-request-id";
@@ -229,6 +229,7 @@
 
     async fn run(&self, head: &Parts, mut body: Incoming, slot: &Slot) -> RunEnd {
         let mut start = head.uri.to_string().into_bytes();
+        let mut end = Vec::new();
         while let Some(frame) = body.frame().await {
             let Ok(frame) = frame else {
                 return RunEnd::Cancelled;
@@ -239,8 +240,14 @@
             slot.received(data.len() as u64);
             let room = POISON_BYTES.saturating_sub(start.len());
             start.extend_from_slice(&data[..data.len().min(room)]);
+            end.extend_from_slice(&data[data.len().saturating_sub(POISON_BYTES)..]);
+            end.drain(..end.len().saturating_sub(POISON_BYTES));
         }
-        if lock(&self.inner.state).is_poison(&start) {
+        let is_poison = {
+            let state = lock(&self.inner.state);
+            state.is_poison(&start) || state.is_poison(&end)
+        };
+        if is_poison {
             self.inner.crash();
             return RunEnd::Crashed;
         }
--- a/crates/waxwingrail/src/edge/request.rs
+++ b/crates/waxwingrail/src/edge/request.rs
@@ -30,6 +30,8 @@
 /// Number of buffered bytes of a body above which the request is sent. A request with a fully buffered body can be
 /// sent to another target after a failure, and occupies no slot of a target during a slow upload.
 pub(super) const REQUEST_BUFFER_BYTES: usize = 1 << 20;
+/// The same for a body that begins like one that crashed a target. Such a body is passed on only if it is longer.
+const SUSPECT_BUFFER_BYTES: usize = 8 << 20;
 /// Number of buffered bytes of a body above which targets in the failure domain of this VM are preferred.
 const LARGE_BODY_BYTES: usize = 16 * 1024;
 /// Expected wait until a request that found no usable target may find one.
@@ -256,6 +258,7 @@
             if !names.partial().is_some_and(has_crashed) {
                 return Ok((buffered, names));
             }
+            let max_bytes = max_bytes.min(SUSPECT_BUFFER_BYTES);
             let whole = buffer_body(buffered.take_body(), max_bytes, budget).await?;
             buffered = whole.erased();
             if buffered.rest.is_some() {
--- a/crates/waxwingrail/src/request/driver.rs
+++ b/crates/waxwingrail/src/request/driver.rs
@@ -176,6 +176,9 @@
 
     /// Passes an event to the flow and performs the actions that it returns.
     fn deliver(&mut self, event: FlowEvent) {
+        if let Some(hash) = self.upload.body_hash() {
+            self.flow.set_body_hash(hash);
+        }
         let actions = self.shared.step_flow(&mut self.flow, event);
         for action in actions {
             self.perform(action);
@@ -261,6 +264,7 @@
         let (reason, detail) = match error {
             UploadError::TooLarge => (RefusalReason::TooLarge, "the body exceeds the limit"),
             UploadError::Disconnected => (RefusalReason::BadRequest, "the body broke off"),
+            UploadError::Quarantined => (RefusalReason::Quarantined, "it crashed targets"),
         };
         self.refuse(&Refusal::new(reason, ran), detail);
         FlowEvent::CallerDisconnected
@@ -315,7 +319,15 @@
     /// The body for the next attempt. If the start of the body is no longer buffered, returns `None`
     /// and queues the events of an attempt that could not connect.
     fn next_body(&mut self) -> Option<Body> {
-        let body = self.upload.next_attempt();
+        let hasher = self.flow.fingerprint_hasher();
+        let shared = Arc::clone(&self.shared);
+        let is_quarantined = move |body_hash| {
+            let fingerprint = hasher.clone().finish(body_hash);
+            let now = shared.now();
+            let quarantine = &shared.retry_state().quarantine;
+            quarantine.is_quarantined(now, fingerprint)
+        };
+        let body = self.upload.next_attempt(Box::new(is_quarantined));
         if body.is_none() {
             self.pending_events.push_back(FlowEvent::BodyConsumed);
             self.pending_events.push_back(FlowEvent::ConnectFailed);
--- a/crates/waxwingrail/src/request/mod.rs
+++ b/crates/waxwingrail/src/request/mod.rs
@@ -115,26 +115,29 @@
         Ok(incoming) => incoming,
         Err(error) => return refuse_not_run(shared, error.reason, error.detail),
     };
-    match hash_body_prefix(shared, &upload).await {
-        Ok(hash) => incoming.body_prefix_hash = hash,
-        Err(refusal) => return refuse_not_run(shared, refusal.0, refusal.1),
+    if let Err(refusal) = read_body_start(shared, &upload).await {
+        return refuse_not_run(shared, refusal.0, refusal.1);
     }
+    incoming.body_hash = upload.body_hash();
     driver::run_request(shared, incoming, head, upload).await
 }
 
-/// Hashes the start of the body, for the fingerprint by which VMs recognize a quarantined request.
-/// Fails if the body cannot be forwarded or its start does not arrive within the header timeout.
-async fn hash_body_prefix(
+/// Reads the start of the body, so that a quarantined request with a short body is refused before it is sent. Fails if the
+/// body cannot be forwarded or its start does not arrive within the header timeout.
+async fn read_body_start(
     shared: &Shared,
     upload: &Upload,
-) -> Result<u64, (RefusalReason, &'static str)> {
+) -> Result<(), (RefusalReason, &'static str)> {
     let timeout = async {
         async_io::Timer::after(shared.settings.header_timeout.duration()).await;
         None
     };
-    let hash = async { Some(upload.read_and_hash_prefix().await) };
-    match futures_lite::future::or(hash, timeout).await {
-        Some(Ok(hash)) => Ok(hash),
+    let start = async { Some(upload.read_start().await) };
+    match futures_lite::future::or(start, timeout).await {
+        Some(Ok(())) => Ok(()),
+        Some(Err(UploadError::Quarantined)) => {
+            Err((RefusalReason::Quarantined, "it crashed targets"))
+        }
         Some(Err(UploadError::TooLarge)) => {
             Err((RefusalReason::TooLarge, "the body exceeds the limit"))
         }
--- a/crates/waxwingrail/src/request/parse.rs
+++ b/crates/waxwingrail/src/request/parse.rs
@@ -124,7 +124,7 @@
         requested_timeout: requested_timeout(headers)?,
         body_length: content_length,
         client_ip: caller_ip,
-        body_prefix_hash: 0,
+        body_hash: None,
         forwarded,
     })
 }
--- a/crates/waxwingrail/src/request/upload.rs
+++ b/crates/waxwingrail/src/request/upload.rs
@@ -8,13 +8,14 @@
 
 use hyper::body::{Body as _, Bytes, Frame, Incoming, SizeHint};
 use waxwing_http::{Body, BodyError, streamed};
+use xxhash_rust::xxh3::Xxh3;
 
 /// Maximum number of body bytes that are buffered for retries. A longer body cannot be sent again
 /// after its first bytes above this limit have been read.
 const MAX_REPLAY_BYTES: usize = 64 * 1024;
-/// Number of leading body bytes that are hashed. The hash is part of the fingerprint by which VMs
-/// recognize a quarantined request, one that crashed targets before.
-const HASHED_PREFIX_BYTES: usize = 4096;
+/// Number of leading body bytes that are read before the request is admitted. VMs recognize a quarantined request, one that
+/// crashed targets before, by the hash of its body, so that one with a short body is refused before it is sent.
+const START_BYTES: usize = 4096;
 
 /// Why a request body cannot be forwarded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -23,8 +24,13 @@
     TooLarge,
     /// The caller's connection failed before the end of the body.
     Disconnected,
+    /// The request is quarantined. The end of its body is not sent.
+    Quarantined,
 }
 
+/// Tells whether the request is quarantined if its body has a hash.
+pub(crate) type QuarantineCheck = Box<dyn Fn(u64) -> bool + Send>;
+
 /// The state that all clones of an [`Upload`] share.
 struct UploadState {
     source: Incoming,
@@ -35,6 +41,11 @@
     buffer_dropped: bool,
     /// Whether `source` has no more frames.
     ended: bool,
+    /// Hashes the bytes received. All VMs must compute the same value, because they share the fingerprints of quarantined
+    /// requests.
+    hasher: Xxh3,
+    /// Set as long as the quarantine has not been checked for a body that was sent before its end arrived.
+    end_check: Option<QuarantineCheck>,
     /// Bytes received from the caller, over all attempts.
     received: u64,
     /// Maximum length of the body in bytes.
@@ -62,6 +73,8 @@
                 buffered_bytes: 0,
                 buffer_dropped: false,
                 ended,
+                hasher: Xxh3::new(),
+                end_check: None,
                 received: 0,
                 max_bytes,
                 error: None,
@@ -71,27 +84,29 @@
         }
     }
 
-    /// Reads the start of the body from the caller and returns its hash, 0 for an empty body.
-    pub(crate) async fn read_and_hash_prefix(&self) -> Result<u64, UploadError> {
+    /// Reads the start of the body from the caller.
+    pub(crate) async fn read_start(&self) -> Result<(), UploadError> {
         std::future::poll_fn(|cx| {
             let mut state = self.lock();
-            while !state.ended && state.buffered_bytes < HASHED_PREFIX_BYTES {
+            while !state.ended && state.buffered_bytes < START_BYTES {
                 if let Some(Err(error)) = ready!(state.poll_source(cx)) {
                     return Poll::Ready(Err(error));
                 }
             }
-            Poll::Ready(Ok(state.buffered_prefix_hash()))
+            Poll::Ready(Ok(()))
         })
         .await
     }
 
     /// Starts the next attempt and returns its body. `None` if the start of the body is no longer
-    /// buffered. Any further read by the previous attempt fails.
-    pub(crate) fn next_attempt(&self) -> Option<Body> {
+    /// buffered. Any further read by the previous attempt fails. If the body has not ended, `end_check` decides whether its end
+    /// is sent.
+    pub(crate) fn next_attempt(&self, end_check: QuarantineCheck) -> Option<Body> {
         let mut state = self.lock();
         if state.buffer_dropped {
             return None;
         }
+        state.end_check = (!state.ended).then_some(end_check);
         state.current_attempt += 1;
         state.attempt_bytes_read = 0;
         Some(streamed(AttemptBody {
@@ -117,6 +132,12 @@
         self.lock().ended
     }
 
+    /// The hash of the body, `None` until it was read to its end.
+    pub(crate) fn body_hash(&self) -> Option<u64> {
+        let state = self.lock();
+        state.ended.then(|| state.hasher.digest())
+    }
+
     /// Whether the buffer was dropped. If so, the body cannot be sent again.
     pub(crate) fn is_buffer_dropped(&self) -> bool {
         self.lock().buffer_dropped
@@ -138,7 +159,7 @@
             let data = match ready!(Pin::new(&mut self.source).poll_frame(cx)) {
                 None => {
                     self.ended = true;
-                    return Poll::Ready(None);
+                    return Poll::Ready(self.check_end().err().map(Err));
                 }
                 Some(Err(_)) => {
                     return Poll::Ready(Some(Err(self.fail(UploadError::Disconnected))));
@@ -153,26 +174,40 @@
             if self.received > self.max_bytes {
                 return Poll::Ready(Some(Err(self.fail(UploadError::TooLarge))));
             }
+            self.hasher.update(&data);
             self.ended = self.source.is_end_stream();
             self.buffer(&data);
+            if self.ended {
+                self.check_end()?;
+            }
             return Poll::Ready(Some(Ok(data)));
         }
     }
 
+    /// Fails the body at its end if the request is quarantined.
+    fn check_end(&mut self) -> Result<(), UploadError> {
+        let hash = self.hasher.digest();
+        let check = self.end_check.take();
+        if check.is_some_and(|is_quarantined| is_quarantined(hash)) {
+            return Err(self.fail(UploadError::Quarantined));
+        }
+        Ok(())
+    }
+
     /// Stores an error, which all later reads return.
     fn fail(&mut self, error: UploadError) -> UploadError {
         self.error = Some(error);
         error
     }
 
-    /// Buffers a frame for retries. Drops the buffer if the body exceeds its capacity. The frames of the hashed prefix are
+    /// Buffers a frame for retries. Drops the buffer if the body exceeds its capacity. The frames of the start are
     /// kept in any case, since they are read before the first attempt: they may exceed the capacity by one frame.
     fn buffer(&mut self, data: &Bytes) {
         if self.buffer_dropped {
             return;
         }
-        let has_prefix = self.buffered_bytes >= HASHED_PREFIX_BYTES;
-        if has_prefix && self.buffered_bytes + data.len() > MAX_REPLAY_BYTES {
+        let has_start = self.buffered_bytes >= START_BYTES;
+        if has_start && self.buffered_bytes + data.len() > MAX_REPLAY_BYTES {
             self.buffer_dropped = true;
             self.buffered = Vec::new();
             return;
@@ -182,22 +217,6 @@
     }
 }
 
-impl UploadState {
-    /// FNV-1a hash of the start of the body, from the buffer. All VMs must compute the same value,
-    /// because they share the fingerprints of quarantined requests.
-    fn buffered_prefix_hash(&self) -> u64 {
-        let bytes = self.buffered.iter().flat_map(|frame| frame.iter());
-        if self.received == 0 {
-            return 0;
-        }
-        bytes
-            .take(HASHED_PREFIX_BYTES)
-            .fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
-                (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3)
-            })
-    }
-}
-
 /// The request body as one attempt reads it: first the buffered frames, then those still to come
 /// from the caller.
 struct AttemptBody {
@@ -236,6 +255,9 @@
                         "the caller disconnected before the end of the body",
                     ))));
                 }
+                Some(Err(UploadError::Quarantined)) => {
+                    return Poll::Ready(Some(Err(body_error("the request is quarantined"))));
+                }
                 Some(Ok(data)) => data,
             },
         };
--- a/crates/waxwingrail/tests/retry.rs
+++ b/crates/waxwingrail/tests/retry.rs
@@ -7,7 +7,7 @@
 use common::{TestEnv, authed, problem, run_test, text_body};
 use hyper::StatusCode;
 use waxwing_http::{collect, empty};
-use waxwing_testkit::{Target, TargetControl, TargetSettings};
+use waxwing_testkit::{RunEnd, Target, TargetControl, TargetSettings};
 use waxwing_types::Millis;
 use waxwingrail::Daemon;
 
@@ -138,6 +138,60 @@
     });
 }
 
+/// Guards against sound requests that are refused because they begin like one that crashed targets, and against such a request
+/// that reaches further targets because it is sent before the end of its body is known.
+#[test]
+fn poison_at_the_end_of_a_body_is_quarantined_alone() {
+    for length in [8000, LONG_BODY_BYTES] {
+        run_test(|mut env| async move {
+            let targets = [
+                start_target(&env, "first").await,
+                start_target(&env, "second").await,
+            ];
+            let daemon = start_daemon(&mut env, &[&targets[0], &targets[1]]).await;
+            let addr = daemon.addresses().callers;
+            let body = |end: &str| format!("{}{end}", "y".repeat(length));
+            env.wait_until("request quarantined", async || {
+                let status = send_put(&env, addr, &body("poison")).await;
+                env.wait_until("another request is answered", async || {
+                    let status = send_put(&env, addr, &body("harmless")).await;
+                    assert_ne!(status, StatusCode::UNPROCESSABLE_ENTITY);
+                    status == StatusCode::OK
+                })
+                .await;
+                status == StatusCode::UNPROCESSABLE_ENTITY
+            })
+            .await;
+            let crashes = |target: &Target| {
+                let runs = target.runs().runs.into_iter();
+                runs.filter(|run| run.end == RunEnd::Crashed).count()
+            };
+            assert_eq!(crashes(&targets[0]) + crashes(&targets[1]), 2);
+        });
+    }
+}
+
+/// Guards against a request that crashes targets with another idempotency key each time.
+#[test]
+fn poison_request_is_quarantined_whatever_its_key() {
+    run_test(|mut env| async move {
+        let target = start_target(&env, "first").await;
+        let daemon = start_daemon(&mut env, &[&target]).await;
+        let addr = daemon.addresses().callers;
+        let number = std::cell::Cell::new(0);
+        env.wait_until("request quarantined", async || {
+            number.set(number.get() + 1);
+            let mut request = authed("PUT", "/v1/svc/shop/item", text_body("poison"));
+            let key = format!("key-{}", number.get()).parse().unwrap();
+            request.headers_mut().insert("idempotency-key", key);
+            env.send(addr, request).await.status() == StatusCode::UNPROCESSABLE_ENTITY
+        })
+        .await;
+        let runs = target.runs().runs.into_iter();
+        assert_eq!(runs.filter(|run| run.end == RunEnd::Crashed).count(), 2);
+    });
+}
+
 /// Guards against a request that crashes one target after another each time it is sent again.
 #[test]
 fn poison_request_is_quarantined() {
