Treat a status outside 200 to 599 as a failure of its target

What callers saw: 101, 600 and 999 of a target in trouble, with its stamp; a 600 marked "not run" became a 503, which promises.

Cause: the client passed every head on that its library could read, and what is_server_error does not name counted as a success of the target. Ruled out: 000, 099, 0, 00200, 20, 1000, -200, letters, a space in it, and interim answers alone: those heads do not parse and were 502 before. Parts of answers that are reset: 8 forms of HTTP/1.1 by 6 uploads, on new and kept connections, none was whole.

Change: the client returns an error for such a status and closes the connection. The edge daemon answers 502 and counts a failure of the target, the daemon of shard leases too; there it is no crash (new event UnusableResponse, also for a response with the id of another request). Nothing else in such a response is believed, nor its statement that the request did not run.

Conclusion: only final responses reach callers.

--- a/crates/waxwing_core/src/flow/event.rs
+++ b/crates/waxwing_core/src/flow/event.rs
@@ -31,8 +31,8 @@
 common_derives! {
     /// Something that happened to a request.
     ///
-    /// An attempt ends with `ConnectFailed`, `ConnectionBroken`, `ResponseComplete`,
-    /// `RegionRefused`, or a `ResponseHead` with `not_run`. [`FlowAction::CancelAttempt`] also ends
+    /// An attempt ends with `ConnectFailed`, `ConnectionBroken`, `UnusableResponse`,
+    /// `ResponseComplete`, `RegionRefused`, or a `ResponseHead` with `not_run`. [`FlowAction::CancelAttempt`] also ends
     /// an attempt, and so does the next [`FlowAction::SendToTarget`] or
     /// [`FlowAction::ForwardToRegion`]. The daemon delivers no event of an attempt after its end.
     /// The daemon delivers exactly one `StoreCallEnded` for each store call.
@@ -63,6 +63,8 @@
         },
         /// The connection broke when part of the request may already have been sent.
         ConnectionBroken,
+        /// A response arrived that cannot be used. The request may have run, and the target has not crashed.
+        UnusableResponse,
         /// The start of the request body was sent and is no longer buffered. The request therefore
         /// cannot be sent again. Delivered before the event that ends the attempt.
         BodyConsumed,
--- a/crates/waxwing_core/src/flow/mod.rs
+++ b/crates/waxwing_core/src/flow/mod.rs
@@ -185,6 +185,7 @@
                 bytes_in,
             } => self.on_response_complete(ctx, bytes_out, bytes_in),
             FlowEvent::ConnectionBroken => self.on_connection_broken(ctx),
+            FlowEvent::UnusableResponse => self.on_unusable_response(ctx),
             FlowEvent::BodyConsumed => self.body_consumed = true,
             FlowEvent::CallerDisconnected => self.on_caller_disconnected(ctx),
             FlowEvent::RegionRefused => self.on_region_refused(ctx),
--- a/crates/waxwing_core/src/flow/sending.rs
+++ b/crates/waxwing_core/src/flow/sending.rs
@@ -95,8 +95,6 @@
         let Some(attempt) = self.take_attempt() else {
             return;
         };
-        self.maybe_ran = true;
-        self.broken_connections += 1;
         if let Destination::Target(slot) = &attempt.destination
             && let Some(fingerprint) = self.fingerprint()
         {
@@ -105,7 +103,7 @@
                 .quarantine
                 .record_crash(ctx.now, fingerprint, &slot.target, sent_at);
         }
-        self.end_attempt(ctx, &attempt, Some(Observation::Failed));
+        self.fail_attempt(ctx, &attempt);
         if relaying {
             self.finalize_claim(ctx, ClaimState::Unknown, None);
         } else {
@@ -113,6 +111,20 @@
         }
     }
 
+    pub(super) fn on_unusable_response(&mut self, ctx: &mut StepContext<'_, '_>) {
+        if let Some(attempt) = self.take_attempt() {
+            self.fail_attempt(ctx, &attempt);
+            self.retry_or_refuse(ctx, RetryReason::ConnectionBroken);
+        }
+    }
+
+    /// Ends an attempt that may have run the request and brought no response.
+    fn fail_attempt(&mut self, ctx: &mut StepContext<'_, '_>, attempt: &Attempt) {
+        self.maybe_ran = true;
+        self.broken_connections += 1;
+        self.end_attempt(ctx, attempt, Some(Observation::Failed));
+    }
+
     pub(super) fn on_response_complete(
         &mut self,
         ctx: &mut StepContext<'_, '_>,
--- a/crates/waxwing_http/src/client.rs
+++ b/crates/waxwing_http/src/client.rs
@@ -14,7 +14,7 @@
 use futures_lite::future;
 use hyper::body::{Body as _, Bytes, Frame, Incoming, SizeHint};
 use hyper::header::{HOST, HeaderValue};
-use hyper::{HeaderMap, Request, Response};
+use hyper::{HeaderMap, Request, Response, StatusCode};
 use waxwing_types::Millis;
 
 use crate::carried::Identity;
@@ -92,12 +92,22 @@
     Broken(hyper::Error),
     /// The response belongs to another request, and its connection was closed; the request may have run.
     Unmatched,
+    /// The status of the response is none of 200 to 599, and its connection was closed; the request may have run.
+    NoFinalStatus(StatusCode),
 }
 
 impl SendError {
     /// Whether a byte of the request may have reached the other side.
     pub fn may_have_run(&self) -> bool {
-        matches!(self, Self::Broken(_) | Self::Unmatched)
+        matches!(
+            self,
+            Self::Broken(_) | Self::Unmatched | Self::NoFinalStatus(_)
+        )
+    }
+
+    /// Whether the response could not be used, although its connection did not break.
+    pub fn is_unusable_response(&self) -> bool {
+        matches!(self, Self::Unmatched | Self::NoFinalStatus(_))
     }
 }
 
@@ -110,6 +120,9 @@
             Self::NotSent(error) => write!(f, "nothing sent: {error}"),
             Self::Broken(error) => write!(f, "connection broke: {error}"),
             Self::Unmatched => write!(f, "the response belongs to another request"),
+            Self::NoFinalStatus(status) => {
+                write!(f, "{} is not the status of a response", status.as_u16())
+            }
         }
     }
 }
@@ -275,6 +288,10 @@
                 {
                     return Err(SendError::Unmatched);
                 }
+                // The connection is dropped: what follows such a head is not known, as after a switch of protocols.
+                if !is_final(response.status()) {
+                    return Err(SendError::NoFinalStatus(response.status()));
+                }
                 let (mut head, incoming) = response.into_parts();
                 let age_ms = conn.opened_at.elapsed().as_millis();
                 head.extensions.insert(ConnectionInfo {
@@ -299,6 +316,11 @@
     }
 }
 
+/// Whether a status is that of a final response. HTTP defines none above 599, and nobody asks for a switch of protocols.
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// The idle time-out that `Keep-Alive` states.
 pub(crate) fn kept(headers: &HeaderMap) -> Option<Duration> {
     let value = headers.get("keep-alive")?.to_str().ok()?;
--- a/crates/waxwing_http/src/exchange.rs
+++ b/crates/waxwing_http/src/exchange.rs
@@ -102,7 +102,9 @@
             | SendError::Withdrawn
             | SendError::Unanswered
             | SendError::NotSent(_) => ExchangeError::Unsent(error.to_string()),
-            SendError::Broken(_) | SendError::Unmatched => ExchangeError::Sent(error.to_string()),
+            SendError::Broken(_) | SendError::Unmatched | SendError::NoFinalStatus(_) => {
+                ExchangeError::Sent(error.to_string())
+            }
         })
 }
 
--- a/crates/waxwing_testkit/src/caller/call.rs
+++ b/crates/waxwing_testkit/src/caller/call.rs
@@ -208,7 +208,7 @@
                 outcome.reason = "unreachable".into();
                 return (outcome, true);
             }
-            Err(SendError::Broken(_) | SendError::Unmatched) => {
+            Err(SendError::Broken(_) | SendError::Unmatched | SendError::NoFinalStatus(_)) => {
                 outcome.reason = "broken".into();
                 return (outcome, repeatable);
             }
--- a/crates/waxwingrail/src/edge/forward.rs
+++ b/crates/waxwingrail/src/edge/forward.rs
@@ -65,7 +65,7 @@
     Unanswered,
     /// The target stated that it did not run the request.
     NotRun,
-    /// The response lacks the id of the request, has a content encoding, or would promise to the caller what its target has
+    /// The response lacks the id of the request or a status of 200 to 599, has a content encoding, or would promise to the caller what its target has
     /// not stated. The request may have run.
     NoUsableResponse,
     /// The connection broke. The request may have run.
@@ -236,7 +236,9 @@
                 }
                 SendError::Connect(_) | SendError::NotSent(_) => AttemptOutcome::NotSent,
                 SendError::Broken(_) => AttemptOutcome::ConnectionBroken,
-                SendError::Unmatched => AttemptOutcome::NoUsableResponse,
+                SendError::Unmatched | SendError::NoFinalStatus(_) => {
+                    AttemptOutcome::NoUsableResponse
+                }
             };
         }
     };
--- a/crates/waxwingrail/src/request/driver.rs
+++ b/crates/waxwingrail/src/request/driver.rs
@@ -234,6 +234,9 @@
                 if let Some(upload_error) = self.upload.error() {
                     return self.upload_failed(upload_error, error.may_have_run());
                 }
+                if error.is_unusable_response() {
+                    return self.end_attempt(FlowEvent::UnusableResponse);
+                }
                 if error.may_have_run() {
                     return self.end_attempt(FlowEvent::ConnectionBroken);
                 }
