Pass responses of HTTP/1.0 on as responses of HTTP/1.1

What callers saw: a part of an answer as a whole one, if the target answered in HTTP/1.0 without a length, sent more than 256 KiB (the daemon of shard leases: any part) and reset the connection.

Cause: the response kept the version of the target, so that the library ended its body with the connection of the caller. The review had read it, and left it since targets speak HTTP/1.1.

Change: the client returns each response as one of HTTP/1.1. A body without a length goes to callers in chunks and breaks off visibly.

Conclusion: no reset response looks complete, whatever its version. A caller that itself speaks HTTP/1.0 still cannot tell.

--- a/crates/waxwing_http/src/client.rs
+++ b/crates/waxwing_http/src/client.rs
@@ -14,7 +14,7 @@
 use futures_lite::future;
 use hyper::body::{Body as _, Bytes, Frame, Incoming, SizeHint};
 use hyper::header::{HOST, HeaderValue};
-use hyper::{HeaderMap, Request, Response, StatusCode};
+use hyper::{HeaderMap, Request, Response, StatusCode, Version};
 use waxwing_types::Millis;
 
 use crate::carried::Identity;
@@ -299,6 +299,8 @@
                     age: Millis(u64::try_from(age_ms).unwrap_or(u64::MAX)),
                 });
                 conn.kept = kept(&head.headers).or(conn.kept);
+                // A server that passes a response of HTTP/1.0 on would end its body with the connection, also where it broke off.
+                head.version = Version::HTTP_11;
                 let mut body = PooledBody {
                     incoming,
                     endpoint,
--- a/crates/waxwingrail/tests/edge/mixed_forms.rs
+++ b/crates/waxwingrail/tests/edge/mixed_forms.rs
@@ -46,6 +46,12 @@
             });
         }
     }
+    resets.push(Reaction::Reset {
+        version: "HTTP/1.0",
+        part: 400_000,
+        pause: Duration::from_millis(400),
+        announces_close: false,
+    });
     resets
 }
 
