Handle the new event in the fleet simulation

Cause: the match of waxwing_bench on events of a flow lacked UnusableResponse, so that it did not build. Change: counts like a broken connection there. Conclusion: the workspace builds again.

--- a/crates/waxwing_bench/src/fleet/simple.rs
+++ b/crates/waxwing_bench/src/fleet/simple.rs
@@ -130,10 +130,14 @@
                 self.finished = true;
                 self.record()
             }
-            FlowEvent::ConnectionBroken if self.service != 1 && self.tried.len() < 2 => {
+            FlowEvent::ConnectionBroken | FlowEvent::UnusableResponse
+                if self.service != 1 && self.tried.len() < 2 =>
+            {
                 self.again(RetryReason::ConnectionBroken, config, shared)
             }
-            FlowEvent::ConnectionBroken => self.refuse(RefusalReason::TargetFailed, Ran::Unknown),
+            FlowEvent::ConnectionBroken | FlowEvent::UnusableResponse => {
+                self.refuse(RefusalReason::TargetFailed, Ran::Unknown)
+            }
             FlowEvent::Timer if now >= self.deadline && !self.finished => {
                 let mut actions = vec![FlowAction::CancelAttempt];
                 actions.extend(self.refuse(RefusalReason::TargetTimeout, Ran::Unknown));
