Share the service with one target among tests of the daemon of shard leases

Change: put_shop_at in the common environment, in place of three copies. Conclusion: no test changes what it checks.

--- a/crates/waxwingrail/tests/answers_without_id.rs
+++ b/crates/waxwingrail/tests/answers_without_id.rs
@@ -9,7 +9,6 @@
 use std::time::Duration;
 
 use common::{add_headers, authed, run_test, text_body};
-use serde_json::json;
 use waxwing_http::collect;
 
 const REFUSAL: &str = "HTTP/1.1 503 Busy\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n";
@@ -62,18 +61,7 @@
 fn assert_no_promise(returns_ids: bool, ids: [Option<&'static str>; 3]) {
     run_test(|mut env| async move {
         let (address, runs) = start_target(returns_ids);
-        env.put_default_records(&[]).await;
-        let spec = json!({
-            "workspaces": [],
-            "routes": [
-                {"method": "GET", "prefix": "/", "idempotent": true, "timeout_ms": 20_000},
-                {"method": "POST", "prefix": "/", "timeout_ms": 20_000}
-            ],
-            "targets": [{
-                "name": "t0", "domain": "d1", "slots": 64, "address": address.to_string()
-            }]
-        });
-        env.put_record("service", "shop", 1, spec).await;
+        env.put_shop_at(address).await;
         let daemon = env.ready_daemon("vm1", "d1", &[]).await;
         env.wait_until_admitting(&daemon).await;
         let mut statuses = Vec::new();
--- a/crates/waxwingrail/tests/broken_answers.rs
+++ b/crates/waxwingrail/tests/broken_answers.rs
@@ -5,7 +5,6 @@
 
 use common::{TestEnv, add_headers, authed, run_test, text_body};
 use scripted::{ScriptedTarget, Step, answer, pause, write};
-use serde_json::json;
 use waxwing_http::{Body, collect};
 use waxwingrail::Daemon;
 
@@ -29,18 +28,7 @@
     // A request before the tests' own ones shows that requests are admitted.
     let script = [vec![vec![answer()]], script].concat();
     let target = ScriptedTarget::start(&env.executor, script).await;
-    env.put_default_records(&[]).await;
-    let spec = json!({
-        "workspaces": [],
-        "routes": [
-            {"method": "GET", "prefix": "/", "idempotent": true, "timeout_ms": 20_000},
-            {"method": "POST", "prefix": "/", "timeout_ms": 20_000}
-        ],
-        "targets": [{
-            "name": "t0", "domain": "d1", "slots": 64, "address": target.address.to_string()
-        }]
-    });
-    env.put_record("service", "shop", 1, spec).await;
+    env.put_shop_at(target.address).await;
     let daemon = env.ready_daemon("vm1", "d1", &[]).await;
     env.wait_until_admitting(&daemon).await;
     (daemon, target)
--- a/crates/waxwingrail/tests/common/mod.rs
+++ b/crates/waxwingrail/tests/common/mod.rs
@@ -117,6 +117,22 @@
         self.put_service("shop", &[], targets).await;
     }
 
+    /// Writes the default records, and service `shop` with one target at an address and with time for slow requests.
+    pub(crate) async fn put_shop_at(&self, address: SocketAddr) {
+        self.put_default_records(&[]).await;
+        let spec = json!({
+            "workspaces": [],
+            "routes": [
+                {"method": "GET", "prefix": "/", "idempotent": true, "timeout_ms": 20_000},
+                {"method": "POST", "prefix": "/", "timeout_ms": 20_000}
+            ],
+            "targets": [{
+                "name": "t0", "domain": "d1", "slots": 64, "address": address.to_string()
+            }]
+        });
+        self.put_record("service", "shop", 1, spec).await;
+    }
+
     /// Writes a workspace with a rate limit, and its API key.
     pub(crate) async fn put_workspace(&self, name: &str, rate: u64, key: &str, secret: &str) {
         let limit = json!({"limit": {"rate": rate, "burst": rate}, "domains": ["d1"]});
--- a/crates/waxwingrail/tests/mixed.rs
+++ b/crates/waxwingrail/tests/mixed.rs
@@ -11,24 +11,12 @@
 use common::{KEY, TestEnv, run_test};
 use early_target::{EarlyTarget, Reaction, Upload, call};
 use mixed_forms::{NO_ANSWERS, UPLOADS, no_answer, play_all, resets};
-use serde_json::json;
 use waxwingrail::Daemon;
 
 /// Starts a daemon with one target.
 async fn start(env: &mut TestEnv, reaction: Reaction, whole: usize) -> (Daemon, EarlyTarget) {
     let target = EarlyTarget::start(reaction, whole);
-    env.put_default_records(&[]).await;
-    let spec = json!({
-        "workspaces": [],
-        "routes": [
-            {"method": "GET", "prefix": "/", "idempotent": true, "timeout_ms": 20_000},
-            {"method": "POST", "prefix": "/", "timeout_ms": 20_000}
-        ],
-        "targets": [{
-            "name": "t0", "domain": "d1", "slots": 64, "address": target.address.to_string()
-        }]
-    });
-    env.put_record("service", "shop", 1, spec).await;
+    env.put_shop_at(target.address).await;
     let daemon = env.ready_daemon("vm1", "d1", &[]).await;
     (daemon, target)
 }
