--- a/crates/waxwingrail/src/edge/forward.rs
+++ b/crates/waxwingrail/src/edge/forward.rs
@@ -47,7 +47,7 @@
     pub(crate) deadline: Millis,
     /// Whether the request may run more than once.
     pub(crate) kind: RunKind,
-    /// By which requests that crash targets are recognized.
+    /// The names by which a request that crashes targets is recognized.
     pub(crate) names: &'a RequestNames,
 }
 
@@ -65,8 +65,8 @@
     Unanswered,
     /// The target stated that it did not run the request.
     NotRun,
-    /// The response lacks the id of the request or a status of 200 to 599, has a content encoding, or would promise to the caller what its target has
-    /// not stated. The request may have run.
+    /// The response lacks the id of the request or a status of 200 to 599, has a content encoding, or would promise to the
+    /// caller what its target has not stated. The request may have run.
     NoUsableResponse,
     /// The connection broke. The request may have run.
     ConnectionBroken,
--- a/crates/waxwingrail/src/edge/request.rs
+++ b/crates/waxwingrail/src/edge/request.rs
@@ -30,7 +30,7 @@
 /// Number of buffered bytes of a body above which the request is sent. A request with a fully buffered body can be
 /// sent to another target after a failure, and occupies no slot of a target during a slow upload.
 pub(super) const REQUEST_BUFFER_BYTES: usize = 1 << 20;
-/// The same for a body that begins like one that crashed a target. Such a body is passed on only if it is longer.
+/// [`REQUEST_BUFFER_BYTES`] for a body that begins like one that crashed a target.
 const SUSPECT_BUFFER_BYTES: usize = 8 << 20;
 /// Number of buffered bytes of a body above which targets in the failure domain of this VM are preferred.
 const LARGE_BODY_BYTES: usize = 16 * 1024;
@@ -240,8 +240,8 @@
         futures_lite::future::or(reading, ended).await
     }
 
-    /// Buffers a body and names the request. A longer body is buffered only if another one that begins alike has crashed a
-    /// target, and if there is room for it: the name of the request is then known before a target gets any of it.
+    /// Buffers a body and names the request. A body of more than [`REQUEST_BUFFER_BYTES`] is buffered in whole only if one that
+    /// begins alike has crashed a target, and if there is room for it: no target then gets any of a quarantined request.
     async fn buffer_and_name(
         &self,
         body: Incoming,
--- a/crates/waxwingrail/src/edge/request_names.rs
+++ b/crates/waxwingrail/src/edge/request_names.rs
@@ -1,4 +1,5 @@
-//! The names of a request, by which the quarantine recognizes its copies, and bodies that are named while they are passed on.
+//! The names by which the quarantine recognizes the copies of a request. The name of a request whose body is passed on while it
+//! arrives is known at the end of the body.
 
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
