Give the body of a request one type that buffers, names and replays it

Cause: read as a newcomer, a body that is passed on was wrapped twice, once to be taken by the first read and once to be named; body, names and hasher went through four functions of request.rs side by side; the reason of a failed upload of the daemon of shard leases was written in three places, and the hash of its body set in two; RequestName had a conversion that nobody used. Change: RequestBody in a file of its own, with one wrapper; UploadError::refusal; the rest is removed. Conclusion: request.rs is shorter, and a long upload is told from a short one in one place.

--- a/crates/waxwing_core/src/flow/event.rs
+++ b/crates/waxwing_core/src/flow/event.rs
@@ -32,9 +32,9 @@
     /// Something that happened to a request.
     ///
     /// An attempt ends with `ConnectFailed`, `ConnectionBroken`, `UnusableResponse`,
-    /// `ResponseComplete`, `RegionRefused`, or a `ResponseHead` with `not_run`. [`FlowAction::CancelAttempt`] also ends
-    /// an attempt, and so does the next [`FlowAction::SendToTarget`] or
-    /// [`FlowAction::ForwardToRegion`]. The daemon delivers no event of an attempt after its end.
+    /// `ResponseComplete`, `RegionRefused`, or a `ResponseHead` with `not_run`.
+    /// [`FlowAction::CancelAttempt`] also ends an attempt, and so does the next
+    /// [`FlowAction::SendToTarget`] or [`FlowAction::ForwardToRegion`]. The daemon delivers no event of an attempt after its end.
     /// The daemon delivers exactly one `StoreCallEnded` for each store call.
     pub enum FlowEvent {
         /// The request head was received. First event of each flow.
--- a/crates/waxwing_edge/src/request_name.rs
+++ b/crates/waxwing_edge/src/request_name.rs
@@ -24,12 +24,6 @@
     }
 }
 
-impl From<u64> for RequestName {
-    fn from(value: u64) -> Self {
-        Self(value)
-    }
-}
-
 /// Computes the names of a request while its body arrives. How the body is divided into pieces has no effect.
 #[derive(Clone)]
 pub struct NameHasher {
--- a/crates/waxwingrail/src/edge/body.rs
+++ b/crates/waxwingrail/src/edge/body.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 use std::pin::Pin;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 
 use http_body_util::BodyExt;
@@ -10,7 +10,6 @@
 use waxwing_http::{Body, BodyError, CoarseSleep, full, streamed};
 
 use super::memory::{BodyBudget, MAX_FRAME_BYTES, Reservation, SMALL_BODY_BYTES};
-use super::state::lock;
 
 /// Bytes that a buffer of unknown length may take while it grows, as a multiple of its final length.
 pub(super) const RESERVE_RATIO: usize = 2;
@@ -189,71 +188,6 @@
     }
 }
 
-/// A body that is passed on while it arrives, and that one attempt can read. Further attempts are possible until then.
-pub(crate) struct UnreadBody {
-    place: Arc<Mutex<Option<Body>>>,
-    size_hint: SizeHint,
-}
-
-impl UnreadBody {
-    pub(crate) fn new(body: Body) -> Self {
-        Self {
-            size_hint: body.size_hint(),
-            place: Arc::new(Mutex::new(Some(body))),
-        }
-    }
-
-    /// Whether no attempt has begun to read the body.
-    pub(crate) fn is_unread(&self) -> bool {
-        lock(&self.place).is_some()
-    }
-
-    /// The body for an attempt, taken out of its place by the first read.
-    pub(crate) fn attempt_body(&self) -> Body {
-        streamed(AttemptBody {
-            place: Arc::clone(&self.place),
-            size_hint: self.size_hint,
-            body: None,
-        })
-    }
-}
-
-/// See [`UnreadBody`].
-struct AttemptBody {
-    place: Arc<Mutex<Option<Body>>>,
-    /// Of the whole body.
-    size_hint: SizeHint,
-    body: Option<Body>,
-}
-
-impl HttpBody for AttemptBody {
-    type Data = Bytes;
-    type Error = BodyError;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        let this = &mut *self;
-        if this.body.is_none() {
-            this.body = lock(&this.place).take();
-        }
-        match &mut this.body {
-            Some(body) => Pin::new(body).poll_frame(cx),
-            None => Poll::Ready(Some(Err("another attempt has read the body".into()))),
-        }
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.as_ref().is_some_and(HttpBody::is_end_stream)
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        let body = self.body.as_ref().map(HttpBody::size_hint);
-        body.unwrap_or(self.size_hint)
-    }
-}
-
 /// What is told how a body ended. Nothing is told if the body is dropped before, or fails because its time is over.
 pub(crate) trait BodyGuard {
     /// The body has ended, or has failed.
--- a/crates/waxwingrail/src/edge/memory/tests.rs
+++ b/crates/waxwingrail/src/edge/memory/tests.rs
@@ -4,7 +4,7 @@
 
 use super::super::body::{RESERVE_RATIO, buffer_body};
 use super::super::forward::RESPONSE_BUFFER_BYTES;
-use super::super::request::REQUEST_BUFFER_BYTES;
+use super::super::request_body::REQUEST_BUFFER_BYTES;
 use super::super::test_settings::settings;
 use super::{
     BodyBudget, CONNECTION_BYTES, IDLE_TARGET_BYTES, MAX_FRAME_BYTES, MemoryLimits, REQUEST_BYTES,
--- a/crates/waxwingrail/src/edge/mod.rs
+++ b/crates/waxwingrail/src/edge/mod.rs
@@ -21,6 +21,7 @@
 mod refusal;
 mod registration;
 mod request;
+mod request_body;
 mod request_head;
 mod request_names;
 mod restore;
--- a/crates/waxwingrail/src/edge/request.rs
+++ b/crates/waxwingrail/src/edge/request.rs
@@ -12,26 +12,20 @@
 use waxwing_edge::{
     NameHasher, RouteMatch, RoutingTable, Selection, TargetCriteria, TargetKey, hash_bytes,
 };
-use waxwing_http::{Body, BodyError, HeaderNames, announce_close};
+use waxwing_http::{Body, HeaderNames, announce_close};
 use waxwing_types::{Millis, RefusalReason, RegionId, RetryReason, ServiceId};
 
 use super::admission;
 use super::attempts::Attempts;
-use super::body::{BufferedBody, UnreadBody, buffer_body};
 use super::crash;
 use super::forward::{Attempt, AttemptOutcome, forward};
 use super::metric::RequestOutcome;
 use super::refusal::Refusal;
+use super::request_body::RequestBody;
 use super::request_head::{affinity_key, request_id, requested_time, strip_headers};
-use super::request_names::RequestNames;
 use super::state::Shared;
 use super::stop;
 
-/// Number of buffered bytes of a body above which the request is sent. A request with a fully buffered body can be
-/// sent to another target after a failure, and occupies no slot of a target during a slow upload.
-pub(super) const REQUEST_BUFFER_BYTES: usize = 1 << 20;
-/// [`REQUEST_BUFFER_BYTES`] for a body that begins like one that crashed a target.
-const SUSPECT_BUFFER_BYTES: usize = 8 << 20;
 /// Number of buffered bytes of a body above which targets in the failure domain of this VM are preferred.
 const LARGE_BODY_BYTES: usize = 16 * 1024;
 /// Expected wait until a request that found no usable target may find one.
@@ -65,7 +59,6 @@
     affinity_hash: Option<u64>,
     large_body: bool,
     deadline: Millis,
-    names: RequestNames,
 }
 
 impl<'a> CallerRequest<'a> {
@@ -161,13 +154,13 @@
         deadline: Millis,
     ) -> Result<Response<Body>, Refusal> {
         let hasher = self.name_hasher(&route_match);
-        let (mut body, names) = self
-            .read_body(body, &hasher, routing_table, deadline)
+        let mut body = self
+            .read_body(body, hasher, routing_table, deadline)
             .await?;
         // A longer body is passed on while it arrives, and the target may answer before its end.
-        self.is_body_read = body.rest.is_none();
-        let routed = self.route_and_strip_request(route_match, deadline, &body, names)?;
-        self.send_with_retries(&routed, &mut body, hasher).await
+        self.is_body_read = body.is_buffered();
+        let routed = self.route_and_strip_request(route_match, deadline, &body)?;
+        self.send_with_retries(&routed, &mut body).await
     }
 
     /// Starts the names of the request with all that precedes its body.
@@ -212,10 +205,10 @@
     async fn read_body(
         &self,
         body: Incoming,
-        hasher: &NameHasher,
+        hasher: NameHasher,
         routing_table: &RoutingTable,
         deadline: Millis,
-    ) -> Result<(BufferedBody<Body>, RequestNames), Refusal> {
+    ) -> Result<RequestBody, Refusal> {
         let max_bytes = routing_table.deployment().limits.body_bytes;
         let content_length = self.head.headers.get(hyper::header::CONTENT_LENGTH);
         let content_length = content_length.and_then(|v| v.to_str().ok()?.parse::<u64>().ok());
@@ -224,8 +217,8 @@
         }
         let reading = async {
             let max_bytes = usize::try_from(max_bytes).unwrap_or(usize::MAX);
-            let buffered = self.buffer_and_name(body, hasher, max_bytes).await;
-            buffered.map_err(|_| Refusal::new(RefusalReason::BadRequest))
+            let read = RequestBody::read(self.shared, body, hasher, max_bytes).await;
+            read.map_err(|_| Refusal::new(RefusalReason::BadRequest))
         };
         let timer = self.shared.deadline_timer(deadline);
         let timed_out = async {
@@ -240,41 +233,11 @@
         futures_lite::future::or(reading, ended).await
     }
 
-    /// Buffers a body and names the request. A body of more than [`REQUEST_BUFFER_BYTES`] is buffered in whole only if one that
-    /// begins alike has crashed a target, and if there is room for it: no target then gets any of a quarantined request.
-    async fn buffer_and_name(
-        &self,
-        body: Incoming,
-        hasher: &NameHasher,
-        max_bytes: usize,
-    ) -> Result<(BufferedBody<Body>, RequestNames), BodyError> {
-        let budget = &self.shared.body_budget;
-        let buffered = buffer_body(body, REQUEST_BUFFER_BYTES, budget).await?;
-        let mut buffered = buffered.erased();
-        let is_long = buffered.rest.is_some();
-        if is_long {
-            let names = RequestNames::of_start(hasher.clone(), &buffered.prefix);
-            let has_crashed = |name| self.shared.quarantine().has_crashed(name);
-            if !names.partial().is_some_and(has_crashed) {
-                return Ok((buffered, names));
-            }
-            let max_bytes = max_bytes.min(SUSPECT_BUFFER_BYTES);
-            let whole = buffer_body(buffered.take_body(), max_bytes, budget).await?;
-            buffered = whole.erased();
-            if buffered.rest.is_some() {
-                return Ok((buffered, names));
-            }
-        }
-        let names = RequestNames::of_whole(hasher.clone(), &buffered.prefix, is_long);
-        Ok((buffered, names))
-    }
-
     fn route_and_strip_request<'t>(
         &mut self,
         route_match: RouteMatch<'t>,
         deadline: Millis,
-        body: &BufferedBody<Body>,
-        names: RequestNames,
+        body: &RequestBody,
     ) -> Result<RoutedRequest<'t>, Refusal> {
         let service = route_match.select_service(fastrand::f64());
         let service = service.ok_or(Refusal::new(RefusalReason::RouteUnknown))?;
@@ -286,30 +249,26 @@
             service: service.clone(),
             route_match,
             affinity_hash,
-            large_body: body.prefix.len() > LARGE_BODY_BYTES,
+            large_body: body.prefix_bytes() > LARGE_BODY_BYTES,
             deadline,
-            names,
         })
     }
 
     async fn send_with_retries(
         &mut self,
         routed: &RoutedRequest<'_>,
-        body: &mut BufferedBody<Body>,
-        hasher: NameHasher,
+        body: &mut RequestBody,
     ) -> Result<Response<Body>, Refusal> {
         let shared = self.shared;
         let mut attempts = Attempts::default();
-        let is_buffered = body.rest.is_none();
-        let unread = (!is_buffered).then(|| UnreadBody::new(body.take_body()));
         shared
             .budgets()
             .record_request(shared.now(), &routed.service);
         loop {
-            if !self.has_time(routed, is_buffered) {
+            if !self.has_time(routed, body.is_buffered()) {
                 return Err(attempts.refusal(RefusalReason::Stopping, Millis::ZERO));
             }
-            if crash::must_refuse(shared, &routed.names) {
+            if crash::must_refuse(shared, body.names()) {
                 return Err(attempts.quarantined_refusal());
             }
             let (key, selected) = match self.select_target(routed, &attempts.tried) {
@@ -330,6 +289,7 @@
                 "request sent"
             );
             shared.metrics.count_send(selected.warmth);
+            let outgoing = body.attempt_body(shared);
             let attempt = Attempt {
                 request_head: &self.head,
                 service: &routed.service,
@@ -338,19 +298,12 @@
                 workspace: routed.route_match.workspace.map(|w| &w.id),
                 deadline: routed.deadline,
                 kind: routed.route_match.route.kind,
-                names: &routed.names,
+                names: body.names(),
             };
             let timer = shared.deadline_timer(routed.deadline);
-            let outgoing = match &unread {
-                None => body.take_body(),
-                Some(unread) => {
-                    let body = unread.attempt_body();
-                    routed.names.name_body(shared, hasher.clone(), body)
-                }
-            };
             let outcome = forward(shared, &attempt, outgoing, timer).await;
             attempts.tried.push(key);
-            let replayable = unread.as_ref().is_none_or(UnreadBody::is_unread);
+            let replayable = body.is_replayable();
             let retry_reason = match outcome {
                 AttemptOutcome::Answered(response) => return Ok(response),
                 AttemptOutcome::TimedOut => return Err(Refusal::new(RefusalReason::TargetTimeout)),
--- a/crates/waxwingrail/src/edge/request_names.rs
+++ b/crates/waxwingrail/src/edge/request_names.rs
@@ -1,14 +1,11 @@
 //! The names by which the quarantine recognizes the copies of a request. The name of a request whose body is passed on while it
 //! arrives is known at the end of the body.
 
-use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, OnceLock};
-use std::task::{Context, Poll, ready};
 
-use hyper::body::{Body as HttpBody, Bytes, Frame, SizeHint};
 use waxwing_edge::{NameHasher, RequestName};
-use waxwing_http::{Body, BodyError, streamed};
+use waxwing_http::BodyError;
 
 use super::crash;
 use super::state::Shared;
@@ -71,76 +68,16 @@
         self.arrival.is_withheld.load(Ordering::Relaxed)
     }
 
-    /// Wraps a body that is passed on while it arrives. `hasher` has the head of the request.
-    pub(crate) fn name_body(&self, shared: &Arc<Shared>, hasher: NameHasher, body: Body) -> Body {
-        streamed(NamedBody {
-            inner: body,
-            hasher,
-            names: self.clone(),
-            shared: Arc::clone(shared),
-            is_ended: false,
-        })
-    }
-}
-
-/// A body that names its request when it has arrived. The last frame of the body of a quarantined request, or its end if the
-/// length was not known, is withheld, so that no target gets the whole request.
-struct NamedBody {
-    inner: Body,
-    hasher: NameHasher,
-    names: RequestNames,
-    shared: Arc<Shared>,
-    is_ended: bool,
-}
-
-impl NamedBody {
-    /// Names the request at the end of its body.
+    /// Names the request at the end of a body that was passed on while it arrived.
     ///
     /// # Errors
-    /// The request is quarantined.
-    fn end(&mut self) -> Result<(), BodyError> {
-        if std::mem::replace(&mut self.is_ended, true) {
-            return Ok(());
-        }
-        let arrival = &self.names.arrival;
-        arrival.whole.get_or_init(|| self.hasher.whole());
-        if crash::must_refuse(&self.shared, &self.names) {
-            arrival.is_withheld.store(true, Ordering::Relaxed);
+    /// The request is quarantined, so that the end must be withheld.
+    pub(super) fn end_body(&self, shared: &Shared, hasher: &NameHasher) -> Result<(), BodyError> {
+        self.arrival.whole.get_or_init(|| hasher.whole());
+        if crash::must_refuse(shared, self) {
+            self.arrival.is_withheld.store(true, Ordering::Relaxed);
             return Err("the request is quarantined".into());
         }
         Ok(())
     }
 }
-
-impl HttpBody for NamedBody {
-    type Data = Bytes;
-    type Error = BodyError;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        let this = &mut *self;
-        let frame = match ready!(Pin::new(&mut this.inner).poll_frame(cx)) {
-            Some(Err(error)) => return Poll::Ready(Some(Err(error))),
-            Some(Ok(frame)) => Some(frame),
-            None => None,
-        };
-        if let Some(data) = frame.as_ref().and_then(Frame::data_ref) {
-            this.hasher.update(data);
-        }
-        let has_ended = frame.is_none() || this.inner.is_end_stream();
-        if has_ended && let Err(error) = this.end() {
-            return Poll::Ready(Some(Err(error)));
-        }
-        Poll::Ready(frame.map(Ok))
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.is_ended
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.inner.size_hint()
-    }
-}
--- a/crates/waxwingrail/src/request/driver.rs
+++ b/crates/waxwingrail/src/request/driver.rs
@@ -264,11 +264,7 @@
         } else {
             self.flow.ran()
         };
-        let (reason, detail) = match error {
-            UploadError::TooLarge => (RefusalReason::TooLarge, "the body exceeds the limit"),
-            UploadError::Disconnected => (RefusalReason::BadRequest, "the body broke off"),
-            UploadError::Quarantined => (RefusalReason::Quarantined, "it crashed targets"),
-        };
+        let (reason, detail) = error.refusal();
         self.refuse(&Refusal::new(reason, ran), detail);
         FlowEvent::CallerDisconnected
     }
--- a/crates/waxwingrail/src/request/mod.rs
+++ b/crates/waxwingrail/src/request/mod.rs
@@ -23,7 +23,7 @@
 use crate::lookup;
 use crate::state::Shared;
 use parse::RequestError;
-use upload::{Upload, UploadError};
+use upload::Upload;
 
 /// Handles the requests of callers.
 pub(crate) struct CallerHandler(pub(crate) Arc<Shared>);
@@ -111,14 +111,13 @@
         let detail = "the configuration has not arrived yet";
         return refuse_not_run(shared, RefusalReason::ConfigStale, detail);
     }
-    let mut incoming = match incoming {
+    let incoming = match incoming {
         Ok(incoming) => incoming,
         Err(error) => return refuse_not_run(shared, error.reason, error.detail),
     };
     if let Err(refusal) = read_body_start(shared, &upload).await {
         return refuse_not_run(shared, refusal.0, refusal.1);
     }
-    incoming.body_hash = upload.body_hash();
     driver::run_request(shared, incoming, head, upload).await
 }
 
@@ -135,15 +134,7 @@
     let start = async { Some(upload.read_start().await) };
     match futures_lite::future::or(start, timeout).await {
         Some(Ok(())) => Ok(()),
-        Some(Err(UploadError::Quarantined)) => {
-            Err((RefusalReason::Quarantined, "it crashed targets"))
-        }
-        Some(Err(UploadError::TooLarge)) => {
-            Err((RefusalReason::TooLarge, "the body exceeds the limit"))
-        }
-        Some(Err(UploadError::Disconnected)) => {
-            Err((RefusalReason::BadRequest, "the body broke off"))
-        }
+        Some(Err(error)) => Err(error.refusal()),
         None => Err((RefusalReason::BadRequest, "the body did not begin in time")),
     }
 }
--- a/crates/waxwingrail/src/request/upload.rs
+++ b/crates/waxwingrail/src/request/upload.rs
@@ -8,6 +8,7 @@
 
 use hyper::body::{Body as _, Bytes, Frame, Incoming, SizeHint};
 use waxwing_http::{Body, BodyError, streamed};
+use waxwing_types::RefusalReason;
 use xxhash_rust::xxh3::Xxh3;
 
 /// Maximum number of body bytes that are buffered for retries. A longer body cannot be sent again
@@ -28,6 +29,17 @@
     Quarantined,
 }
 
+impl UploadError {
+    /// Why the request is refused.
+    pub(crate) const fn refusal(self) -> (RefusalReason, &'static str) {
+        match self {
+            Self::TooLarge => (RefusalReason::TooLarge, "the body exceeds the limit"),
+            Self::Disconnected => (RefusalReason::BadRequest, "the body broke off"),
+            Self::Quarantined => (RefusalReason::Quarantined, "it crashed targets"),
+        }
+    }
+}
+
 /// Tells whether the request is quarantined if its body has a hash.
 pub(crate) type QuarantineCheck = Box<dyn Fn(u64) -> bool + Send>;
 
@@ -245,18 +257,9 @@
             None if state.ended => return Poll::Ready(None),
             None => match ready!(state.poll_source(cx)) {
                 None => return Poll::Ready(None),
-                Some(Err(UploadError::TooLarge)) => {
-                    return Poll::Ready(Some(Err(body_error(
-                        "the request body exceeds the size limit",
-                    ))));
-                }
-                Some(Err(UploadError::Disconnected)) => {
-                    return Poll::Ready(Some(Err(body_error(
-                        "the caller disconnected before the end of the body",
-                    ))));
-                }
-                Some(Err(UploadError::Quarantined)) => {
-                    return Poll::Ready(Some(Err(body_error("the request is quarantined"))));
+                Some(Err(error)) => {
+                    let (_, detail) = error.refusal();
+                    return Poll::Ready(Some(Err(body_error(detail))));
                 }
                 Some(Ok(data)) => data,
             },
