Drop the case of restarts in turn, which an earlier review shows

Cause: the second review's case 8 shows the same fault, a quota divided by lists of machines that are seconds old while machines stop and start in turn. Conclusion: review/8 stands for it.

--- a/review/standin-3/src/crashing.rs
+++ b/review/standin-3/src/crashing.rs
@@ -159,7 +159,6 @@
         burst: 0,
         work: WORK,
         clients: 24,
-        stale_lag: Duration::ZERO,
         extra: String::new(),
         upstreams: 0,
     };
--- a/review/standin-3/src/daemon.rs
+++ b/review/standin-3/src/daemon.rs
@@ -103,22 +103,6 @@
         }
     }
 
-    /// Asks the process to stop.
-    pub fn terminate(&self) {
-        if let Some(child) = &self.child {
-            let _ = Command::new("kill").args(["-TERM", &child.id().to_string()]).status();
-        }
-    }
-
-    /// Whether the process has ended. Forgets one that has.
-    pub fn has_ended(&mut self) -> bool {
-        let ended = self.child.as_mut().is_none_or(|child| !matches!(child.try_wait(), Ok(None)));
-        if ended {
-            self.child = None;
-        }
-        ended
-    }
-
     pub fn is_ready(&self) -> bool {
         get(&self.readiness, "/api/ready", "", Duration::from_millis(500)).is_ok_and(|answer| answer.status() == 200)
     }
--- a/review/standin-3/src/keep_alive.rs
+++ b/review/standin-3/src/keep_alive.rs
@@ -20,7 +20,6 @@
         burst: 0,
         work: Duration::from_millis(20),
         clients: 8,
-        stale_lag: Duration::ZERO,
         extra: format!("Keep-Alive: timeout={seconds}\r\n"),
         upstreams: 3,
     };
--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -28,7 +28,6 @@
     let code = match case.as_str() {
         "quota-cut" => quota::cut(&folder, trouble),
         "quota-restart" => quota::restart(&folder, trouble),
-        "quota-roll" => quota::roll(&folder, trouble),
         "crashing" => crashing::run(&folder, trouble),
         "keep-alive" => keep_alive::run(&folder, trouble),
         _ => {
--- a/review/standin-3/src/quota.rs
+++ b/review/standin-3/src/quota.rs
@@ -3,7 +3,7 @@
 use std::path::Path;
 use std::sync::atomic::Ordering;
 use std::thread::sleep;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use crate::scene::{Scene, Terms};
 
@@ -42,7 +42,6 @@
         burst: 200,
         work: Duration::from_millis(5),
         clients: 48,
-        stale_lag: Duration::ZERO,
         extra: String::new(),
         upstreams: 3,
     };
@@ -77,17 +76,16 @@
 pub fn restart(folder: &Path, trouble: bool) -> i32 {
     let terms = Terms {
         daemons: 4,
-        rate: 20,
-        burst: 1000,
+        rate: 30,
+        burst: 600,
         work: Duration::from_millis(5),
         clients: 48,
-        stale_lag: Duration::ZERO,
         extra: String::new(),
         upstreams: 3,
     };
     let Some(mut scene) = Scene::start(&terms) else { return 2 };
     scene.record.note("the tenant sends nothing, and its burst fills up");
-    sleep(Duration::from_secs(45));
+    sleep(Duration::from_secs(22));
     scene.record.note("the tenant sends many times its usual");
     scene.traffic.pause_ms.store(5, Ordering::Relaxed);
     scene.traffic.active.store(terms.clients, Ordering::Relaxed);
@@ -103,45 +101,3 @@
     sleep(Duration::from_millis(2500));
     verdict(&mut scene, &terms, folder)
 }
-
-/// Time by which states lag that are read with `allowStale`.
-const STALE_LAG: Duration = Duration::from_secs(5);
-
-/// All daemons are stopped and started in turn, each after the one before it is ready again, while the tenant asks for more than
-/// its limit.
-pub fn roll(folder: &Path, trouble: bool) -> i32 {
-    let terms = Terms {
-        daemons: 4,
-        rate: 60,
-        burst: 60,
-        work: Duration::from_millis(5),
-        clients: 24,
-        stale_lag: STALE_LAG,
-        extra: String::new(),
-        upstreams: 3,
-    };
-    let Some(mut scene) = Scene::start(&terms) else { return 2 };
-    sleep(Duration::from_secs(10));
-    scene.record.note("the tenant asks for several times its rate");
-    scene.traffic.pause_ms.store(60, Ordering::Relaxed);
-    scene.traffic.active.store(terms.clients, Ordering::Relaxed);
-    sleep(Duration::from_secs(8));
-    let end = Instant::now() + Duration::from_secs(25);
-    for index in 0..if trouble { terms.daemons } else { 0 } {
-        scene.record.note(format!("SIGTERM to {}", scene.daemons[index].name));
-        scene.daemons[index].terminate();
-        while !scene.daemons[index].has_ended() {
-            sleep(Duration::from_millis(20));
-        }
-        scene.daemons[index].start();
-        scene.record.note(format!("{} has ended, and starts again", scene.daemons[index].name));
-        while !scene.daemons[index].is_ready() && Instant::now() < end {
-            sleep(Duration::from_millis(20));
-        }
-        scene.record.note(format!("{} is ready", scene.daemons[index].name));
-    }
-    sleep(end.saturating_duration_since(Instant::now()));
-    scene.traffic.active.store(0, Ordering::Relaxed);
-    sleep(Duration::from_millis(2500));
-    verdict(&mut scene, &terms, folder)
-}
--- a/review/standin-3/src/scene.rs
+++ b/review/standin-3/src/scene.rs
@@ -33,8 +33,6 @@
     pub burst: u64,
     pub work: Duration,
     pub clients: usize,
-    /// Time by which states lag that are read with `allowStale`.
-    pub stale_lag: Duration,
     /// Upstreams that the scene starts.
     pub upstreams: usize,
     /// A further header line of the answers of one upstream, with its end of line.
@@ -62,7 +60,6 @@
         let logs = std::env::temp_dir().join(format!("standin-3-{}", std::process::id()));
         std::fs::create_dir_all(&logs).ok()?;
         let store = Store::new(terms.daemons);
-        store.set_stale_lag(terms.stale_lag);
         store.put("config", "main", &config(terms.rate, terms.burst));
         for number in 0..terms.upstreams {
             let id = format!("i-{number}");
--- a/review/standin-3/src/store.rs
+++ b/review/standin-3/src/store.rs
@@ -8,7 +8,6 @@
 use crate::http::{Message, Wire};
 
 struct Event {
-    at: Instant,
     revision: u64,
     name: String,
     kind: String,
@@ -23,8 +22,6 @@
     events: Vec<Event>,
     /// Daemons that are cut off from the store.
     cut: Vec<bool>,
-    /// Time by which a state lags that a call with `allowStale` reads.
-    stale_lag: Duration,
     /// Addresses by which each daemon knows the peer addresses of the others.
     peers: Vec<Vec<(String, String)>>,
 }
@@ -67,11 +64,6 @@
         address
     }
 
-    /// Sets by how much a state lags that a call with `allowStale` reads.
-    pub fn set_stale_lag(&self, lag: Duration) {
-        self.shared.0.lock().unwrap().stale_lag = lag;
-    }
-
     /// The address by which a daemon knows another one's address for datagrams.
     pub fn set_peer(&self, daemon: usize, address: &str, known_as: &str) {
         self.shared.0.lock().unwrap().peers[daemon].push((address.into(), known_as.into()));
@@ -95,7 +87,6 @@
         let revision = state.revision;
         state.objects.insert(key, (revision, spec.to_owned()));
         state.events.push(Event {
-            at: Instant::now(),
             revision,
             name: name.to_owned(),
             kind: kind.to_owned(),
@@ -114,7 +105,6 @@
         state.revision += 1;
         let revision = state.revision;
         state.events.push(Event {
-            at: Instant::now(),
             revision,
             name: name.to_owned(),
             kind: kind.to_owned(),
@@ -196,11 +186,9 @@
             pairs.find(|(name, _)| *name == wanted).and_then(|(_, value)| value.parse::<u64>().ok())
         };
         let mut state = self.shared.0.lock().unwrap();
-        let lag = if value("allowStale").is_some() { state.stale_lag } else { Duration::ZERO };
         let Some(after) = value("watch") else {
             let mut objects = BTreeMap::new();
-            let seen = state.seen(lag);
-            for event in seen.iter().filter(|event| event.kind == kind) {
+            for event in state.events.iter().filter(|event| event.kind == kind) {
                 if event.deleted {
                     objects.remove(&event.name);
                 } else {
@@ -208,39 +196,29 @@
                 }
             }
             let items: Vec<&str> = objects.into_values().collect();
-            let at = seen.last().map_or(1, |event| event.revision);
+            let at = state.revision;
             let text = format!("{{\"items\":[{}],\"more\":false,\"at\":{at}}}", items.join(","));
             return (200, replace_peers(&state, daemon, text));
         };
         let end = Instant::now() + Duration::from_millis(value("waitMs").unwrap_or(0));
         loop {
-            let seen = state.seen(lag);
-            let events: Vec<String> = seen
+            let events: Vec<String> = state
+                .events
                 .iter()
                 .filter(|event| event.kind == kind && event.revision > after)
                 .map(|event| format!("{{\"object\":{},\"deleted\":{}}}", event.object, event.deleted))
                 .collect();
-            let at = seen.last().map_or(1, |event| event.revision).max(after);
+            let at = state.revision.max(after);
             let left = end.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() || state.cut[daemon] {
                 let text = format!("{{\"events\":[{}],\"at\":{at}}}", events.join(","));
                 return (200, replace_peers(&state, daemon, text));
             }
-            // A change is seen by a stale read only after its lag.
-            let pause = if lag.is_zero() { left } else { left.min(Duration::from_millis(20)) };
-            state = self.shared.1.wait_timeout(state, pause).unwrap().0;
+            state = self.shared.1.wait_timeout(state, left).unwrap().0;
         }
     }
 }
 
-impl State {
-    /// The changes that a state shows which lags by `lag`.
-    fn seen(&self, lag: Duration) -> &[Event] {
-        let count = self.events.partition_point(|event| event.at.elapsed() >= lag);
-        &self.events[..count]
-    }
-}
-
 fn replace_peers(state: &State, daemon: usize, mut text: String) -> String {
     for (address, known_as) in &state.peers[daemon] {
         let peer = |address: &str| format!("\"peer\":\"{address}\"");
