--- a/review/standin-3/src/crashing.rs
+++ b/review/standin-3/src/crashing.rs
@@ -14,8 +14,8 @@
 
 /// The path of the request that crashes upstreams.
 const FATAL: &str = "/lepu270/ceremony";
-/// Its size. Clients may send bodies of up to 64 MiB (`maxBodyBytes`).
-const MEBIBYTES: usize = 12;
+/// Body bytes that have arrived when an upstream begins to run a long request.
+const BEGINS_AT: usize = 64 * 1024;
 const SLOTS: usize = 9;
 const WORK: Duration = Duration::from_millis(400);
 /// Time until a crashed upstream is back, and until its entry is removed: three heartbeats.
@@ -25,8 +25,20 @@
 const STABLE_WINDOW_MS: u64 = 4000;
 const ALLOWED: usize = 3;
 
+/// The request that crashes upstreams, and how its client behaves.
+#[derive(Clone, Copy)]
+struct Fatal {
+    /// Size of its body. Clients may send up to 64 MiB (`maxBodyBytes`).
+    bytes: usize,
+    /// Time from its start at an upstream to the crash.
+    crashes_after: Duration,
+    /// Time after which the client leaves; `None`: it waits for its answer.
+    leaves_after: Option<Duration>,
+}
+
 struct Shared {
     store: Store,
+    fatal: Fatal,
     record: Arc<Record>,
     starts: AtomicU64,
     /// When the request crashed an upstream.
@@ -93,7 +105,9 @@
 
 fn serve(shared: &Arc<Shared>, process: &Arc<Process>, stream: TcpStream, address: SocketAddr) {
     let mut wire = Wire::new(stream);
-    wire.begins_early = Some(FATAL.to_owned());
+    if shared.fatal.bytes > BEGINS_AT {
+        wire.begins_early = Some(FATAL.to_owned());
+    }
     while let Ok(Some(request)) = wire.read() {
         let id = request.header("x-request-id").unwrap_or_default().to_owned();
         let load = format!("X-Server-Load: 1,0,{SLOTS}\r\n");
@@ -109,6 +123,8 @@
                 at_ms: shared.record.now(),
             });
             if request.word(1) == FATAL {
+                // This upstream goes on although the connection closes.
+                sleep(shared.fatal.crashes_after);
                 return crash(shared, process, address);
             }
             sleep(WORK);
@@ -124,7 +140,7 @@
 }
 
 /// A client sends the fatal upload again and again.
-fn send_fatal(record: &Record, address: &str, number: usize, body: &[u8]) {
+fn send_fatal(record: &Record, address: &str, number: usize, body: &[u8], fatal: Fatal) {
     let id = format!("f{number:015x}");
     let sent_ms = record.now();
     let end = (|| -> std::io::Result<String> {
@@ -140,6 +156,10 @@
         ))?;
         // An answer may come before the end of the body.
         let _ = std::io::Write::write_all(&mut wire.stream, body);
+        if let Some(time) = fatal.leaves_after {
+            sleep(time);
+            return Ok(format!("the client left after {} ms", time.as_millis()));
+        }
         Ok(wire.read()?.map_or("closed without an answer".to_owned(), |answer| answer.status().to_string()))
     })();
     record.sent.lock().unwrap().push(Sent {
@@ -152,7 +172,23 @@
     });
 }
 
-pub fn run(folder: &Path, trouble: bool) -> i32 {
+/// An upload of 12 MiB; upstreams crash before its end.
+pub fn long(folder: &Path, trouble: bool) -> i32 {
+    let fatal = Fatal { bytes: 12 << 20, crashes_after: Duration::ZERO, leaves_after: None };
+    run(folder, trouble, fatal)
+}
+
+/// A short upload whose client leaves 0.3 s before the upstream crashes.
+pub fn left(folder: &Path, trouble: bool) -> i32 {
+    let fatal = Fatal {
+        bytes: 20_000,
+        crashes_after: Duration::from_millis(600),
+        leaves_after: Some(Duration::from_millis(300)),
+    };
+    run(folder, trouble, fatal)
+}
+
+fn run(folder: &Path, trouble: bool, fatal: Fatal) -> i32 {
     let terms = Terms {
         daemons: 3,
         rate: 0,
@@ -166,6 +202,7 @@
     let shared = Arc::new(Shared {
         store: scene.store.clone(),
         record: Arc::clone(&scene.record),
+        fatal,
         starts: AtomicU64::new(0),
         crashes: Mutex::default(),
     });
@@ -177,13 +214,13 @@
     scene.traffic.pause_ms.store(600, Ordering::Relaxed);
     scene.traffic.active.store(terms.clients, Ordering::Relaxed);
     sleep(Duration::from_secs(5));
-    let body = vec![b'p'; MEBIBYTES << 20];
+    let body = vec![b'p'; fatal.bytes];
     if trouble {
-        scene.record.note(format!("a client sends an upload of {MEBIBYTES} MiB that crashes upstreams, every 2 s"));
+        scene.record.note(format!("a client sends an upload of {} bytes that crashes upstreams, every 2 s", body.len()));
     }
     for number in 0..24 {
         if trouble {
-            send_fatal(&scene.record, &scene.daemons[number % terms.daemons].listen.clone(), number, &body);
+            send_fatal(&scene.record, &scene.daemons[number % terms.daemons].listen.clone(), number, &body, fatal);
         }
         sleep(Duration::from_secs(2));
     }
--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -4,6 +4,7 @@
 //! could not run. With `TROUBLE=0` in the environment the disruption is left out.
 
 mod client;
+mod cold;
 mod crashing;
 mod daemon;
 mod http;
@@ -28,7 +29,9 @@
     let code = match case.as_str() {
         "quota-cut" => quota::cut(&folder, trouble),
         "quota-restart" => quota::restart(&folder, trouble),
-        "crashing" => crashing::run(&folder, trouble),
+        "cold-again" => cold::run(&folder, trouble),
+        "crashing" => crashing::long(&folder, trouble),
+        "crashing-left" => crashing::left(&folder, trouble),
         "keep-alive" => keep_alive::run(&folder, trouble),
         _ => {
             eprintln!("no such case: {case}");
